--- /dev/null
+++ b/programs/fleet_host/control_process.cc
@@ -0,0 +1,256 @@
+#include "programs/fleet_host/control_process.h"
+
+#include <thread>
+#include <utility>
+
+#include "sapphirebank/consensus/posix_file_system.h"
+#include "sapphirebank/transport/process_clock.h"
+
+namespace sapphirebank {
+namespace {
+
+using nlohmann::json;
+
+// Timers of a control host; wake-ups are paid for.
+constexpr Duration kTickPeriod = std::chrono::milliseconds(50);
+
+// How often a leader proves that it leads. It bounds how old a leader's word
+// is, well below the time for which a key may outlive its withdrawal.
+constexpr Duration kConfirmPeriod = std::chrono::milliseconds(150);
+
+// Without proofs, a leader would still be heard this often.
+constexpr Duration kHeartbeat = std::chrono::milliseconds(250);
+
+// A leader that is lost is replaced within one to two of these and a vote.
+constexpr Duration kElectionTimeout = std::chrono::milliseconds(800);
+
+// Least time between two pushes of news, so that many changes share one.
+constexpr Duration kPushPeriod = std::chrono::milliseconds(40);
+
+// How often followers are told which entry hosts are ready, at least.
+constexpr Duration kPublishPeriod = std::chrono::milliseconds(500);
+
+// Time for a handed-on leadership to be taken before the process ends.
+constexpr Duration kHandOverTime = std::chrono::milliseconds(250);
+
+HostId FleetHost(const FleetSettings& settings, const Endpoint& at) {
+  return HostId(ToString(settings.FleetEndpoint(at)));
+}
+
+ControlHostSettings HostSettings(const FleetSettings& settings) {
+  ControlHostSettings host;
+  host.host = FleetHost(settings, settings.control);
+  host.open_group = true;
+  host.raft.heartbeat_interval = kHeartbeat;
+  host.raft.election_timeout = kElectionTimeout;
+  host.hello_interval = std::chrono::milliseconds(300);
+  host.stamp_interval = std::chrono::hours(1);
+  for (const Endpoint& seed : settings.seeds) {
+    host.control_hosts.push_back(FleetHost(settings, seed));
+  }
+  if (settings.found_group) host.founders = host.control_hosts;
+  return host;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<ControlProcess>> ControlProcess::Start(
+    caf::actor_system& system, boost::asio::io_context& loop,
+    const FleetSettings& settings, ControlDialect dialect,
+    PlanReader plan_reader, LogWriter& log) {
+  auto files = PosixFileSystem::Open(settings.data_folder);
+  if (!files) return tl::unexpected(files.error());
+  auto host = ControlHost::Create(HostSettings(settings), **files,
+                                  MonotonicNow(), RandomSeed());
+  if (!host) return tl::unexpected(host.error());
+  std::unique_ptr<ControlProcess> process(new ControlProcess(
+      system, loop, settings, std::move(dialect), std::move(plan_reader),
+      std::move(*files), std::move(*host), log));
+  if (auto opened = process->Listen(); !opened) {
+    return tl::unexpected(opened.error());
+  }
+  process->thread_.Post([raw = process.get()] {
+    raw->FollowRecord(raw->Now());
+    raw->Flush();
+  });
+  process->thread_.StartTicks(kTickPeriod,
+                              [raw = process.get()] { raw->Tick(); });
+  return process;
+}
+
+ControlProcess::ControlProcess(caf::actor_system& system,
+                               boost::asio::io_context& loop,
+                               const FleetSettings& settings,
+                               ControlDialect dialect, PlanReader plan_reader,
+                               std::unique_ptr<FileSystem> files,
+                               ControlHost host, LogWriter& log)
+    : settings_(settings),
+      self_(FleetHost(settings, settings.control)),
+      dialect_(std::move(dialect)),
+      plan_reader_(std::move(plan_reader)),
+      log_(log),
+      loop_(loop),
+      files_(std::move(files)),
+      host_(std::move(host)),
+      leader_(FleetLeaderSettings()),
+      published_(std::make_shared<const std::vector<std::string>>()),
+      random_(RandomSeed()),
+      thread_(system),
+      links_(self_, FleetSecret(settings.fleet_secret), LinkHooks()) {}
+
+ControlProcess::~ControlProcess() {
+  thread_.Post([this] {
+    host_.TransferLeadership(Now());
+    Flush();
+  });
+  std::this_thread::sleep_for(kHandOverTime);
+  thread_.Stop();
+}
+
+Result<void> ControlProcess::Listen() {
+  try {
+    links_.Listen(settings_.FleetEndpoint(settings_.control));
+  } catch (const std::runtime_error& e) {
+    return Fail(ErrorKind::kInvalidSettings, e.what());
+  }
+  // A plan with thousands of routes takes a few megabytes.
+  constexpr std::uint64_t kMaxCallBytes = std::uint64_t{16} << 20U;
+  const auto open = [&](const Endpoint& at, std::optional<HttpServer>& out) {
+    HttpServerSettings server;
+    server.ip = at.ip;
+    server.port = at.port;
+    HttpServer::Hooks hooks;
+    hooks.accept_head =
+        [](const HttpRequestHead&) -> Result<std::uint64_t> {
+      return kMaxCallBytes;
+    };
+    hooks.handle = [this](HttpRequest request) {
+      return Serve(std::move(request));
+    };
+    auto opened = HttpServer::Listen(loop_, server, std::move(hooks));
+    if (!opened) return Result<void>(tl::unexpected(opened.error()));
+    out.emplace(std::move(*opened));
+    return Result<void>();
+  };
+  return open(settings_.control, control_server_).and_then([&] {
+    return open(settings_.directory, directory_server_);
+  });
+}
+
+Instant ControlProcess::Now() const { return MonotonicNow(); }
+
+void ControlProcess::Tick() {
+  const Instant now = Now();
+  host_.Tick(now, WallNow());
+  if (leads_) leader_.Tick(now);
+  ConnectToOthers(now);
+  ForwardHeartbeats();
+  Flush();
+}
+
+void ControlProcess::FlushSoon() {
+  if (flush_is_posted_) return;
+  flush_is_posted_ = true;
+  thread_.Post([this] { Flush(); });
+}
+
+void ControlProcess::Flush() {
+  flush_is_posted_ = false;
+  const Instant now = Now();
+  FollowLeadership(now);
+  if (leads_) ConfirmLeadership(now);
+  Send(host_.TakeEarlyMessages(now));
+  ControlEffects effects = host_.Flush(now);
+  Send(effects.messages);
+  if (effects.failure) {
+    log_.Write(LogLevel::kError, "data_folder_failed",
+               {{"cause", effects.failure->detail}});
+  }
+  if (effects.fleet_changed) FollowRecord(now);
+  for (Completion& completion : effects.completions) {
+    const auto callback = completions_.extract(completion.token);
+    if (!callback.empty()) callback.mapped()(std::move(completion));
+  }
+  Advance(now);
+  if (leads_) PushNews(now);
+  PublishReady(now);
+}
+
+void ControlProcess::FollowRecord(Instant now) {
+  const FleetRecord& record = host_.state().fleet();
+  const PlanVersion held = plan_ ? plan_->version() : 0;
+  if (record.version() > held) {
+    auto plan = plan_reader_(record.document());
+    if (plan) {
+      plan_ = std::move(*plan);
+      log_.Write(LogLevel::kInfo, "plan_in_force",
+                 {{"version", plan_->version()}});
+    } else {
+      log_.Write(LogLevel::kError, "plan_unreadable",
+                 {{"version", record.version()},
+                  {"cause", plan.error().detail}});
+    }
+  }
+  leader_.Follow(now, record, plan_);
+}
+
+void ControlProcess::FollowLeadership(Instant now) {
+  const bool leads = host_.IsLeader();
+  const auto leader = host_.leader();
+  if (leader != known_leader_) {
+    known_leader_ = leader;
+    log_.Write(LogLevel::kInfo, "leader_known",
+               {{"leader", leader ? leader->value() : ""},
+                {"term", host_.raft().term()}});
+  }
+  if (leads == leads_) return;
+  leads_ = leads;
+  if (!leads) return;
+  leader_.Begin(host_.raft().term());
+  leader_.AdoptReady(now, ready_);
+  confirmed_at_ = Instant();
+  confirming_ = false;
+  next_confirm_ = now;
+}
+
+// Asks for proof that this host still leads. What was accepted before the
+// question is in the record when the answer comes.
+void ControlProcess::ConfirmLeadership(Instant now) {
+  if (confirming_ || now < next_confirm_) return;
+  next_confirm_ = now + kConfirmPeriod;
+  confirming_ = true;
+  const Token token = next_token_++;
+  completions_[token] = [this, now](const Completion& completion) {
+    confirming_ = false;
+    if (completion.result) confirmed_at_ = std::max(confirmed_at_, now);
+  };
+  host_.Read(now, token);
+}
+
+void ControlProcess::PushNews(Instant now) {
+  if (now < next_push_) return;
+  bool pushed = false;
+  for (const auto& [link, peer] : peers_) {
+    if (peer.is_control || !leader_.HasNews(peer.host)) continue;
+    FleetUpdate update = leader_.News(now, peer.host, host_.state().fleet());
+    update.age = now - confirmed_at_;
+    links_.Send(link, {{"t", "update"}, {"u", update}});
+    pushed = true;
+  }
+  if (pushed) next_push_ = now + kPushPeriod;
+}
+
+void ControlProcess::PublishReady(Instant now) {
+  if (leads_) {
+    std::vector<std::string> ready = leader_.Ready(now);
+    if (ready == ready_ && now < next_publish_) return;
+    next_publish_ = now + kPublishPeriod;
+    ready_ = std::move(ready);
+    SendToControl({{"t", "ready"}, {"list", ready_}});
+  }
+  if (*std::atomic_load(&published_) == ready_) return;
+  std::atomic_store(&published_,
+                    std::make_shared<const std::vector<std::string>>(ready_));
+}
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/programs/fleet_host/control_process_links.cc
@@ -0,0 +1,203 @@
+#include <utility>
+
+#include "sapphirebank/core/cbor.h"
+#include "programs/fleet_host/control_process.h"
+
+// The links of a control host, to the others and to entry hosts.
+namespace sapphirebank {
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kConnectPeriod = std::chrono::milliseconds(300);
+
+// Control hosts ping each other this often, and give a link up that stays
+// silent for the second time: a connection may go silent without a reset.
+constexpr Duration kPingPeriod = std::chrono::milliseconds(500);
+constexpr Duration kSilentLink = std::chrono::milliseconds(1600);
+
+// Entry hosts report at least twice a second.
+constexpr Duration kSilentEntryLink = std::chrono::seconds(4);
+
+json Binary(const std::string& bytes) {
+  return json::binary({bytes.begin(), bytes.end()});
+}
+
+std::string Text(const json& binary) {
+  const auto& bytes = binary.get_binary();
+  return {bytes.begin(), bytes.end()};
+}
+
+}  // namespace
+
+FleetLink::Hooks ControlProcess::LinkHooks() {
+  FleetLink::Hooks hooks;
+  hooks.up = [this](LinkId link, const HostId& host) {
+    thread_.Post([this, link, host] { OnUp(link, host); });
+  };
+  hooks.received = [this](LinkId link, const HostId& from, json message) {
+    thread_.Post([this, link, from, moved = std::move(message)] {
+      OnMessage(link, from, moved);
+    });
+  };
+  hooks.down = [this](LinkId link, const std::string& reason) {
+    thread_.Post([this, link, reason] { OnDown(link, reason); });
+  };
+  return hooks;
+}
+
+void ControlProcess::OnUp(LinkId link, const HostId& host) {
+  peers_[link] = {host, false, Now()};
+  links_.Send(link, {{"t", "control"}});
+}
+
+void ControlProcess::OnDown(LinkId link, const std::string& reason) {
+  std::erase_if(connecting_,
+                [&](const auto& item) { return item.second == link; });
+  const auto found = peers_.find(link);
+  if (found != peers_.end()) {
+    const Peer peer = found->second;
+    peers_.erase(found);
+    if (!peer.is_control && !LinkTo(peer.host)) leader_.Lost(peer.host);
+    log_.Write(LogLevel::kInfo, "link_lost",
+               {{"host", peer.host.value()}, {"cause", reason}});
+    FlushSoon();
+  } else if (!reason.empty()) {
+    log_.Write(LogLevel::kWarning, "link_refused", {{"cause", reason}});
+  }
+}
+
+std::optional<FleetLink::LinkId> ControlProcess::LinkTo(
+    const HostId& host) const {
+  // The newest link: an older one may be silent.
+  for (auto peer = peers_.rbegin(); peer != peers_.rend(); ++peer) {
+    if (peer->second.host == host) return peer->first;
+  }
+  return std::nullopt;
+}
+
+void ControlProcess::Send(const std::vector<PeerEnvelope>& messages) {
+  for (const PeerEnvelope& envelope : messages) {
+    const auto link = LinkTo(envelope.host);
+    if (!link) continue;
+    links_.Send(*link, {{"t", "raft"},
+                        {"m", Binary(EncodePeerMessage(envelope.message))}});
+  }
+}
+
+void ControlProcess::SendToControl(const json& message) {
+  for (const auto& [link, peer] : peers_) {
+    if (peer.is_control) links_.Send(link, message);
+  }
+}
+
+void ControlProcess::ConnectToOthers(Instant now) {
+  if (now >= next_ping_) {
+    next_ping_ = now + kPingPeriod;
+    SendToControl({{"t", "ping"}});
+    for (const auto& [link, peer] : peers_) {
+      const Duration limit = peer.is_control ? kSilentLink : kSilentEntryLink;
+      if (now - peer.heard_at > limit) links_.Close(link);
+    }
+  }
+  if (now < next_connect_) return;
+  next_connect_ = now + kConnectPeriod;
+  std::vector<HostId> hosts;
+  for (const Endpoint& seed : settings_.seeds) {
+    hosts.emplace_back(ToString(settings_.FleetEndpoint(seed)));
+  }
+  for (const GroupMember& member : host_.raft().membership().members()) {
+    hosts.push_back(member.host);
+  }
+  for (const HostId& host : hosts) {
+    if (host == self_ || connecting_.contains(host.value()) || LinkTo(host)) {
+      continue;
+    }
+    const auto endpoint = EndpointFromString(host.value());
+    if (endpoint) connecting_[host.value()] = links_.Connect(*endpoint);
+  }
+}
+
+void ControlProcess::OnMessage(LinkId link, const HostId& from,
+                               const json& message) {
+  const auto found = peers_.find(link);
+  if (found == peers_.end()) return;
+  Peer& peer = found->second;
+  peer.heard_at = Now();
+  try {
+    const std::string type = message.at("t").get<std::string>();
+    if (type == "raft") {
+      const auto decoded = DecodePeerMessage(Text(message.at("m")));
+      if (decoded) host_.Receive(peer.heard_at, from, *decoded);
+      FlushSoon();
+    } else if (type == "report") {
+      OnReport(link, from, message);
+    } else if (type == "control") {
+      peer.is_control = true;
+      host_.LearnHost(from);
+    } else if (type == "call") {
+      OnPeerCall(link, message);
+    } else if (type == "done") {
+      const auto call = pending_.find(message.at("call").get<std::uint64_t>());
+      if (call == pending_.end()) return;
+      if (message.at("ok").get<bool>()) {
+        const Callback done = std::move(call->second.callback);
+        pending_.erase(call);
+        done(message.at("text").get<std::string>());
+      } else {
+        AskAgainLater(call->second);
+      }
+    } else if (type == "servers") {
+      for (const auto& server :
+           message.at("list").get<std::vector<ServerAnnouncement>>()) {
+        HearServer(server);
+      }
+      FlushSoon();
+    } else if (type == "ready" && !leads_) {
+      ready_ = message.at("list").get<std::vector<std::string>>();
+      FlushSoon();
+    }
+  } catch (const std::exception& e) {
+    log_.Write(LogLevel::kWarning, "message_refused",
+               {{"from", from.value()}, {"cause", e.what()}});
+  }
+}
+
+void ControlProcess::OnReport(LinkId link, const HostId& from,
+                              const json& message) {
+  if (!leads_) {
+    json hosts = json::array();
+    for (const GroupMember& member : host_.raft().membership().members()) {
+      hosts.push_back(member.host.value());
+    }
+    links_.Send(link, {{"t", "redirect"},
+                       {"leader", known_leader_ ? known_leader_->value() : ""},
+                       {"hosts", std::move(hosts)}});
+    return;
+  }
+  const Instant now = Now();
+  const auto report = message.at("r").get<EntryReport>();
+  FleetUpdate update = leader_.Take(now, from, report, host_.state().fleet());
+  update.age = now - confirmed_at_;
+  links_.Send(link, {{"t", "update"}, {"u", update}});
+  FlushSoon();
+}
+
+void ControlProcess::OnPeerCall(LinkId link, const json& message) {
+  const auto number = message.at("call").get<std::uint64_t>();
+  std::optional<ControlCommand> command;
+  if (message.contains("command")) {
+    auto decoded = DecodeCommand(Text(message.at("command")));
+    if (!decoded) return;
+    command = std::move(*decoded);
+  }
+  Decide(std::move(command), [this, link, number](const Result<std::string>& r) {
+    links_.Send(link, {{"t", "done"},
+                       {"call", number},
+                       {"ok", r.has_value()},
+                       {"text", r ? *r : r.error().detail}});
+  });
+  FlushSoon();
+}
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/programs/fleet_host/entry_process.cc
@@ -0,0 +1,181 @@
+#include "programs/fleet_host/entry_process.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "sapphirebank/transport/process_clock.h"
+
+namespace sapphirebank {
+namespace {
+
+// Part of the bound on withdrawn keys for which the leader's word is good; the
+// rest is for a request on its way to a backend server.
+constexpr double kPartOfKeyWithdrawal = 0.85;
+
+// Part of the grace time in which callers that still come are served: they
+// keep addresses for some seconds.
+constexpr double kServeOnPart = 0.7;
+
+// Part of the grace time after which the process ends in any case.
+constexpr double kEndPart = 0.97;
+
+constexpr Duration kIdleCheckPeriod = std::chrono::milliseconds(50);
+
+Duration Part(Duration whole, double part) {
+  return FromSeconds(ToSeconds(whole) * part);
+}
+
+HttpAnswer PlainAnswer(int status) {
+  HttpAnswer answer;
+  answer.status = status;
+  return answer;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<EntryProcess>> EntryProcess::Start(
+    boost::asio::io_context& loop, const FleetSettings& settings,
+    EntryDialect dialect, PlanReader plan_reader,
+    std::function<std::vector<Endpoint>()> seeds, LogWriter& log) {
+  std::unique_ptr<EntryProcess> process(
+      new EntryProcess(loop, settings, std::move(dialect),
+                       std::move(plan_reader), std::move(seeds), log));
+  if (auto opened = process->Listen(); !opened) {
+    return tl::unexpected(opened.error());
+  }
+  process->link_.Start();
+  return process;
+}
+
+EntryProcess::EntryProcess(boost::asio::io_context& loop,
+                           const FleetSettings& settings, EntryDialect dialect,
+                           PlanReader plan_reader,
+                           std::function<std::vector<Endpoint>()> seeds,
+                           LogWriter& log)
+    : loop_(loop),
+      settings_(settings),
+      log_(log),
+      state_(loop, std::move(plan_reader),
+             Part(settings.key_withdrawal, kPartOfKeyWithdrawal),
+             settings.retry_slack, settings.zone, RandomSeed(),
+             [this] {
+               // One report for all that one turn of the loop brings.
+               if (std::exchange(report_is_posted_, true)) return;
+               boost::asio::post(loop_, [this] {
+                 report_is_posted_ = false;
+                 link_.ReportNow();
+               });
+             }),
+      requests_(loop, state_, std::move(dialect), log),
+      timer_(loop),
+      link_(loop, settings,
+            EntryLink::Hooks{
+                [this](bool first) { return Report(first); },
+                [this](std::optional<Instant> asked_at,
+                       const FleetUpdate& update) {
+                  TakeUpdate(asked_at, update);
+                },
+                [this](bool in_reach) {
+                  log_.Write(LogLevel::kInfo, "leader_in_reach",
+                             {{"in_reach", in_reach}});
+                },
+                std::move(seeds)},
+            log) {}
+
+Result<void> EntryProcess::Listen() {
+  HttpServerSettings callers;
+  callers.ip = settings_.callers.ip;
+  callers.port = settings_.callers.port;
+  HttpServer::Hooks hooks;
+  hooks.accept_head = [this](const HttpRequestHead& head) {
+    return requests_.AcceptHead(head);
+  };
+  hooks.handle = [this](HttpRequest request) {
+    return requests_.Handle(std::move(request));
+  };
+  auto opened = HttpServer::Listen(loop_, callers, std::move(hooks));
+  if (!opened) return tl::unexpected(opened.error());
+  callers_.emplace(std::move(*opened));
+
+  HttpServerSettings readiness;
+  readiness.ip = settings_.readiness.ip;
+  readiness.port = settings_.readiness.port;
+  HttpServer::Hooks check;
+  check.accept_head = [](const HttpRequestHead&) -> Result<std::uint64_t> {
+    return 0;
+  };
+  check.handle = [this](HttpRequest) -> boost::asio::awaitable<HttpAnswer> {
+    constexpr int kReady = 200;
+    constexpr int kNotReady = 503;
+    co_return PlainAnswer(IsReady() ? kReady : kNotReady);
+  };
+  auto ready = HttpServer::Listen(loop_, readiness, std::move(check));
+  if (!ready) return tl::unexpected(ready.error());
+  readiness_.emplace(std::move(*ready));
+  return {};
+}
+
+bool EntryProcess::IsReady() const {
+  return !leaving_ && state_.view().plan() &&
+         state_.view().IsCurrent(MonotonicNow());
+}
+
+EntryReport EntryProcess::Report(bool first) {
+  EntryReport report;
+  report.callers = settings_.callers;
+  report.ready = IsReady();
+  report.leaving = leaving_;
+  state_.Fill(report, first);
+  return report;
+}
+
+void EntryProcess::TakeUpdate(std::optional<Instant> asked_at,
+                              const FleetUpdate& update) {
+  const bool was_ready = IsReady();
+  const auto before = state_.view().plan();
+  const auto applied = state_.Apply(MonotonicNow(), asked_at, update);
+  if (!applied) {
+    log_.Write(LogLevel::kWarning, "plan_not_taken",
+               {{"cause", applied.error().detail}});
+  }
+  const auto& plan = state_.view().plan();
+  if (plan != before) {
+    const CallerLimits& limits = plan->parts().limits;
+    callers_->SetLimits(limits.max_head_bytes, limits.head_timeout,
+                        limits.idle_timeout);
+    log_.Write(LogLevel::kInfo, "plan_in_force",
+               {{"version", plan->version()}});
+  }
+  if (IsReady() != was_ready) link_.ReportNow();
+}
+
+void EntryProcess::Drain(std::function<void()> done) {
+  if (std::exchange(leaving_, true)) return;
+  log_.Write(LogLevel::kInfo, "leaving",
+             {{"in_work", callers_->requests_in_work()}});
+  const Instant now = MonotonicNow();
+  callers_->AnnounceEnd();
+  link_.ReportNow();
+  timer_.expires_after(Part(settings_.grace, kServeOnPart));
+  const Instant end = now + Part(settings_.grace, kEndPart);
+  timer_.async_wait([this, end, done = std::move(done)](
+                        boost::system::error_code error) {
+    if (error) return;
+    callers_->Drain();
+    AwaitIdle(end, done);
+  });
+}
+
+void EntryProcess::AwaitIdle(Instant until, std::function<void()> done) {
+  if (callers_->requests_in_work() == 0 || MonotonicNow() >= until) {
+    done();
+    return;
+  }
+  timer_.expires_after(kIdleCheckPeriod);
+  timer_.async_wait([this, until, done = std::move(done)](
+                        boost::system::error_code error) {
+    if (!error) AwaitIdle(until, done);
+  });
+}
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/programs/fleet_host/entry_process.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "programs/fleet_host/entry_dialect.h"
+#include "programs/fleet_host/entry_link.h"
+#include "programs/fleet_host/entry_requests.h"
+#include "programs/fleet_host/entry_state.h"
+#include "sapphirebank/fleet/fleet_settings.h"
+#include "sapphirebank/transport/http_server.h"
+
+namespace sapphirebank {
+
+// An entry host of a fleet that learns everything from its control hosts. One
+// event loop serves callers and takes updates; the links have a thread of
+// their own.
+class EntryProcess {
+ public:
+  // `seeds` returns the seeds as the settings name them now. Fails with
+  // kInvalidSettings.
+  static Result<std::unique_ptr<EntryProcess>> Start(
+      boost::asio::io_context& loop, const FleetSettings& settings,
+      EntryDialect dialect, PlanReader plan_reader,
+      std::function<std::vector<Endpoint>()> seeds, LogWriter& log);
+
+  // Takes no new callers, serves those that come all the same for a part of
+  // the grace time, finishes what is under way and then calls `done`.
+  void Drain(std::function<void()> done);
+
+ private:
+  EntryProcess(boost::asio::io_context& loop, const FleetSettings& settings,
+               EntryDialect dialect, PlanReader plan_reader,
+               std::function<std::vector<Endpoint>()> seeds, LogWriter& log);
+
+  Result<void> Listen();
+  EntryReport Report(bool first);
+  void TakeUpdate(std::optional<Instant> asked_at, const FleetUpdate& update);
+  bool IsReady() const;
+  void AwaitIdle(Instant until, std::function<void()> done);
+
+  boost::asio::io_context& loop_;
+  FleetSettings settings_;
+  LogWriter& log_;
+  EntryState state_;
+  EntryRequests requests_;
+  boost::asio::steady_timer timer_;
+  std::optional<HttpServer> callers_;
+  std::optional<HttpServer> readiness_;
+  bool leaving_ = false;
+  bool report_is_posted_ = false;
+  EntryLink link_;
+};
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/programs/fleet_host/entry_requests.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "programs/fleet_host/entry_dialect.h"
+#include "programs/fleet_host/entry_state.h"
+#include "sapphirebank/telemetry/log_writer.h"
+#include "sapphirebank/transport/http_client.h"
+
+namespace sapphirebank {
+
+// Serves callers' requests: route, key, rate, backend server, tries, answer.
+// Used on one event loop only.
+class EntryRequests {
+ public:
+  EntryRequests(boost::asio::io_context& loop, EntryState& state,
+                EntryDialect dialect, LogWriter& log);
+
+  // Returns how many bytes the request's body may have. Fails with
+  // kNoConfiguration before a plan is in force.
+  Result<std::uint64_t> AcceptHead(const HttpRequestHead& head) const;
+
+  // Answers a whole request.
+  boost::asio::awaitable<HttpAnswer> Handle(HttpRequest request);
+
+ private:
+  struct Work;
+
+  // What a try came to.
+  struct TryEnd {
+    // The answer for the caller, if there is one.
+    std::optional<HttpAnswer> answer;
+    // Otherwise why there is none.
+    ErrorKind failure = ErrorKind::kInternal;
+    // Another server may be asked.
+    bool may_retry = false;
+    // The server had a part of the request.
+    bool arrived = false;
+  };
+
+  Result<void> Admit(Work& work) const;
+  boost::asio::awaitable<Result<void>> TakeAllowance(Work& work);
+  boost::asio::awaitable<HttpAnswer> Forward(Work& work);
+  boost::asio::awaitable<TryEnd> Try(Work& work, KnownServerPtr server);
+  TryEnd JudgeFailure(Work& work, KnownServer& server,
+                      const AttemptFailure& failure);
+  TryEnd JudgeAnswer(Work& work, KnownServer& server, HttpAnswer answer);
+  const PlannedService* ChooseService(const Work& work);
+  Duration TryTime(const Work& work, Instant now) const;
+  bool MayRetry(Work& work, const TryEnd& end, Instant now);
+  HttpAnswer Refuse(const Work& work, ErrorKind kind, Duration retry_after);
+  void LogEnd(const Work& work, const HttpAnswer& answer);
+
+  EntryState& state_;
+  EntryDialect dialect_;
+  LogWriter& log_;
+  boost::asio::io_context& loop_;
+  HttpClient client_;
+};
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/programs/fleet_host/entry_state.cc
@@ -0,0 +1,131 @@
+#include "programs/fleet_host/entry_state.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "sapphirebank/transport/process_clock.h"
+
+namespace sapphirebank {
+namespace {
+
+// A server that could not be reached from here is passed over for this time;
+// some lose only the paths to a few hosts, and for seconds.
+constexpr Duration kAvoidUnreachable = std::chrono::milliseconds(2500);
+
+// After a break the leader's word comes within milliseconds; until then this
+// host goes elsewhere.
+constexpr Duration kAvoidBroken = std::chrono::milliseconds(800);
+
+}  // namespace
+
+EntryState::EntryState(boost::asio::io_context& loop, PlanReader reader,
+                       Duration key_permission, double retry_slack, ZoneId zone,
+                       std::uint64_t seed, std::function<void()> report_now)
+    : loop_(loop),
+      view_(std::move(reader), key_permission),
+      retries_(RetryPurseSettings(), retry_slack),
+      random_(seed),
+      chooser_(ServerChooserSettings(), std::move(zone), Random(seed + 1)),
+      report_now_(std::move(report_now)) {}
+
+Result<void> EntryState::Apply(Instant now, std::optional<Instant> asked_at,
+                               const FleetUpdate& update) {
+  auto applied = view_.Apply(now, asked_at, update);
+  retries_.SetHosts(update.entry_hosts);
+  if (asked_at) TakeGrants(*asked_at, update);
+  return applied;
+}
+
+void EntryState::TakeGrants(Instant asked_at, const FleetUpdate& update) {
+  for (const auto& [workspace, tokens] : update.granted) {
+    Account& account = accounts_[workspace];
+    account.on_order = 0;
+    account.stock.Add(asked_at, tokens);
+    for (const auto& waiter : account.waiters) {
+      waiter->answered = true;
+      waiter->timer.cancel();
+    }
+    account.waiters.clear();
+  }
+}
+
+boost::asio::awaitable<TokenAnswer> EntryState::TakeToken(WorkspaceId workspace,
+                                                          Duration wait) {
+  Account& account = accounts_[workspace];
+  const Instant now = MonotonicNow();
+  const std::uint32_t ahead =
+      account.stock.Want(now, account.on_order + account.to_ask);
+  const bool taken = account.stock.Take(now);
+  account.to_ask += ahead + (taken ? 0 : 1);
+  if (account.to_ask > 0) report_now_();
+  if (taken) co_return TokenAnswer::kGranted;
+  auto waiter = std::make_shared<Waiter>(loop_);
+  waiter->timer.expires_after(wait);
+  account.waiters.push_back(waiter);
+  boost::system::error_code ignored;
+  co_await waiter->timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  if (!waiter->answered) {
+    std::erase(account.waiters, waiter);
+    co_return TokenAnswer::kNoAnswer;
+  }
+  co_return account.stock.Take(MonotonicNow()) ? TokenAnswer::kGranted
+                                               : TokenAnswer::kRefused;
+}
+
+bool EntryState::TakeOwnShare(Instant now, const PlannedWorkspace& workspace) {
+  return accounts_[workspace.id].stock.TakeOwnShare(now, workspace.rate,
+                                                    view_.entry_hosts());
+}
+
+void EntryState::CountRequest(const ServiceId& service) {
+  ++requests_[service];
+  retries_.Earn(service);
+}
+
+void EntryState::Succeeded(const KnownServer& server) {
+  ++outcomes_[server.state.announcement.id].successes;
+  if (server.state.standing != Standing::kUp) report_now_();
+}
+
+void EntryState::Erred(const KnownServer& server) {
+  ++outcomes_[server.state.announcement.id].errors;
+  report_now_();
+}
+
+void EntryState::Broke(Instant now, KnownServer& server,
+                       RequestFingerprint request, bool may_have_crashed) {
+  server.avoid_until = std::max(server.avoid_until, now + kAvoidBroken);
+  ++outcomes_[server.state.announcement.id].breaks;
+  if (may_have_crashed) {
+    crashes_.push_back({request, server.state.announcement.id});
+  }
+  report_now_();
+}
+
+void EntryState::Unreachable(Instant now, KnownServer& server) {
+  server.avoid_until = std::max(server.avoid_until, now + kAvoidUnreachable);
+  ++outcomes_[server.state.announcement.id].breaks;
+  report_now_();
+}
+
+void EntryState::Fill(EntryReport& report, bool first) {
+  report.epoch = view_.epoch();
+  report.board_seen = view_.board();
+  report.plan_seen = view_.plan() ? view_.plan()->version() : 0;
+  report.outcomes = std::exchange(outcomes_, {});
+  report.requests = std::exchange(requests_, {});
+  report.crashes = std::exchange(crashes_, {});
+  if (first) report.known = view_.Known();
+  for (auto& [workspace, account] : accounts_) {
+    // Tokens that a lost leader did not grant are asked for again.
+    if (first) account.to_ask += std::exchange(account.on_order, 0);
+    if (account.to_ask == 0) continue;
+    report.wanted[workspace] = account.to_ask;
+    account.on_order += std::exchange(account.to_ask, 0);
+  }
+}
+
+}  // namespace sapphirebank
--- a/programs/sapphirebankd/process.cc
+++ b/programs/sapphirebankd/process.cc
@@ -1,30 +1,12 @@
 #include "programs/sapphirebankd/process.h"
 
 #include <fmt/format.h>
-#include <time.h>
-
 #include <fstream>
 #include <iterator>
-#include <random>
 #include <string>
 
 namespace sapphirebank {
 
-Instant MonotonicNow() {
-  // Unlike std::chrono::steady_clock, this clock goes on while the machine is
-  // suspended, so that leases and stamps do not outlive a suspension.
-  timespec time{};
-  clock_gettime(CLOCK_BOOTTIME, &time);
-  return Instant(std::chrono::seconds(time.tv_sec) +
-                 std::chrono::duration_cast<Duration>(
-                     std::chrono::nanoseconds(time.tv_nsec)));
-}
-
-WallTime WallNow() {
-  return std::chrono::time_point_cast<Duration>(
-      std::chrono::system_clock::now());
-}
-
 Incarnation StartNumber() {
   const auto since_epoch = WallNow().time_since_epoch();
   return static_cast<Incarnation>(
@@ -32,12 +14,6 @@
           .count());
 }
 
-std::uint64_t RandomSeed() {
-  std::random_device device;
-  constexpr unsigned kHalf = 32;
-  return (std::uint64_t{device()} << kHalf) | device();
-}
-
 Result<std::unique_ptr<LogWriter>> OpenLog(const DaemonSettings& settings) {
   LogWriterSettings log;
   log.host = settings.host_id.value();
--- a/programs/sapphirebankd/process.h
+++ b/programs/sapphirebankd/process.h
@@ -6,24 +6,15 @@
 
 #include "sapphirebank/config/daemon_settings.h"
 #include "sapphirebank/core/ids.h"
-#include "sapphirebank/core/time.h"
 #include "sapphirebank/telemetry/log_writer.h"
 #include "sapphirebank/transport/fleet_secret.h"
+#include "sapphirebank/transport/process_clock.h"
 
 namespace sapphirebank {
 
-// Returns a reading of this process's monotonic clock.
-Instant MonotonicNow();
-
-// Returns the calendar time.
-WallTime WallNow();
-
 // Returns a number which grows from one start of this process to the next.
 Incarnation StartNumber();
 
-// Returns a random number that no other process has.
-std::uint64_t RandomSeed();
-
 // Opens the log on standard error. Fails with kInvalidSettings.
 Result<std::unique_ptr<LogWriter>> OpenLog(const DaemonSettings& settings);
 
--- a/sapphirebank/consensus/control_command.h
+++ b/sapphirebank/consensus/control_command.h
@@ -9,6 +9,7 @@
 #include "sapphirebank/core/error.h"
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/time.h"
+#include "sapphirebank/fleet/fleet_record.h"
 
 namespace sapphirebank {
 
@@ -97,8 +98,9 @@
   friend bool operator==(const AdvanceClock&, const AdvanceClock&) = default;
 };
 
-using ControlCommand = std::variant<ApplyChange, RestoreDeclarations, Claim,
-                                    CompleteClaim, EndHost, AdvanceClock>;
+using ControlCommand =
+    std::variant<ApplyChange, RestoreDeclarations, Claim, CompleteClaim, EndHost,
+                 AdvanceClock, StorePlan, SetZoneOut, RetireBackend>;
 
 // Returns `command` as CBOR.
 std::string EncodeCommand(const ControlCommand& command);
--- a/sapphirebank/consensus/control_host.cc
+++ b/sapphirebank/consensus/control_host.cc
@@ -18,9 +18,28 @@
                             random.Below(kAnyNumber)));
 }
 
+// A silent voter's place goes to a host that waits for one after this time:
+// two election timeouts of a slow group, well below the time that a
+// replacement has to become a full member (4 s).
+constexpr Duration kReplaceSilentAfter = std::chrono::seconds(2);
+
+// A silent voter of an even group is dropped after this time, the bound after
+// which the platform takes a machine for lost.
+constexpr Duration kDropSilentAfter = std::chrono::seconds(3);
+
+bool Contains(const std::vector<HostId>& hosts, const HostId& host) {
+  return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
+}
+
+// Returns the node that a founder formats its empty folder as. It is the same
+// on every host, so that all founders form the same group.
+NodeId FounderNode(const HostId& host) {
+  return NodeId("founder-" + host.value());
+}
+
 Result<void> CheckSettings(const ControlHostSettings& settings) {
-  const auto& hosts = settings.control_hosts;
-  if (std::find(hosts.begin(), hosts.end(), settings.host) == hosts.end()) {
+  if (!settings.open_group &&
+      !Contains(settings.control_hosts, settings.host)) {
     return Fail(ErrorKind::kInvalidSettings,
                 fmt::format("control host \"{}\" is not in the list of control "
                             "hosts",
@@ -42,8 +61,11 @@
     return tl::unexpected(valid.error());
   }
   Random random(seed);
-  auto storage = LogStorage::Open(files, settings.host, RandomNodeId(random),
-                                  settings.storage);
+  const NodeId fresh_node = Contains(settings.founders, settings.host)
+                                ? FounderNode(settings.host)
+                                : RandomNodeId(random);
+  auto storage =
+      LogStorage::Open(files, settings.host, fresh_node, settings.storage);
   if (!storage) return tl::unexpected(storage.error());
   RaftState recovered = storage->TakeRecovered();
   ControlState state;
@@ -67,7 +89,20 @@
       node_(std::move(node)),
       state_(std::move(state)),
       presence_(settings_.host, settings_.control_hosts),
-      applied_(node_.snapshot().last) {}
+      applied_(node_.snapshot().last) {
+  if (Contains(settings_.founders, settings_.host)) FormGroup();
+}
+
+void ControlHost::FormGroup() {
+  if (!node_.IsEmpty() || node_.self() != FounderNode(settings_.host)) return;
+  std::vector<GroupMember> members;
+  members.reserve(settings_.founders.size());
+  for (const HostId& host : settings_.founders) {
+    members.push_back({host, FounderNode(host), true});
+  }
+  constexpr Term kFirstTerm = 1;
+  node_.Bootstrap(GroupMembership(std::move(members)), kFirstTerm);
+}
 
 void ControlHost::Tick(Instant now, WallTime wall) {
   if (failure_) return;
@@ -96,8 +131,17 @@
 void ControlHost::Admit(Instant now) {
   if (!node_.CanChangeMembership()) return;
   const bool drop_absent = now - node_.leads_since() > PeerPresence::kWindow;
-  const auto next = NextMembership(node_.membership(), presence_.Present(now),
-                                   node_.CaughtUpLearners(now), drop_absent);
+  const auto present = presence_.Present(now);
+  const auto caught_up = node_.CaughtUpLearners(now);
+  std::optional<GroupMembership> next;
+  if (settings_.open_group) {
+    const SilentVoters silent = {node_.SilentVoters(now, kReplaceSilentAfter),
+                                 node_.SilentVoters(now, kDropSilentAfter)};
+    next = NextOpenMembership(node_.membership(), present, caught_up,
+                              drop_absent, silent);
+  } else {
+    next = NextMembership(node_.membership(), present, caught_up, drop_absent);
+  }
   if (!next) return;
   // Refused only when the change may not happen now; the next tick tries again.
   static_cast<void>(node_.ProposeMembership(*next));
@@ -108,7 +152,8 @@
   const bool hears_leader =
       now - node_.leader_heard_at() < 2 * settings_.raft.election_timeout;
   if (is_member && hears_leader) return;
-  if (node_.IsEmpty() && presence_.MayFormGroup(now)) {
+  if (!settings_.open_group && node_.IsEmpty() &&
+      presence_.MayFormGroup(now)) {
     std::vector<GroupMember> members = {{settings_.host, node_.self(), true}};
     for (const auto& [host, node] : presence_.Present(now)) {
       members.push_back({host, node, true});
@@ -233,6 +278,7 @@
 
 Result<void> ControlHost::RestoreState(const Snapshot& snapshot) {
   const Revision before = state_.declarations().revision();
+  effects_.fleet_changed = true;
   return ControlState::Restore(*snapshot.data).map([&](ControlState state) {
     state_ = std::move(state);
     applied_ = snapshot.last;
@@ -245,6 +291,7 @@
 
 Result<void> ControlHost::ApplyCommitted() {
   const Revision before = state_.declarations().revision();
+  const std::uint64_t fleet_before = state_.fleet().changes();
   while (applied_.index < node_.commit()) {
     const LogEntry& entry = node_.log().At(applied_.index + 1);
     Result<ControlAnswer> answer = Done();
@@ -267,6 +314,7 @@
   }
   const Revision after = state_.declarations().revision();
   if (after != before) effects_.revision = after;
+  if (state_.fleet().changes() != fleet_before) effects_.fleet_changed = true;
   return TakeSnapshot();
 }
 
--- a/sapphirebank/consensus/control_host.h
+++ b/sapphirebank/consensus/control_host.h
@@ -55,6 +55,15 @@
   RaftSettings raft;
   LogStorageSettings storage;
 
+  // The hosts come and go: whoever presents itself joins, and a host that is
+  // gone loses its vote. `control_hosts` then are the first ones to ask.
+  bool open_group = false;
+  // With open_group: the hosts that form the group when all data folders are
+  // empty. Each forms the same one without asking the others, so that a
+  // majority of them makes one group however they are cut off. Empty on any
+  // later start.
+  std::vector<HostId> founders;
+
   // Refuses a declarations document before it is proposed.
   std::function<Result<void>(const nlohmann::json&)> validate;
 
@@ -110,6 +119,8 @@
   std::vector<Completion> completions;
   // The declarations changed; this is the revision now in force here.
   std::optional<Revision> revision;
+  // The record of the fleet changed.
+  bool fleet_changed = false;
   std::optional<FreshnessStamp> stamp;
   // The data folder failed. This host takes no further part; open it anew.
   std::optional<Error> failure;
@@ -137,6 +148,9 @@
   // of the others, or they admit it again.
   void RemoveHost(Instant now, const HostId& host, Token token);
 
+  // Adds a host of an open group that was learned of.
+  void LearnHost(const HostId& host) { presence_.Add(host); }
+
   // Hands the leadership on, before a graceful shutdown.
   void TransferLeadership(Instant now);
 
@@ -171,6 +185,7 @@
 
   void Lead(Instant now);
   void Admit(Instant now);
+  void FormGroup();
   void Greet(Instant now);
   Result<ControlCommand> Check(ControlCommand command) const;
   Result<ControlCommand> CheckChange(ApplyChange change) const;
--- a/sapphirebank/consensus/control_state.cc
+++ b/sapphirebank/consensus/control_state.cc
@@ -13,6 +13,7 @@
 struct Applier {
   DeclarationStore& declarations;
   ClaimTable& claims;
+  FleetRecord& fleet;
 
   Result<ControlAnswer> operator()(const ApplyChange& change) const {
     return declarations.Apply(change).map(
@@ -42,18 +43,25 @@
     claims.Apply(clock);
     return Done();
   }
+
+  template <typename FleetCommand>
+  Result<ControlAnswer> operator()(const FleetCommand& command) const {
+    fleet.Apply(command);
+    return Done();
+  }
 };
 
 }  // namespace
 
 Result<ControlAnswer> ControlState::Apply(const ControlCommand& command) {
-  return std::visit(Applier{declarations_, claims_}, command);
+  return std::visit(Applier{declarations_, claims_, fleet_}, command);
 }
 
 std::string ControlState::Snapshot() const {
   std::string bytes;
   declarations_.AppendTo(bytes);
   claims_.AppendTo(bytes);
+  AppendCbor(bytes, nlohmann::json(fleet_));
   return bytes;
 }
 
@@ -63,6 +71,7 @@
     ControlState state;
     state.declarations_ = DeclarationStore::ReadFrom(reader);
     state.claims_ = ClaimTable::ReadFrom(reader);
+    state.fleet_ = reader.Next().get<FleetRecord>();
     return state;
   } catch (const nlohmann::json::exception& e) {
     return Fail(
--- a/sapphirebank/consensus/control_state.h
+++ b/sapphirebank/consensus/control_state.h
@@ -7,11 +7,12 @@
 #include "sapphirebank/consensus/control_command.h"
 #include "sapphirebank/consensus/declaration_store.h"
 #include "sapphirebank/core/error.h"
+#include "sapphirebank/fleet/fleet_record.h"
 
 namespace sapphirebank {
 
-// What the control hosts agree on: the declarations and the idempotency
-// claims. The same commands in the same order give the same state and the same
+// What the control hosts agree on: the declarations, the idempotency claims
+// and the record of a fleet that learns everything from them. The same commands in the same order give the same state and the same
 // answers on every host.
 class ControlState {
  public:
@@ -20,6 +21,7 @@
 
   const DeclarationStore& declarations() const { return declarations_; }
   const ClaimTable& claims() const { return claims_; }
+  const FleetRecord& fleet() const { return fleet_; }
 
   // Returns the whole state as CBOR; equal states give equal bytes.
   std::string Snapshot() const;
@@ -30,6 +32,7 @@
  private:
   DeclarationStore declarations_;
   ClaimTable claims_;
+  FleetRecord fleet_;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/consensus/membership.cc
+++ b/sapphirebank/consensus/membership.cc
@@ -78,6 +78,22 @@
   membership = GroupMembership(std::move(members));
 }
 
+std::optional<GroupMembership> NextOpenMembership(
+    const GroupMembership& current, const std::map<HostId, NodeId>& present,
+    const std::vector<NodeId>& caught_up, bool drop_absent,
+    const SilentVoters& silent) {
+  auto next = NextMembership(current, present, caught_up, drop_absent);
+  const bool adds_voter = next && next->VoterCount() > current.VoterCount();
+  if (adds_voter && !silent.replaceable.empty()) {
+    return current.Without(silent.replaceable.front());
+  }
+  const bool is_even = current.VoterCount() % 2 == 0;
+  if (!next && is_even && !silent.droppable.empty()) {
+    return current.Without(silent.droppable.front());
+  }
+  return next;
+}
+
 std::optional<GroupMembership> NextMembership(
     const GroupMembership& current, const std::map<HostId, NodeId>& present,
     const std::vector<NodeId>& caught_up, bool drop_absent) {
--- a/sapphirebank/consensus/membership.h
+++ b/sapphirebank/consensus/membership.h
@@ -68,4 +68,21 @@
     const GroupMembership& current, const std::map<HostId, NodeId>& present,
     const std::vector<NodeId>& caught_up, bool drop_absent);
 
+// What an open group knows of voters that do not answer.
+struct SilentVoters {
+  // Silent for long enough to give their vote to a host that waits for one.
+  std::vector<NodeId> replaceable;
+  // Silent for long enough to be dropped where the number of voters is even,
+  // since an even group bears no more losses than one with a voter less.
+  std::vector<NodeId> droppable;
+};
+
+// Returns the next single change of a group whose hosts come and go: that of
+// NextMembership, but a learner takes the vote of a silent voter instead of
+// enlarging the group.
+std::optional<GroupMembership> NextOpenMembership(
+    const GroupMembership& current, const std::map<HostId, NodeId>& present,
+    const std::vector<NodeId>& caught_up, bool drop_absent,
+    const SilentVoters& silent);
+
 }  // namespace sapphirebank
--- a/sapphirebank/consensus/peer_presence.cc
+++ b/sapphirebank/consensus/peer_presence.cc
@@ -11,6 +11,12 @@
   std::erase(others_, self_);
 }
 
+void PeerPresence::Add(const HostId& host) {
+  if (host == self_) return;
+  const auto place = std::lower_bound(others_.begin(), others_.end(), host);
+  if (place == others_.end() || *place != host) others_.insert(place, host);
+}
+
 void PeerPresence::Hear(Instant now, const HostId& host, const NodeId& node,
                         bool is_empty) {
   if (!std::binary_search(others_.begin(), others_.end(), host)) return;
--- a/sapphirebank/consensus/peer_presence.h
+++ b/sapphirebank/consensus/peer_presence.h
@@ -18,8 +18,11 @@
   // `control_hosts` are all hosts of the group by the settings.
   PeerPresence(HostId self, std::vector<HostId> control_hosts);
 
-  // Records that `node` runs on `host`. Hosts outside the settings are
-  // ignored.
+  // Adds a host that was learned from elsewhere than the settings.
+  void Add(const HostId& host);
+
+  // Records that `node` runs on `host`. Hosts neither in the settings nor
+  // added are ignored.
   void Hear(Instant now, const HostId& host, const NodeId& node, bool is_empty);
 
   // Returns the nodes heard within kWindow.
--- a/sapphirebank/consensus/raft_leader.cc
+++ b/sapphirebank/consensus/raft_leader.cc
@@ -216,6 +216,17 @@
   return count >= membership().Quorum();
 }
 
+std::vector<NodeId> RaftNode::SilentVoters(Instant now,
+                                           Duration silence) const {
+  std::vector<NodeId> nodes;
+  for (const auto& [node, progress] : progress_) {
+    if (membership().IsVoter(node) && now - progress.heard_at >= silence) {
+      nodes.push_back(node);
+    }
+  }
+  return nodes;
+}
+
 std::vector<NodeId> RaftNode::CaughtUpLearners(Instant now) const {
   std::vector<NodeId> nodes;
   for (const auto& [node, progress] : progress_) {
--- a/sapphirebank/consensus/raft_node.h
+++ b/sapphirebank/consensus/raft_node.h
@@ -147,6 +147,9 @@
   // Returns whether a membership change may be proposed.
   bool CanChangeMembership() const;
 
+  // Returns the voters that a leader has not heard for `silence`.
+  std::vector<NodeId> SilentVoters(Instant now, Duration silence) const;
+
   // Returns the learners that hold every committed entry.
   std::vector<NodeId> CaughtUpLearners(Instant now) const;
 
--- a/sapphirebank/core/error_kind.cc
+++ b/sapphirebank/core/error_kind.cc
@@ -46,7 +46,7 @@
      "No backend server became free in time"},
     {ErrorKind::kDeadlineTooShort, "deadline_too_short", 504, kNotRun, kNever,
      "The deadline passed before the request could be sent"},
-    {ErrorKind::kRequestQuarantined, "request_quarantined", 422, kNotRun,
+    {ErrorKind::kRequestQuarantined, "request_quarantined", 503, kNotRun,
      kNever, "The same request crashed backend servers before"},
     {ErrorKind::kNoBackendServer, "no_backend_server", 503, kNotRun, seconds(1),
      "The service has no backend server that takes work"},
--- /dev/null
+++ b/sapphirebank/fleet/allowance_stock.cc
@@ -0,0 +1,66 @@
+#include "sapphirebank/fleet/allowance_stock.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "sapphirebank/fleet/allowance_bank.h"
+
+namespace sapphirebank {
+namespace {
+
+// Time over which the rate of requests is smoothed.
+constexpr double kSmoothingSeconds = 2.0;
+
+// Tokens held in advance at most, for one workspace.
+constexpr double kMostInAdvance = 4;
+
+// Part of the even share that is spent without asking: below 1, since grants
+// from just before may still be in use.
+constexpr double kOwnShare = 0.7;
+
+}  // namespace
+
+void AllowanceStock::DropExpired(Instant now) {
+  while (!batches_.empty() &&
+         now - batches_.front().asked_at >= kGrantLifetime) {
+    batches_.pop_front();
+  }
+}
+
+bool AllowanceStock::Take(Instant now) {
+  DropExpired(now);
+  if (batches_.empty()) return false;
+  if (--batches_.front().tokens == 0) batches_.pop_front();
+  return true;
+}
+
+void AllowanceStock::Add(Instant asked_at, std::uint32_t tokens) {
+  if (tokens > 0) batches_.push_back({asked_at, tokens});
+}
+
+std::uint32_t AllowanceStock::Want(Instant now, std::uint32_t on_order) {
+  const double elapsed = std::max(ToSeconds(now - last_request_), 1e-3);
+  last_request_ = now;
+  const double keep = std::exp(-elapsed / kSmoothingSeconds);
+  request_rate_ = request_rate_ * keep + (1 - keep) / elapsed;
+  DropExpired(now);
+  std::uint32_t held = on_order;
+  for (const Batch& batch : batches_) held += batch.tokens;
+  const double target = std::min(
+      std::floor(request_rate_ * ToSeconds(kGrantLifetime) + 0.5),
+      kMostInAdvance);
+  const auto wanted = static_cast<std::uint32_t>(target);
+  return wanted > held ? wanted - held : 0;
+}
+
+bool AllowanceStock::TakeOwnShare(Instant now, double rate, double hosts) {
+  const double fill = kOwnShare * rate / std::max(hosts, 1.0);
+  own_tokens_ =
+      std::min(1.0, own_tokens_ + fill * ToSeconds(now - own_filled_at_));
+  own_filled_at_ = now;
+  if (own_tokens_ < 1) return false;
+  own_tokens_ -= 1;
+  return true;
+}
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -0,0 +1,171 @@
+#include "sapphirebank/fleet/fleet_messages.h"
+
+#include "sapphirebank/core/json_read.h"
+
+namespace sapphirebank {
+namespace {
+
+using nlohmann::json;
+
+template <typename Key>
+json CountsToJson(const std::map<Key, std::uint32_t>& counts) {
+  json out = json::object();
+  for (const auto& [key, count] : counts) out[key.value()] = count;
+  return out;
+}
+
+template <typename Key, typename Value>
+std::map<Key, Value> MapFromJson(const json& in) {
+  std::map<Key, Value> map;
+  for (const auto& [key, value] : in.items()) {
+    map[Key(key)] = value.template get<Value>();
+  }
+  return map;
+}
+
+void ReadNews(const json& in, ServerNews& news) {
+  in.at(0).get_to(news.announcement);
+  news.standing = ReadEnum(in.at(1), Standing::kDown);
+  news.cold_for = ReadDuration(in.at(2));
+  in.at(3).get_to(news.retired);
+}
+
+// Reads a member that is left out when it is empty.
+template <typename T>
+void Optional(const json& in, const char* name, T& out) {
+  const auto found = in.find(name);
+  if (found != in.end()) found->get_to(out);
+}
+
+}  // namespace
+
+void to_json(json& out, const ServerAnnouncement& server) {
+  out = json::array({server.id.value(), server.service.value(),
+                     ToString(server.endpoint), server.zone.value(),
+                     server.slots, server.leaving, server.warm_up_left.count(),
+                     server.sequence, server.incarnation});
+}
+
+void from_json(const json& in, ServerAnnouncement& server) {
+  server.id = BackendId(in.at(0).get<std::string>());
+  server.service = ServiceId(in.at(1).get<std::string>());
+  const auto endpoint = EndpointFromString(in.at(2).get<std::string>());
+  if (!endpoint) throw std::out_of_range(endpoint.error().detail);
+  server.endpoint = *endpoint;
+  server.zone = ZoneId(in.at(3).get<std::string>());
+  in.at(4).get_to(server.slots);
+  in.at(5).get_to(server.leaving);
+  server.warm_up_left = ReadDuration(in.at(6));
+  in.at(7).get_to(server.sequence);
+  in.at(8).get_to(server.incarnation);
+}
+
+void to_json(json& out, const EntryReport& report) {
+  out = {{"n", report.number},        {"callers", ToString(report.callers)},
+         {"ready", report.ready},     {"leaving", report.leaving},
+         {"epoch", report.epoch},     {"board", report.board_seen},
+         {"plan", report.plan_seen}};
+  for (const auto& [id, seen] : report.outcomes) {
+    out["outcomes"][id.value()] = {seen.successes, seen.errors, seen.breaks};
+  }
+  if (!report.requests.empty()) out["requests"] = CountsToJson(report.requests);
+  if (!report.wanted.empty()) out["wanted"] = CountsToJson(report.wanted);
+  for (const EntryReport::Crash& crash : report.crashes) {
+    out["crashes"].push_back({crash.request, crash.server.value()});
+  }
+  if (!report.known.empty()) out["known"] = report.known;
+}
+
+void from_json(const json& in, EntryReport& report) {
+  in.at("n").get_to(report.number);
+  const auto callers = EndpointFromString(in.at("callers").get<std::string>());
+  if (!callers) throw std::out_of_range(callers.error().detail);
+  report.callers = *callers;
+  in.at("ready").get_to(report.ready);
+  in.at("leaving").get_to(report.leaving);
+  in.at("epoch").get_to(report.epoch);
+  in.at("board").get_to(report.board_seen);
+  in.at("plan").get_to(report.plan_seen);
+  if (const auto found = in.find("outcomes"); found != in.end()) {
+    for (const auto& [id, seen] : found->items()) {
+      report.outcomes[BackendId(id)] = {seen.at(0).get<std::uint32_t>(),
+                                        seen.at(1).get<std::uint32_t>(),
+                                        seen.at(2).get<std::uint32_t>()};
+    }
+  }
+  if (const auto found = in.find("requests"); found != in.end()) {
+    report.requests = MapFromJson<ServiceId, std::uint32_t>(*found);
+  }
+  if (const auto found = in.find("wanted"); found != in.end()) {
+    report.wanted = MapFromJson<WorkspaceId, std::uint32_t>(*found);
+  }
+  if (const auto found = in.find("crashes"); found != in.end()) {
+    for (const auto& crash : *found) {
+      report.crashes.push_back({crash.at(0).get<RequestFingerprint>(),
+                                BackendId(crash.at(1).get<std::string>())});
+    }
+  }
+  Optional(in, "known", report.known);
+}
+
+void to_json(json& out, const FleetUpdate& update) {
+  out = {{"n", update.answers},
+         {"age", update.age.count()},
+         {"epoch", update.epoch},
+         {"board", update.board},
+         {"hosts", update.entry_hosts}};
+  if (update.whole_board) out["whole"] = true;
+  for (const ServerNews& news : update.servers) {
+    out["servers"].push_back({news.announcement,
+                              static_cast<unsigned>(news.standing),
+                              news.cold_for.count(), news.retired});
+  }
+  if (update.plan) {
+    out["plan"] = {{"version", update.plan->version},
+                   {"text", update.plan->text}};
+    if (update.plan->base) out["plan"]["base"] = *update.plan->base;
+  }
+  for (const ZoneId& zone : update.zones_out) {
+    out["zones_out"].push_back(zone.value());
+  }
+  if (!update.granted.empty()) out["granted"] = CountsToJson(update.granted);
+  for (const auto& [service, rate] : update.request_rates) {
+    out["rates"][service.value()] = rate;
+  }
+  if (!update.quarantined.empty()) out["quarantined"] = update.quarantined;
+}
+
+void from_json(const json& in, FleetUpdate& update) {
+  in.at("n").get_to(update.answers);
+  update.age = ReadDuration(in.at("age"));
+  in.at("epoch").get_to(update.epoch);
+  in.at("board").get_to(update.board);
+  in.at("hosts").get_to(update.entry_hosts);
+  Optional(in, "whole", update.whole_board);
+  if (const auto found = in.find("servers"); found != in.end()) {
+    for (const auto& item : *found) {
+      ReadNews(item, update.servers.emplace_back());
+    }
+  }
+  if (const auto found = in.find("plan"); found != in.end()) {
+    PlanNews plan;
+    found->at("version").get_to(plan.version);
+    found->at("text").get_to(plan.text);
+    if (found->contains("base")) plan.base = found->at("base").get<PlanVersion>();
+    update.plan = std::move(plan);
+  }
+  if (const auto found = in.find("zones_out"); found != in.end()) {
+    for (const auto& zone : *found) {
+      update.zones_out.insert(ZoneId(zone.get<std::string>()));
+    }
+  }
+  if (const auto found = in.find("granted"); found != in.end()) {
+    update.granted = MapFromJson<WorkspaceId, std::uint32_t>(*found);
+  }
+  if (const auto found = in.find("rates"); found != in.end()) {
+    update.request_rates = MapFromJson<ServiceId, double>(*found);
+  }
+  Optional(in, "quarantined", update.quarantined);
+}
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sapphirebank/core/endpoint.h"
+#include "sapphirebank/core/error.h"
+#include "sapphirebank/core/ids.h"
+#include "sapphirebank/core/time.h"
+#include "sapphirebank/fleet/crash_ledger.h"
+#include "sapphirebank/fleet/fleet_record.h"
+#include "sapphirebank/fleet/server_announcement.h"
+#include "sapphirebank/fleet/server_evidence.h"
+
+namespace sapphirebank {
+
+// What an entry host tells the leading control host: at once when it needs
+// something, otherwise a few times a second.
+struct EntryReport {
+  // Grows with each report of one link; the update that answers it has it.
+  std::uint64_t number = 0;
+  // Where callers connect.
+  Endpoint callers;
+  bool ready = false;
+  // The host shuts down and wants no new callers.
+  bool leaving = false;
+  // The leadership whose board was seen, and how much of it.
+  Term epoch = 0;
+  std::uint64_t board_seen = 0;
+  PlanVersion plan_seen = 0;
+  std::map<BackendId, ServerOutcomes> outcomes;
+  // Requests for each service since the last report.
+  std::map<ServiceId, std::uint32_t> requests;
+  // Tokens asked for, by workspace.
+  std::map<WorkspaceId, std::uint32_t> wanted;
+  struct Crash {
+    RequestFingerprint request = 0;
+    BackendId server;
+  };
+  std::vector<Crash> crashes;
+  // All live servers that the host knows, for a leader that is new to it.
+  std::vector<ServerAnnouncement> known;
+};
+
+// One server in an update. Times travel as spans, since clocks differ.
+struct ServerNews {
+  ServerAnnouncement announcement;
+  Standing standing = Standing::kUp;
+  Duration cold_for{};
+  bool retired = false;
+};
+
+// A traffic plan in an update: whole, or as a patch (RFC 6902) to the plan
+// that the receiver holds.
+struct PlanNews {
+  PlanVersion version = 0;
+  std::optional<PlanVersion> base;
+  std::string text;
+};
+
+// What the leading control host tells an entry host.
+struct FleetUpdate {
+  // The report that this answers; 0 for news that nobody asked for.
+  std::uint64_t answers = 0;
+  // For how long it has not been proved that this host leads. Everything that
+  // was accepted before then is in the update.
+  Duration age{};
+  Term epoch = 0;
+  std::uint64_t board = 0;
+  // The receiver must forget servers that are not listed.
+  bool whole_board = false;
+  std::vector<ServerNews> servers;
+  std::optional<PlanNews> plan;
+  std::set<ZoneId> zones_out;
+  std::map<WorkspaceId, std::uint32_t> granted;
+  // Requests a second over all hosts, by service.
+  std::map<ServiceId, double> request_rates;
+  std::vector<RequestFingerprint> quarantined;
+  // Entry hosts among which shares are divided.
+  std::uint32_t entry_hosts = 1;
+};
+
+void to_json(nlohmann::json& json, const ServerAnnouncement& server);
+void from_json(const nlohmann::json& json, ServerAnnouncement& server);
+void to_json(nlohmann::json& json, const EntryReport& report);
+void from_json(const nlohmann::json& json, EntryReport& report);
+void to_json(nlohmann::json& json, const FleetUpdate& update);
+void from_json(const nlohmann::json& json, FleetUpdate& update);
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/sapphirebank/fleet/fleet_settings.cc
@@ -0,0 +1,108 @@
+#include "sapphirebank/fleet/fleet_settings.h"
+
+#include <fmt/format.h>
+
+#include "sapphirebank/config/object_reader.h"
+#include "sapphirebank/config/strict_json.h"
+
+namespace sapphirebank {
+namespace {
+
+constexpr std::uint32_t kHighestPort = 65535;
+constexpr Range<Duration> kAnyTime = {std::chrono::milliseconds(1),
+                                      std::chrono::hours(1)};
+
+// Reads an address; an empty one or none leaves `out` as it is.
+void ReadEndpoint(ObjectReader& reader, std::string_view name, Endpoint& out,
+                  Presence presence) {
+  std::string text;
+  reader.Text(name, text, presence);
+  if (text.empty()) return;
+  auto endpoint = EndpointFromString(text);
+  if (endpoint) {
+    out = *endpoint;
+  } else {
+    reader.Report(name, endpoint.error().detail);
+  }
+}
+
+void ReadPort(ObjectReader& reader, std::string_view name, std::uint16_t& out,
+              Presence presence) {
+  std::uint32_t port = out;
+  reader.Count(name, port, Range<std::uint32_t>{1, kHighestPort}, presence);
+  out = static_cast<std::uint16_t>(port);
+}
+
+void ReadListeners(ObjectReader& reader, FleetSettings& settings) {
+  const bool is_entry = settings.role == FleetRole::kEntry;
+  const auto of_entry = is_entry ? Presence::kRequired : Presence::kOptional;
+  const auto of_control = is_entry ? Presence::kOptional : Presence::kRequired;
+  ReadEndpoint(reader, "callers", settings.callers, of_entry);
+  ReadEndpoint(reader, "readiness", settings.readiness, of_entry);
+  ReadEndpoint(reader, "control", settings.control, of_control);
+  ReadEndpoint(reader, "directory", settings.directory, of_control);
+  ReadPort(reader, "fleet_port", settings.fleet_port, Presence::kRequired);
+  ReadPort(reader, "metrics_port", settings.metrics_port, Presence::kOptional);
+}
+
+void ReadSeeds(ObjectReader& reader, FleetSettings& settings) {
+  std::vector<std::string> texts;
+  reader.Texts("seeds", texts);
+  for (const std::string& text : texts) {
+    auto endpoint = EndpointFromString(text);
+    if (endpoint) {
+      settings.seeds.push_back(*endpoint);
+    } else {
+      reader.Report("seeds", endpoint.error().detail);
+    }
+  }
+}
+
+}  // namespace
+
+Result<FleetSettings> FleetSettings::Parse(std::string_view text,
+                                           std::string_view file_name) {
+  auto document =
+      ParseStrictJson(text, file_name, ErrorKind::kInvalidSettings);
+  if (!document) return tl::unexpected(document.error());
+  FleetSettings settings;
+  Problems problems;
+  ObjectReader reader(*document, "", problems);
+  std::size_t role = 0;
+  reader.Choice("role", role, {"entry", "control"}, Presence::kRequired);
+  settings.role = static_cast<FleetRole>(role);
+  std::string host;
+  std::string zone;
+  reader.Text("host", host, Presence::kRequired);
+  reader.Text("ip", settings.ip, Presence::kRequired);
+  reader.Text("zone", zone, Presence::kRequired);
+  settings.host = HostId(std::move(host));
+  settings.zone = ZoneId(std::move(zone));
+  reader.Object("listeners",
+                [&](ObjectReader& inner) { ReadListeners(inner, settings); });
+  ReadSeeds(reader, settings);
+  reader.Flag("found_group", settings.found_group);
+  reader.Text("data_folder", settings.data_folder,
+              settings.role == FleetRole::kControl ? Presence::kRequired
+                                                   : Presence::kOptional);
+  reader.Text("fleet_secret", settings.fleet_secret);
+  std::string level = "info";
+  reader.Text("log_level", level);
+  if (const auto parsed = LogLevelFromName(level)) {
+    settings.log_level = *parsed;
+  } else {
+    reader.Report("log_level", parsed.error().detail);
+  }
+  reader.Length("key_withdrawal", settings.key_withdrawal, kAnyTime);
+  reader.Length("grace", settings.grace, kAnyTime);
+  reader.Length("longest_lookup_life", settings.longest_lookup_life, kAnyTime);
+  reader.Number("retry_slack", settings.retry_slack, Range<double>{0, 1e6});
+  reader.Finish();
+  if (!problems.empty()) {
+    const Error error = problems.AsError(ErrorKind::kInvalidSettings);
+    return Fail(error.kind, fmt::format("{}: {}", file_name, error.detail));
+  }
+  return settings;
+}
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/sapphirebank/fleet/retry_purse.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <map>
+
+#include "sapphirebank/core/ids.h"
+
+namespace sapphirebank {
+
+struct RetryPurseSettings {
+  // Retries that each request earns for its service. The fleet may spend 0.2;
+  // the rest is left for requests that count in another window.
+  double per_request = 0.15;
+  // Part of the fleet's fixed retries that all hosts together may have saved.
+  double part_of_slack = 0.7;
+};
+
+// A host's own share of the fleet's retry budget, for each service. The shares
+// of all hosts sum to less than the whole, so that nobody need be asked, also
+// while the network is cut.
+class RetryPurse {
+ public:
+  // `fleet_slack` are the retries that the whole fleet may make beyond those
+  // that requests earn, in one window.
+  RetryPurse(RetryPurseSettings settings, double fleet_slack)
+      : settings_(settings), fleet_slack_(fleet_slack) {}
+
+  // Sets among how many hosts the slack is shared.
+  void SetHosts(double hosts);
+
+  // Notes a request for `service`.
+  void Earn(const ServiceId& service);
+
+  // Pays for a retry; false when there is nothing left.
+  bool Spend(const ServiceId& service);
+
+ private:
+  double Most() const;
+  double& SavedFor(const ServiceId& service);
+
+  RetryPurseSettings settings_;
+  double fleet_slack_;
+  double hosts_ = 1;
+  std::map<ServiceId, double> saved_;
+};
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/sapphirebank/fleet/server_board.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <vector>
+
+#include "sapphirebank/core/ids.h"
+#include "sapphirebank/core/time.h"
+#include "sapphirebank/fleet/fleet_record.h"
+#include "sapphirebank/fleet/server_announcement.h"
+#include "sapphirebank/fleet/server_evidence.h"
+
+namespace sapphirebank {
+
+struct ServerBoardSettings {
+  EvidenceSettings evidence;
+  // A server that is not heard for this time and that no host reached either
+  // is forgotten: four heartbeats of 1.5 s.
+  Duration silent_and_failing = std::chrono::seconds(6);
+  // A server that is not heard for this time is forgotten in any case.
+  Duration silent = std::chrono::seconds(60);
+  // After an outage ends its zone's servers may be cold without saying so.
+  Duration zone_return_warm_up = std::chrono::seconds(3);
+};
+
+// All backend servers that are known, in one place that sorts out heartbeats
+// which come late, twice, from an earlier life or about an address that others
+// use by now.
+class ServerBoard {
+ public:
+  explicit ServerBoard(ServerBoardSettings settings) : settings_(settings) {}
+
+  // One server and what is known of it.
+  struct Entry {
+    ServerState state;
+    ServerEvidence evidence;
+    Instant heard_at;
+    Instant reached_at;
+    // Number of the last change that hosts must be told of.
+    std::uint64_t changed = 0;
+  };
+
+  // Takes a heartbeat. Returns whether it counts.
+  bool Hear(Instant now, const ServerAnnouncement& announcement,
+            const FleetRecord& record);
+
+  // Adds what one host saw of a server.
+  void AddOutcomes(Instant now, const BackendId& id,
+                   const ServerOutcomes& outcomes);
+
+  // Retires the servers whose lives the record says are over.
+  void Follow(const FleetRecord& record);
+
+  // Takes the servers of a zone for cold.
+  void ZoneReturned(Instant now, const ZoneId& zone, Duration warm_up);
+
+  // Acts on the passage of time.
+  void Tick(Instant now);
+
+  // Returns the number of the last change.
+  std::uint64_t changes() const { return changes_; }
+
+  const std::map<BackendId, Entry>& entries() const { return entries_; }
+
+ private:
+  void Touch(Entry& entry) { entry.changed = ++changes_; }
+  bool IsOutdated(const ServerAnnouncement& announcement) const;
+  void RetireOthersAt(const ServerAnnouncement& announcement);
+  std::size_t DownInService(const ServerAnnouncement& of) const;
+  bool MayLeave(const Entry& entry) const;
+
+  ServerBoardSettings settings_;
+  std::map<BackendId, Entry> entries_;
+  std::uint64_t changes_ = 0;
+};
+
+}  // namespace sapphirebank
--- a/sapphirebank/telemetry/log_writer.cc
+++ b/sapphirebank/telemetry/log_writer.cc
@@ -174,4 +174,11 @@
   return [](std::string_view line) { fmt::print(stderr, "{}\n", line); };
 }
 
+LogWriter::Sink LogWriter::StandardOutput() {
+  return [](std::string_view line) {
+    fmt::print("{}\n", line);
+    std::fflush(stdout);
+  };
+}
+
 }  // namespace sapphirebank
--- a/sapphirebank/telemetry/log_writer.h
+++ b/sapphirebank/telemetry/log_writer.h
@@ -67,6 +67,9 @@
   // Returns the sink that prints to this process's standard error.
   static Sink StandardError();
 
+  // Returns the sink that prints to this process's standard output.
+  static Sink StandardOutput();
+
  private:
   struct Queue;
 
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <deque>
 #include <map>
 #include <optional>
@@ -27,6 +28,18 @@
 
 constexpr std::uint32_t kMaxAnswerHeadBytes = 64 * 1024;
 
+// Answers to earlier requests that are skipped before the connection is given
+// up: a server that doubles answers sends one too many.
+constexpr int kMaxStrayAnswers = 2;
+
+// After a failed write an answer that was sent before the body was read may
+// still wait; it gets this time to come in.
+constexpr Duration kEarlyAnswerTime = std::chrono::milliseconds(50);
+
+// An idle connection is given up after this share of the time that the server
+// said it keeps it, since a request may cross its close.
+constexpr double kIdleShare = 0.7;
+
 auto Into(error_code& error) {
   return asio::redirect_error(asio::use_awaitable, error);
 }
@@ -37,6 +50,8 @@
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
   SteadyTime idle_since;
+  // For how long the server keeps it idle; zero when it did not say.
+  Duration server_idle_time{};
   bool reused = false;
 };
 
@@ -81,7 +96,7 @@
     request.insert(field.name, field.value);
   }
   request.set(http::field::host,
-              exchange.to.ip + ":" + std::to_string(exchange.to.port));
+              exchange.host.empty() ? ToString(exchange.to) : exchange.host);
   request.body() = std::string(exchange.body);
   const bool has_body = !exchange.body.empty() || exchange.method == "POST" ||
                         exchange.method == "PUT" || exchange.method == "PATCH";
@@ -156,6 +171,18 @@
   return {failure, reused};
 }
 
+// Returns the time that a Keep-Alive field states, or zero.
+Duration StatedIdleTime(const HeaderFields& fields) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::string_view value = FieldValue(fields, "keep-alive");
+  const auto at = value.find(kTimeout);
+  if (at == std::string_view::npos) return Duration::zero();
+  int seconds = 0;
+  const char* const end = value.data() + value.size();
+  std::from_chars(value.data() + at + kTimeout.size(), end, seconds);
+  return std::chrono::seconds(std::max(seconds, 0));
+}
+
 bool BodyKnownTooLong(const Parser& parser, std::uint64_t limit) {
   const auto length = parser.content_length();
   return length && *length > limit;
@@ -172,12 +199,13 @@
     const auto found = idle_.find(to);
     if (found == idle_.end()) return nullptr;
     auto& connections = found->second;
-    const auto oldest =
-        std::chrono::steady_clock::now() - settings_.max_idle_time;
+    const auto now = std::chrono::steady_clock::now();
     while (!connections.empty()) {
       ConnectionPtr connection = std::move(connections.back());
       connections.pop_back();
-      if (connection->idle_since >= oldest && IsQuiet(*connection)) {
+      const bool is_young =
+          now - connection->idle_since < IdleLimit(*connection);
+      if (is_young && IsQuiet(*connection)) {
         connection->reused = true;
         return connection;
       }
@@ -198,6 +226,15 @@
   void Forget(const Endpoint& to) { idle_.erase(to); }
 
  private:
+  Duration IdleLimit(const Connection& connection) const {
+    if (connection.server_idle_time == Duration::zero()) {
+      return settings_.max_idle_time;
+    }
+    return std::min(settings_.max_idle_time,
+                    FromSeconds(ToSeconds(connection.server_idle_time) *
+                                kIdleShare));
+  }
+
   asio::io_context& loop_;
   HttpClientSettings settings_;
   std::map<Endpoint, std::deque<ConnectionPtr>> idle_;
@@ -235,13 +272,15 @@
   const auto request = RequestOf(exchange);
   const std::size_t sent =
       co_await http::async_write(connection->stream, request, Into(error));
-  if (error) {
-    const auto stage =
-        sent == 0 ? AttemptStage::kNotConnected : AttemptStage::kSent;
-    co_return Failure(stage, error, reused);
+  if (error && sent == 0) {
+    co_return Failure(AttemptStage::kNotConnected, error, reused);
   }
+  const bool cut_short = static_cast<bool>(error);
+  if (cut_short) connection->stream.expires_after(kEarlyAnswerTime);
 
   auto parser = std::make_unique<Parser>();
+  int strays = 0;
+  bool is_stray = false;
   do {
     parser = std::make_unique<Parser>();
     parser->header_limit(kMaxAnswerHeadBytes);
@@ -250,7 +289,15 @@
     co_await http::async_read_header(connection->stream, connection->buffer,
                                      *parser, Into(error));
     if (error) co_return Failure(AttemptStage::kSent, error, reused);
-  } while (parser->get().result_int() < 200);
+    is_stray = parser->get().result_int() >= 200 && exchange.belongs &&
+               !exchange.belongs(AnswerOf(parser->get()).fields);
+    if (!is_stray) continue;
+    co_await http::async_read(connection->stream, connection->buffer, *parser,
+                              Into(error));
+    if (error || ++strays > kMaxStrayAnswers) {
+      co_return Failure(AttemptStage::kSent, error, reused);
+    }
+  } while (is_stray || parser->get().result_int() < 200);
 
   const bool too_long = BodyKnownTooLong(*parser, exchange.hold_limit);
   while (!too_long && !parser->is_done() &&
@@ -274,7 +321,9 @@
     result.outcome = std::move(answer);
     co_return result;
   }
-  if (parser->keep_alive() && connection->buffer.size() == 0) {
+  if (parser->keep_alive() && connection->buffer.size() == 0 && !cut_short &&
+      strays == 0) {
+    connection->server_idle_time = StatedIdleTime(answer.fields);
     pool_->Keep(exchange.to, std::move(connection));
   }
   result.outcome = std::move(answer);
--- a/sapphirebank/transport/http_client.h
+++ b/sapphirebank/transport/http_client.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <functional>
 #include <string>
 #include <variant>
 
@@ -28,6 +29,11 @@
   // Bytes of the answer that are held until it is whole; a longer answer is
   // returned as a stream.
   std::uint64_t hold_limit = 1 << 20U;
+  // The Host field; that of the address when empty.
+  std::string host;
+  // Tells by its fields whether an answer belongs to this exchange. Others are
+  // late answers to earlier requests, and are skipped. Null accepts all.
+  std::function<bool(const HeaderFields&)> belongs;
   // Do not use a connection that carried an earlier request.
   bool fresh_connection = false;
 };
--- a/sapphirebank/transport/http_server.cc
+++ b/sapphirebank/transport/http_server.cc
@@ -121,8 +121,18 @@
     return {};
   }
 
+  void AnnounceEnd() { ending_ = true; }
+
+  void SetLimits(std::size_t max_head_bytes, Duration head_timeout,
+                 Duration idle_timeout) {
+    settings_.max_head_bytes = max_head_bytes;
+    settings_.head_timeout = head_timeout;
+    settings_.idle_timeout = idle_timeout;
+  }
+
   void Drain() {
     draining_ = true;
+    ending_ = true;
     error_code ignored;
     acceptor_.close(ignored);
     for (beast::tcp_stream* stream : idle_) stream->cancel();
@@ -276,7 +286,7 @@
     request.body = std::move(parser.get().body());
 
     HttpAnswer answer = co_await Handle(stream, std::move(request));
-    const bool keep = parser.keep_alive() && !answer.close && !draining_;
+    const bool keep = parser.keep_alive() && !answer.close && !ending_;
     const bool head_only = parser.get().method() == http::verb::head;
     co_return co_await Write(stream, std::move(answer), keep, head_only);
   }
@@ -460,6 +470,7 @@
   std::size_t requests_in_work_ = 0;
   std::size_t held_bytes_ = 0;
   bool draining_ = false;
+  bool ending_ = false;
 };
 
 Result<HttpServer> HttpServer::Listen(asio::io_context& loop,
@@ -479,6 +490,13 @@
   return core_->requests_in_work();
 }
 
+void HttpServer::AnnounceEnd() { core_->AnnounceEnd(); }
+
+void HttpServer::SetLimits(std::size_t max_head_bytes, Duration head_timeout,
+                           Duration idle_timeout) {
+  core_->SetLimits(max_head_bytes, head_timeout, idle_timeout);
+}
+
 void HttpServer::Drain() { core_->Drain(); }
 
 }  // namespace sapphirebank
--- a/sapphirebank/transport/http_server.h
+++ b/sapphirebank/transport/http_server.h
@@ -60,6 +60,14 @@
   // Returns the number of requests that are being read or answered.
   std::size_t requests_in_work() const;
 
+  // Answers with "Connection: close" from now on, but goes on accepting, so
+  // that callers which still hold the address lose nothing.
+  void AnnounceEnd();
+
+  // Sets the limits for requests that begin from now on.
+  void SetLimits(std::size_t max_head_bytes, Duration head_timeout,
+                 Duration idle_timeout);
+
   // Stops accepting, closes idle connections, and lets every answer that is
   // under way be finished with "Connection: close".
   void Drain();
--- a/sapphirebank/transport/websocket_link.cc
+++ b/sapphirebank/transport/websocket_link.cc
@@ -1,5 +1,8 @@
 #include "sapphirebank/transport/websocket_link.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <atomic>
 #include <map>
 #include <stdexcept>
@@ -18,8 +21,11 @@
 using boost::system::error_code;
 using websocketpp::connection_hdl;
 
-constexpr int kOpenTimeoutMs = 2000;
+// A host that does not answer within a second is tried again or passed over.
+constexpr int kOpenTimeoutMs = 1000;
 constexpr int kCloseTimeoutMs = 500;
+// Unacknowledged bytes end a connection after this time.
+constexpr unsigned kUnacknowledgedMs = 2000;
 
 }  // namespace
 
@@ -107,6 +113,13 @@
     bool outgoing;
   };
 
+  static void SetSocketOptions(int socket) {
+    const int on = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    ::setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs,
+                 sizeof(kUnacknowledgedMs));
+  }
+
   template <typename Endpoint>
   void SetUp(Endpoint& endpoint) {
     endpoint.clear_access_channels(websocketpp::log::alevel::all);
@@ -115,6 +128,12 @@
     endpoint.set_max_message_size(kMaxMessageBytes);
     endpoint.set_open_handshake_timeout(kOpenTimeoutMs);
     endpoint.set_close_handshake_timeout(kCloseTimeoutMs);
+    endpoint.set_tcp_post_init_handler(
+        [&endpoint](const connection_hdl& handle) {
+          SetSocketOptions(endpoint.get_con_from_hdl(handle)
+                               ->get_raw_socket()
+                               .native_handle());
+        });
     endpoint.set_open_handler(
         [this](const connection_hdl& handle) { Opened(handle); });
     endpoint.set_close_handler(
