--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -30,6 +30,13 @@
 // How often followers are told which entry hosts are ready, at least.
 constexpr Duration kPublishPeriod = std::chrono::milliseconds(500);
 
+// A relay reports to the leader this often, and more often when something is
+// needed.
+constexpr Duration kReportUpPeriod = std::chrono::milliseconds(250);
+
+// Reports whose answers are waited for; older ones were lost with a leader.
+constexpr std::size_t kMostReportsUp = 64;
+
 // Time for a handed-on leadership to be taken before the process ends.
 constexpr Duration kHandOverTime = std::chrono::milliseconds(250);
 
@@ -92,7 +99,8 @@
       loop_(loop),
       files_(std::move(files)),
       host_(std::move(host)),
-      leader_(FleetLeaderSettings()),
+      hub_(FleetHubSettings(), RandomSeed(), HubHost{self_.value(), settings.zone},
+           Random(RandomSeed())),
       published_(std::make_shared<const std::vector<ReadyHost>>()),
       random_(RandomSeed()),
       thread_(system),
@@ -142,9 +150,8 @@
 void ControlProcess::Tick() {
   const Instant now = Now();
   host_.Tick(now, WallNow());
-  if (leads_) leader_.Tick(now);
+  hub_.Tick(now);
   ConnectToOthers(now);
-  ForwardHeartbeats();
   Flush();
 }
 
@@ -172,7 +179,8 @@
     if (!callback.empty()) callback.mapped()(std::move(completion));
   }
   Advance(now);
-  if (leads_) PushNews(now);
+  if (!leads_) ReportUp(now);
+  PushNews(now);
   PublishReady(now);
 }
 
@@ -191,7 +199,11 @@
                   {"cause", plan.error().detail}});
     }
   }
-  leader_.Follow(now, record, plan_);
+  hub_.Follow(now, record, plan_);
+  if (word_ && record.changes() >= word_->record) {
+    confirmed_at_ = std::max(confirmed_at_, word_->as_of);
+    word_.reset();
+  }
 }
 
 void ControlProcess::FollowLeadership(Instant now) {
@@ -199,16 +211,20 @@
   const auto leader = host_.leader();
   if (leader != known_leader_) {
     known_leader_ = leader;
+    first_report_up_ = true;
     log_.Write(LogLevel::kInfo, "leader_known",
                {{"leader", leader ? leader->value() : ""},
                 {"term", host_.raft().term()}});
   }
   if (leads == leads_) return;
   leads_ = leads;
-  if (!leads) return;
-  leader_.Begin(host_.raft().term());
-  leader_.AdoptReady(now, ready_);
-  confirmed_at_ = Instant();
+  if (!leads) {
+    hub_.Relay();
+    first_report_up_ = true;
+    return;
+  }
+  hub_.Lead(now);
+  hub_.AdoptReady(now, ready_);
   confirming_ = false;
   next_confirm_ = now;
 }
@@ -227,22 +243,51 @@
   host_.Read(now, token);
 }
 
+Duration ControlProcess::Age(Instant now) const {
+  constexpr Duration kUnknown = std::chrono::hours(1);
+  return std::min(kUnknown, now - confirmed_at_);
+}
+
+void ControlProcess::SendUpdate(LinkId link, FleetUpdate update, Instant now) {
+  update.age = Age(now);
+  links_.Send(link, {{"t", "update"}, {"u", update}});
+}
+
+// Tells entry hosts, and relays while this host leads, what they do not know.
 void ControlProcess::PushNews(Instant now) {
-  if (now < next_push_) return;
+  const FleetRecord& record = host_.state().fleet();
+  const bool is_due = now >= next_push_;
   bool pushed = false;
   for (const auto& [link, peer] : peers_) {
-    if (peer.is_control || !leader_.HasNews(peer.host)) continue;
-    FleetUpdate update = leader_.News(now, peer.host, host_.state().fleet());
-    update.age = now - confirmed_at_;
-    links_.Send(link, {{"t", "update"}, {"u", update}});
+    if (peer.is_control && !leads_) continue;
+    if (!hub_.HasGrants(peer.host) && !(is_due && hub_.HasNews(peer.host))) {
+      continue;
+    }
+    SendUpdate(link, hub_.News(now, peer.host, record), now);
     pushed = true;
   }
-  if (pushed) next_push_ = now + kPushPeriod;
+  if (is_due && pushed) next_push_ = now + kPushPeriod;
+}
+
+// Tells the leader the sums of what the entry hosts reported here.
+void ControlProcess::ReportUp(Instant now) {
+  const auto link = known_leader_ ? LinkTo(*known_leader_) : std::nullopt;
+  if (!link) return;
+  if (!hub_.MustReportUp() && now - last_report_up_ < kReportUpPeriod) return;
+  last_report_up_ = now;
+  EntryReport report =
+      hub_.ReportUp(now, std::exchange(first_report_up_, false));
+  report.number = next_report_up_++;
+  reports_up_[report.number] = now;
+  if (reports_up_.size() > kMostReportsUp) {
+    reports_up_.erase(reports_up_.begin());
+  }
+  links_.Send(*link, {{"t", "report"}, {"r", report}});
 }
 
 void ControlProcess::PublishReady(Instant now) {
   if (leads_) {
-    std::vector<ReadyHost> ready = leader_.Ready(now);
+    std::vector<ReadyHost> ready = hub_.Ready(now);
     if (ready == ready_ && now < next_publish_) return;
     next_publish_ = now + kPublishPeriod;
     ready_ = std::move(ready);
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -15,7 +15,7 @@
 #include "sapphirebank/consensus/file_system.h"
 #include "sapphirebank/core/random.h"
 #include "sapphirebank/fleet/fleet_call.h"
-#include "sapphirebank/fleet/fleet_leader.h"
+#include "sapphirebank/fleet/fleet_hub.h"
 #include "sapphirebank/fleet/fleet_settings.h"
 #include "sapphirebank/telemetry/log_writer.h"
 #include "sapphirebank/transport/decision_thread.h"
@@ -25,8 +25,8 @@
 namespace sapphirebank {
 
 // A control host of a fleet that learns everything from its control hosts: it
-// keeps the replicated record, and while it leads also the servers, tokens and
-// entry hosts. Decisions and the disk have one thread, links another, and the
+// keeps the replicated record and is the hub of entry hosts of its zone; while
+// it leads it is also the authority on servers and tokens. Decisions and the disk have one thread, links another, and the
 // calls of operators, backend servers and callers the event loop, so that a
 // slow disk does not keep callers from their addresses.
 class ControlProcess {
@@ -52,6 +52,7 @@
   struct Peer {
     HostId host;
     bool is_control = false;
+    ZoneId zone;  // Of a control host.
     Instant heard_at;
   };
 
@@ -81,6 +82,9 @@
   void FollowLeadership(Instant now);
   void ConfirmLeadership(Instant now);
   void PushNews(Instant now);
+  void ReportUp(Instant now);
+  Duration Age(Instant now) const;
+  void SendUpdate(LinkId link, FleetUpdate update, Instant now);
   void PublishReady(Instant now);
 
   // control_process_links.cc
@@ -88,7 +92,12 @@
   void OnUp(LinkId link, const HostId& host);
   void OnDown(LinkId link, const std::string& reason);
   void OnMessage(LinkId link, const HostId& from, const nlohmann::json& message);
+  void OnControl(LinkId link, Peer& peer, const nlohmann::json& message);
   void OnReport(LinkId link, const HostId& from, const nlohmann::json& message);
+  void OnUpdate(const HostId& from, const nlohmann::json& message);
+  void OnAsk(LinkId link, const HostId& from, const nlohmann::json& message);
+  void OnDone(const nlohmann::json& message);
+  void TellHubs();
   void OnPeerCall(LinkId link, const nlohmann::json& message);
   void Send(const std::vector<PeerEnvelope>& messages);
   void SendToControl(const nlohmann::json& message);
@@ -105,7 +114,6 @@
   bool IsDone(const ControlCommand& command) const;
   ControlCommand Complete(ControlCommand command) const;
   void HearServer(const ServerAnnouncement& server);
-  void ForwardHeartbeats();
   std::vector<std::string> AddressesFor(const ZoneId& zone);
 
   Instant Now() const;
@@ -120,20 +128,20 @@
   // Of the decision thread.
   std::unique_ptr<FileSystem> files_;
   ControlHost host_;
-  FleetLeader leader_;
+  FleetHub hub_;
   std::shared_ptr<const TrafficPlan> plan_;
   std::map<LinkId, Peer> peers_;
   std::map<std::string, LinkId> connecting_;
   std::map<Token, std::function<void(Completion)>> completions_;
   std::map<std::uint64_t, Pending> pending_;
-  std::vector<ServerAnnouncement> heartbeats_to_forward_;
   std::vector<ReadyHost> ready_;
   std::optional<HostId> known_leader_;
   Token next_token_ = 1;
   std::uint64_t next_call_ = 1;
   bool leads_ = false;
   bool flush_is_posted_ = false;
-  // When this host was last proved to lead, and whether a proof is asked for.
+  // As of when everything that was accepted is in the record: by this host's
+  // own proof that it leads, or by the leader's word.
   Instant confirmed_at_;
   bool confirming_ = false;
   Instant next_confirm_;
@@ -142,6 +150,18 @@
   Instant next_push_;
   Instant next_publish_;
 
+  // Reports to the leader without an answer, with the time of sending.
+  std::map<std::uint64_t, Instant> reports_up_;
+  std::uint64_t next_report_up_ = 1;
+  Instant last_report_up_;
+  bool first_report_up_ = true;
+  // A word of the leader that counts once the record has come as far.
+  struct Word {
+    std::uint64_t record = 0;
+    Instant as_of;
+  };
+  std::optional<Word> word_;
+
   // Shared: written by the decision thread, read by the event loop.
   std::shared_ptr<const std::vector<ReadyHost>> published_;
   Random random_;  // Of the event loop.
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -99,19 +99,7 @@
 }
 
 void ControlProcess::HearServer(const ServerAnnouncement& server) {
-  const Instant now = Now();
-  const bool is_news = leader_.Hear(now, server, host_.state().fleet());
-  if (is_news && !leads_) heartbeats_to_forward_.push_back(server);
-}
-
-// Followers send what they heard on to the leader, many at a time.
-void ControlProcess::ForwardHeartbeats() {
-  if (heartbeats_to_forward_.empty()) return;
-  if (leads_) heartbeats_to_forward_.clear();
-  const auto link = known_leader_ ? LinkTo(*known_leader_) : std::nullopt;
-  if (!link) return;
-  links_.Send(*link, {{"t", "servers"}, {"list", heartbeats_to_forward_}});
-  heartbeats_to_forward_.clear();
+  hub_.Hear(Now(), server, host_.state().fleet());
 }
 
 void ControlProcess::Ask(std::optional<ControlCommand> command,
@@ -192,7 +180,7 @@
 ControlCommand ControlProcess::Complete(ControlCommand command) const {
   auto* retire = std::get_if<RetireBackend>(&command);
   if (retire == nullptr || retire->incarnation > 0) return command;
-  const auto& entries = leader_.board().entries();
+  const auto& entries = hub_.board().entries();
   const auto known = entries.find(retire->backend);
   if (known != entries.end()) {
     retire->incarnation = known->second.state.announcement.incarnation;
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "sapphirebank/core/cbor.h"
@@ -47,8 +49,8 @@
 }
 
 void ControlProcess::OnUp(LinkId link, const HostId& host) {
-  peers_[link] = {host, false, Now()};
-  links_.Send(link, {{"t", "control"}});
+  peers_[link] = {host, false, ZoneId(), Now()};
+  links_.Send(link, {{"t", "control"}, {"zone", settings_.zone.value()}});
 }
 
 void ControlProcess::OnDown(LinkId link, const std::string& reason) {
@@ -58,7 +60,8 @@
   if (found != peers_.end()) {
     const Peer peer = found->second;
     peers_.erase(found);
-    if (!peer.is_control && !LinkTo(peer.host)) leader_.Lost(peer.host);
+    if (!LinkTo(peer.host)) hub_.Lost(peer.host);
+    if (peer.is_control) TellHubs();
     log_.Write(LogLevel::kInfo, "link_lost",
                {{"host", peer.host.value()}, {"cause", reason}});
     FlushSoon();
@@ -129,58 +132,106 @@
     if (type == "raft") {
       const auto decoded = DecodePeerMessage(Text(message.at("m")));
       if (decoded) host_.Receive(peer.heard_at, from, *decoded);
-      FlushSoon();
+    } else if (type == "ask") {
+      OnAsk(link, from, message);
+      return;
+    } else if (type == "end") {
+      hub_.EndAssignment({from, message.at("n").get<std::uint64_t>()});
+      return;
     } else if (type == "report") {
       OnReport(link, from, message);
+    } else if (type == "update") {
+      OnUpdate(from, message);
     } else if (type == "control") {
-      peer.is_control = true;
-      host_.LearnHost(from);
+      OnControl(link, peer, message);
     } else if (type == "call") {
       OnPeerCall(link, message);
     } else if (type == "done") {
-      const auto call = pending_.find(message.at("call").get<std::uint64_t>());
-      if (call == pending_.end()) return;
-      if (message.at("ok").get<bool>()) {
-        const Callback done = std::move(call->second.callback);
-        pending_.erase(call);
-        done(message.at("text").get<std::string>());
-      } else {
-        AskAgainLater(call->second);
-      }
-    } else if (type == "servers") {
-      for (const auto& server :
-           message.at("list").get<std::vector<ServerAnnouncement>>()) {
-        HearServer(server);
-      }
-      FlushSoon();
+      OnDone(message);
     } else if (type == "ready" && !leads_) {
       ready_ = message.at("list").get<std::vector<ReadyHost>>();
-      FlushSoon();
+    } else {
+      return;
     }
+    FlushSoon();
   } catch (const std::exception& e) {
     log_.Write(LogLevel::kWarning, "message_refused",
                {{"from", from.value()}, {"cause", e.what()}});
   }
 }
 
-void ControlProcess::OnReport(LinkId link, const HostId& from,
-                              const json& message) {
-  if (!leads_) {
-    json hosts = json::array();
-    for (const GroupMember& member : host_.raft().membership().members()) {
-      hosts.push_back(member.host.value());
+void ControlProcess::OnControl(LinkId /*link*/, Peer& peer,
+                               const json& message) {
+  peer.is_control = true;
+  peer.zone = ZoneId(message.at("zone").get<std::string>());
+  host_.LearnHost(peer.host);
+  TellHubs();
+}
+
+void ControlProcess::TellHubs() {
+  std::vector<HubHost> hubs;
+  for (const auto& [link, peer] : peers_) {
+    if (!peer.is_control) continue;
+    const HubHost hub = {peer.host.value(), peer.zone};
+    if (std::find(hubs.begin(), hubs.end(), hub) == hubs.end()) {
+      hubs.push_back(hub);
     }
-    links_.Send(link, {{"t", "redirect"},
-                       {"leader", known_leader_ ? known_leader_->value() : ""},
-                       {"hosts", std::move(hosts)}});
-    return;
   }
+  hub_.SetHubs(std::move(hubs));
+}
+
+void ControlProcess::OnReport(LinkId link, const HostId& from,
+                              const json& message) {
   const Instant now = Now();
   const auto report = message.at("r").get<EntryReport>();
-  FleetUpdate update = leader_.Take(now, from, report, host_.state().fleet());
-  update.age = now - confirmed_at_;
-  links_.Send(link, {{"t", "update"}, {"u", update}});
-  FlushSoon();
+  const bool is_relay = peers_.at(link).is_control;
+  // A relay that has not heard of a new leader asks again.
+  if (is_relay && !leads_) return;
+  SendUpdate(link, hub_.Take(now, from, report, host_.state().fleet()), now);
+}
+
+// Takes the leader's word, at a relay.
+void ControlProcess::OnUpdate(const HostId& from, const json& message) {
+  if (leads_ || from != known_leader_) return;
+  const Instant now = Now();
+  const auto update = message.at("u").get<FleetUpdate>();
+  hub_.TakeUp(now, update);
+  const auto asked = reports_up_.find(update.answers);
+  if (asked == reports_up_.end()) return;
+  const Instant as_of = asked->second - update.age;
+  reports_up_.erase(reports_up_.begin(), std::next(asked));
+  if (host_.state().fleet().changes() >= update.record) {
+    confirmed_at_ = std::max(confirmed_at_, as_of);
+  } else {
+    word_ = Word{update.record, as_of};
+  }
+}
+
+void ControlProcess::OnAsk(LinkId link, const HostId& from,
+                           const json& message) {
+  DispatchQuery query;
+  query.service = ServiceId(message.at("s").get<std::string>());
+  query.repeatable = message.at("r").get<bool>();
+  for (const auto& id : message.at("x")) {
+    query.excluded.insert(BackendId(id.get<std::string>()));
+  }
+  const auto number = message.at("n").get<std::uint64_t>();
+  const auto server = hub_.Assign(Now(), {from, number}, query);
+  links_.Send(link, {{"t", "use"},
+                     {"n", number},
+                     {"id", server ? server->value() : ""}});
+}
+
+void ControlProcess::OnDone(const json& message) {
+  const auto call = pending_.find(message.at("call").get<std::uint64_t>());
+  if (call == pending_.end()) return;
+  if (!message.at("ok").get<bool>()) {
+    AskAgainLater(call->second);
+    return;
+  }
+  const Callback done = std::move(call->second.callback);
+  pending_.erase(call);
+  done(message.at("text").get<std::string>());
 }
 
 void ControlProcess::OnPeerCall(LinkId link, const json& message) {
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -15,18 +15,26 @@
 // leader's proof, how old an entry host's word on keys is.
 constexpr Duration kReportPeriod = std::chrono::milliseconds(500);
 
-// A leader that leaves a report unanswered for this time is given up.
-constexpr Duration kAnswerTime = std::chrono::milliseconds(900);
+// A hub that leaves a report unanswered for this time is given up.
+constexpr Duration kAnswerTime = std::chrono::milliseconds(700);
 
 // Time for a connection to come up: hosts are a few milliseconds apart.
 constexpr Duration kConnectTime = std::chrono::milliseconds(400);
 
-// Wake-ups with and without a leader.
+// Wake-ups with and without a hub.
 constexpr Duration kQuietTick = std::chrono::milliseconds(250);
 constexpr Duration kSearchTick = std::chrono::milliseconds(100);
 
-// A leader whose own proof is older than this may have lost its followers.
-constexpr Duration kOldestAge = std::chrono::milliseconds(1500);
+// A hub whose word is older than this may be cut off from the leader. An
+// election may take as long, so the next hub is given some time as well.
+constexpr Duration kOldestAge = std::chrono::milliseconds(1200);
+constexpr Duration kTimeForHub = std::chrono::milliseconds(800);
+
+// A hub that failed is passed over for this time.
+constexpr Duration kPassOver = std::chrono::seconds(2);
+
+// A host whose hub is in another zone looks for one in its own this often.
+constexpr Duration kMovePeriod = std::chrono::seconds(3);
 
 }  // namespace
 
@@ -76,40 +84,72 @@
              now - unanswered_.begin()->second > kAnswerTime) {
     Drop("a report was not answered");
     ConnectNext();
+  } else if (ShouldMoveNear(now)) {
+    Drop("");
+    ConnectNext();
   } else if (is_up_ && now - last_report_ >= kReportPeriod - kQuietTick / 2) {
-    SendReport(!leader_answered_);
+    SendReport(!hub_answered_);
   }
-  ScheduleTick(in_reach_ ? kQuietTick : kSearchTick);
+  ScheduleTick(hub_answered_ ? kQuietTick : kSearchTick);
 }
 
+// Returns whether a hub of this zone may be had in place of the present one.
+bool EntryLink::ShouldMoveNear(Instant now) const {
+  if (!hub_answered_ || now < next_move_) return false;
+  bool is_near = false;
+  bool has_near = false;
+  for (const HubHost& hub : hooks_.hubs()) {
+    if (hub.zone != settings_.zone) continue;
+    if (hub.address == link_host_) is_near = true;
+    const auto passed = passed_over_.find(hub.address);
+    if (passed == passed_over_.end() || passed->second <= now) has_near = true;
+  }
+  return has_near && !is_near;
+}
+
+// Returns the hosts to try, the best ones first: hubs of this zone in one
+// order on all hosts, so that they meet at one; then others at random.
 std::vector<std::string> EntryLink::Candidates() const {
-  std::vector<std::string> candidates = learned_;
+  const Instant now = MonotonicNow();
+  std::vector<std::string> near;
+  std::vector<std::string> others;
+  std::vector<std::string> failed;
+  const auto add = [&](const std::string& address, bool is_near) {
+    const auto passed = passed_over_.find(address);
+    const bool has_failed = passed != passed_over_.end() && passed->second > now;
+    (has_failed ? failed : is_near ? near : others).push_back(address);
+  };
+  for (const HubHost& hub : hooks_.hubs()) {
+    add(hub.address, hub.zone == settings_.zone);
+  }
   for (const Endpoint& seed : hooks_.seeds()) {
-    candidates.push_back(ToString(settings_.FleetEndpoint(seed)));
+    const std::string address = ToString(settings_.FleetEndpoint(seed));
+    const auto& hubs = hooks_.hubs();
+    const bool is_listed =
+        std::any_of(hubs.begin(), hubs.end(), [&](const HubHost& hub) {
+          return hub.address == address;
+        });
+    if (!is_listed) add(address, false);
   }
-  std::sort(candidates.begin(), candidates.end());
-  candidates.erase(std::unique(candidates.begin(), candidates.end()),
-                   candidates.end());
-  return candidates;
+  std::sort(near.begin(), near.end());
+  return !near.empty() ? near : !others.empty() ? others : failed;
 }
 
 void EntryLink::ConnectNext() {
-  std::string next;
-  if (hint_) {
-    next = *std::exchange(hint_, std::nullopt);
-  } else {
-    std::vector<std::string> candidates = Candidates();
-    if (candidates.size() > 1) std::erase(candidates, last_tried_);
-    if (candidates.empty()) return;
-    next = candidates[random_.Below(candidates.size())];
-  }
-  const auto endpoint = EndpointFromString(next);
+  const std::vector<std::string> candidates = Candidates();
+  if (candidates.empty()) return;
+  const auto& hubs = hooks_.hubs();
+  const bool is_near =
+      std::any_of(hubs.begin(), hubs.end(), [&](const HubHost& hub) {
+        return hub.address == candidates.front() && hub.zone == settings_.zone;
+      });
+  const std::size_t index = is_near ? 0 : random_.Below(candidates.size());
+  const auto endpoint = EndpointFromString(candidates[index]);
   if (!endpoint) return;
-  last_tried_ = next;
-  link_host_ = next;
+  link_host_ = candidates[index];
   connect_started_ = MonotonicNow();
   is_up_ = false;
-  leader_answered_ = false;
+  hub_answered_ = false;
   unanswered_.clear();
   link_ = links_.Connect(*endpoint);
 }
@@ -127,26 +167,23 @@
   ScheduleTick(kSearchTick);
 }
 
+// Gives the hub up; with a cause it is passed over for a while.
 void EntryLink::Drop(std::string_view cause) {
   if (link_) links_.Close(*link_);
   link_.reset();
   is_up_ = false;
   unanswered_.clear();
-  if (in_reach_) {
-    log_.Write(LogLevel::kWarning, "leader_lost",
-               {{"leader", link_host_}, {"cause", cause}});
+  const Instant now = MonotonicNow();
+  if (!cause.empty()) passed_over_[link_host_] = now + kPassOver;
+  if (hub_answered_) {
+    log_.Write(LogLevel::kWarning, "hub_lost",
+               {{"hub", link_host_}, {"cause", cause}});
   }
-  SetInReach(false);
-}
-
-void EntryLink::SetInReach(bool in_reach) {
-  if (in_reach_ == in_reach) return;
-  in_reach_ = in_reach;
-  hooks_.in_reach(in_reach);
+  hub_answered_ = false;
 }
 
 void EntryLink::ReportNow() {
-  if (is_up_ && leader_answered_) SendReport(false);
+  if (is_up_ && hub_answered_) SendReport(false);
 }
 
 void EntryLink::SendReport(bool first) {
@@ -157,45 +194,60 @@
   links_.Send(*link_, {{"t", "report"}, {"r", report}});
 }
 
+bool EntryLink::Ask(std::uint64_t number, const ServiceId& service,
+                    bool repeatable, std::span<const BackendId> excluded) {
+  if (!hub_answered_) return false;
+  json names = json::array();
+  for (const BackendId& id : excluded) names.push_back(id.value());
+  links_.Send(*link_, {{"t", "ask"},
+                       {"n", number},
+                       {"s", service.value()},
+                       {"r", repeatable},
+                       {"x", std::move(names)}});
+  return true;
+}
+
+void EntryLink::End(std::uint64_t number) {
+  if (hub_answered_) links_.Send(*link_, {{"t", "end"}, {"n", number}});
+}
+
 void EntryLink::OnMessage(LinkId link, const json& message) {
   if (link != link_) return;
   try {
     const std::string type = message.at("t").get<std::string>();
-    if (type == "redirect") {
-      learned_ = message.at("hosts").get<std::vector<std::string>>();
-      const auto leader = message.at("leader").get<std::string>();
-      Drop("the host does not lead");
-      if (!leader.empty() && leader != link_host_) {
-        hint_ = leader;
-        ConnectNext();
-      }
-      ScheduleTick(kSearchTick);
-      return;
-    }
-    if (type != "update") return;
-    const auto update = message.at("u").get<FleetUpdate>();
-    std::optional<Instant> asked_at;
-    const auto asked = unanswered_.find(update.answers);
-    if (asked != unanswered_.end()) {
-      asked_at = asked->second;
-      unanswered_.erase(asked);
-    }
-    if (update.answers != 0 && update.age > kOldestAge) {
-      Drop("the leader cannot prove that it leads");
-      ConnectNext();
-      return;
-    }
-    if (!leader_answered_) {
-      log_.Write(LogLevel::kInfo, "leader_found",
-                 {{"leader", link_host_}, {"epoch", update.epoch}});
+    if (type == "use") {
+      hooks_.use(message.at("n").get<std::uint64_t>(),
+                 BackendId(message.at("id").get<std::string>()));
+    } else if (type == "update") {
+      TakeUpdate(message.at("u").get<FleetUpdate>());
     }
-    leader_answered_ = true;
-    SetInReach(true);
-    hooks_.update(asked_at, update);
   } catch (const std::exception& e) {
     log_.Write(LogLevel::kWarning, "message_refused",
                {{"from", link_host_}, {"cause", e.what()}});
   }
 }
 
+void EntryLink::TakeUpdate(const FleetUpdate& update) {
+  const Instant now = MonotonicNow();
+  std::optional<Instant> asked_at;
+  const auto asked = unanswered_.find(update.answers);
+  if (asked != unanswered_.end()) {
+    asked_at = asked->second;
+    unanswered_.erase(asked);
+  }
+  if (!hub_answered_) {
+    next_move_ = now + kMovePeriod;
+    log_.Write(LogLevel::kInfo, "hub_found", {{"hub", link_host_}});
+  }
+  hub_answered_ = true;
+  const Result<void> taken = hooks_.update(asked_at, update);
+  const bool had_time = now - connect_started_ > kTimeForHub;
+  const bool is_behind =
+      !taken && taken.error().kind == ErrorKind::kNotLeader && had_time;
+  const bool is_old = update.answers != 0 && update.age > kOldestAge && had_time;
+  if (!is_behind && !is_old) return;
+  Drop(is_old ? "its word is old" : "it is behind this host");
+  ConnectNext();
+}
+
 }  // namespace sapphirebank
--- a/programs/fleet_host/entry_link.h
+++ b/programs/fleet_host/entry_link.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -19,18 +20,22 @@
 
 namespace sapphirebank {
 
-// An entry host's link to the leading control host: finds it from the seeds,
-// reports, and takes updates. Used on one event loop only.
+// An entry host's link to its hub, a control host of its zone if there is one:
+// finds it from the seeds, reports, takes updates and asks for servers. Used on one event loop only.
 class EntryLink {
  public:
   struct Hooks {
     // Fills in what is to be reported; `first` asks for all known servers.
     std::function<EntryReport(bool first)> report;
     // Takes an update; `asked_at` is when the report that it answers was sent.
-    std::function<void(std::optional<Instant> asked_at, const FleetUpdate&)>
+    // Fails when the hub is of no use.
+    std::function<Result<void>(std::optional<Instant> asked_at,
+                               const FleetUpdate&)>
         update;
-    // The leader is out of reach from now on, or within reach again.
-    std::function<void(bool)> in_reach;
+    // Takes the hub's choice of a server; empty when it has none.
+    std::function<void(std::uint64_t number, const BackendId& server)> use;
+    // Returns the hubs that were named last.
+    std::function<const std::vector<HubHost>&()> hubs;
     // Returns the seeds as the settings name them now.
     std::function<std::vector<Endpoint>()> seeds;
   };
@@ -38,15 +43,18 @@
   EntryLink(boost::asio::io_context& loop, const FleetSettings& settings,
             Hooks hooks, LogWriter& log);
 
-  // Starts to look for the leader.
+  // Starts to look for a hub.
   void Start();
 
-  // Reports at once when the leader is in reach; otherwise the next report
-  // says it.
+  // Reports at once when a hub is in reach; otherwise the next report says it.
   void ReportNow();
 
-  // Returns whether the leader answers.
-  bool in_reach() const { return in_reach_; }
+  // Asks for a server. Returns false when no hub is in reach.
+  bool Ask(std::uint64_t number, const ServiceId& service, bool repeatable,
+           std::span<const BackendId> excluded);
+
+  // Tells that the request that was assigned is over.
+  void End(std::uint64_t number);
 
  private:
   using LinkId = FleetLink::LinkId;
@@ -60,7 +68,8 @@
   void OnDown(LinkId link);
   void Drop(std::string_view cause);
   void SendReport(bool first);
-  void SetInReach(bool in_reach);
+  void TakeUpdate(const FleetUpdate& update);
+  bool ShouldMoveNear(Instant now) const;
   std::vector<std::string> Candidates() const;
 
   boost::asio::io_context& loop_;
@@ -69,16 +78,13 @@
   LogWriter& log_;
   Random random_;
   boost::asio::steady_timer timer_;
-  // Control hosts that were named by others.
-  std::vector<std::string> learned_;
-  // Where the leader is said to be.
-  std::optional<std::string> hint_;
   std::optional<LinkId> link_;
   std::string link_host_;
-  std::string last_tried_;
   bool is_up_ = false;
-  bool in_reach_ = false;
-  bool leader_answered_ = false;
+  bool hub_answered_ = false;
+  Instant next_move_;
+  // Hubs that failed lately, with the time until which they are passed over.
+  std::map<std::string, Instant> passed_over_;
   Instant connect_started_;
   Instant last_report_;
   std::uint64_t next_report_ = 1;
--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -58,14 +58,13 @@
       state_(loop, std::move(plan_reader),
              Part(settings.key_withdrawal, kPartOfKeyWithdrawal),
              settings.retry_slack, settings.zone, RandomSeed(),
-             [this] {
-               // One report for all that one turn of the loop brings.
-               if (std::exchange(report_is_posted_, true)) return;
-               boost::asio::post(loop_, [this] {
-                 report_is_posted_ = false;
-                 link_.ReportNow();
-               });
-             }),
+             EntryState::Hooks{
+                 [this] { ReportSoon(); },
+                 [this](std::uint64_t number, const ServiceId& service,
+                        bool repeatable, std::span<const BackendId> excluded) {
+                   return link_.Ask(number, service, repeatable, excluded);
+                 },
+                 [this](std::uint64_t number) { link_.End(number); }}),
       requests_(loop, state_, std::move(dialect), log),
       timer_(loop),
       link_(loop, settings,
@@ -73,11 +72,13 @@
                 [this](bool first) { return Report(first); },
                 [this](std::optional<Instant> asked_at,
                        const FleetUpdate& update) {
-                  TakeUpdate(asked_at, update);
+                  return TakeUpdate(asked_at, update);
                 },
-                [this](bool in_reach) {
-                  log_.Write(LogLevel::kInfo, "leader_in_reach",
-                             {{"in_reach", in_reach}});
+                [this](std::uint64_t number, const BackendId& server) {
+                  state_.TakeChoice(number, server);
+                },
+                [this]() -> const std::vector<HubHost>& {
+                  return state_.view().hubs();
                 },
                 std::move(seeds)},
             log) {}
@@ -122,21 +123,29 @@
 
 EntryReport EntryProcess::Report(bool first) {
   EntryReport report;
-  report.callers = settings_.callers;
-  report.zone = settings_.zone;
-  report.ready = IsReady();
-  report.leaving = leaving_;
+  if (IsReady()) {
+    report.ready.push_back({ToString(settings_.callers), settings_.zone});
+  }
   state_.Fill(report, first);
   return report;
 }
 
-void EntryProcess::TakeUpdate(std::optional<Instant> asked_at,
-                              const FleetUpdate& update) {
+// One report for all that one turn of the loop brings.
+void EntryProcess::ReportSoon() {
+  if (std::exchange(report_is_posted_, true)) return;
+  boost::asio::post(loop_, [this] {
+    report_is_posted_ = false;
+    link_.ReportNow();
+  });
+}
+
+Result<void> EntryProcess::TakeUpdate(std::optional<Instant> asked_at,
+                                      const FleetUpdate& update) {
   const bool was_ready = IsReady();
   const auto before = state_.view().plan();
-  const auto applied = state_.Apply(MonotonicNow(), asked_at, update);
+  auto applied = state_.Apply(MonotonicNow(), asked_at, update);
   if (!applied) {
-    log_.Write(LogLevel::kWarning, "plan_not_taken",
+    log_.Write(LogLevel::kWarning, "update_not_taken",
                {{"cause", applied.error().detail}});
   }
   const auto& plan = state_.view().plan();
@@ -147,7 +156,8 @@
     log_.Write(LogLevel::kInfo, "plan_in_force",
                {{"version", plan->version()}});
   }
-  if (IsReady() != was_ready) link_.ReportNow();
+  if (IsReady() != was_ready) ReportSoon();
+  return applied;
 }
 
 void EntryProcess::Drain(std::function<void()> done) {
--- a/programs/fleet_host/entry_process.h
+++ b/programs/fleet_host/entry_process.h
@@ -38,7 +38,9 @@
 
   Result<void> Listen();
   EntryReport Report(bool first);
-  void TakeUpdate(std::optional<Instant> asked_at, const FleetUpdate& update);
+  void ReportSoon();
+  Result<void> TakeUpdate(std::optional<Instant> asked_at,
+                          const FleetUpdate& update);
   bool IsReady() const;
   void AwaitIdle(Instant until, std::function<void()> done);
 
--- a/programs/fleet_host/entry_requests.cc
+++ b/programs/fleet_host/entry_requests.cc
@@ -179,9 +179,10 @@
     query.service = work.service;
     query.repeatable = work.route->idempotent;
     query.tried = work.tried;
-    const KnownServerPtr server = state_.Choose(now, query);
-    if (!server) break;
-    last = co_await Try(work, server);
+    const EntryState::Choice choice = co_await state_.Choose(query);
+    if (!choice.server) break;
+    last = co_await Try(work, choice.server);
+    state_.End(choice);
     if (last.answer && !last.may_retry) break;
     if (!MayRetry(work, last, MonotonicNow())) break;
   }
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -14,6 +14,10 @@
 // some lose only the paths to a few hosts, and for seconds.
 constexpr Duration kAvoidUnreachable = std::chrono::milliseconds(2500);
 
+// The hub is a fraction of a millisecond away; a host that waits longer chooses
+// itself.
+constexpr Duration kAssignmentTime = std::chrono::milliseconds(25);
+
 // After a break the leader's word comes within milliseconds; until then this
 // host goes elsewhere.
 constexpr Duration kAvoidBroken = std::chrono::milliseconds(800);
@@ -22,33 +26,79 @@
 
 EntryState::EntryState(boost::asio::io_context& loop, PlanReader reader,
                        Duration key_permission, double retry_slack, ZoneId zone,
-                       std::uint64_t seed, std::function<void()> report_now)
+                       std::uint64_t seed, Hooks hooks)
     : loop_(loop),
       view_(std::move(reader), key_permission),
       retries_(RetryPurseSettings(), retry_slack),
       random_(seed),
       chooser_(ServerChooserSettings(), std::move(zone), Random(seed + 1)),
-      report_now_(std::move(report_now)) {}
+      hooks_(std::move(hooks)) {}
 
 Result<void> EntryState::Apply(Instant now, std::optional<Instant> asked_at,
                                const FleetUpdate& update) {
   auto applied = view_.Apply(now, asked_at, update);
   retries_.SetHosts(update.entry_hosts);
-  if (asked_at) TakeGrants(*asked_at, update);
+  TakeGrants(asked_at.value_or(now), update);
   return applied;
 }
 
 void EntryState::TakeGrants(Instant asked_at, const FleetUpdate& update) {
-  for (const auto& [workspace, tokens] : update.granted) {
+  for (const auto& [workspace, grant] : update.granted) {
     Account& account = accounts_[workspace];
-    account.on_order = 0;
-    account.stock.Add(asked_at, tokens);
-    for (const auto& waiter : account.waiters) {
-      waiter->answered = true;
-      waiter->timer.cancel();
+    account.on_order -= std::min(account.on_order, grant.settled);
+    account.stock.Add(asked_at, grant.tokens);
+    // Each settled token answers one request, whether granted or refused.
+    for (std::uint32_t i = 0; i < grant.settled; ++i) {
+      if (account.waiters.empty()) break;
+      account.waiters.front()->answered = true;
+      account.waiters.front()->timer.cancel();
+      account.waiters.pop_front();
+    }
+  }
+}
+
+boost::asio::awaitable<EntryState::Choice> EntryState::Choose(
+    ServerQuery query) {
+  const Instant now = MonotonicNow();
+  std::vector<BackendId> excluded;
+  for (const KnownServerPtr& server : query.tried) {
+    excluded.push_back(server->state.announcement.id);
+  }
+  for (const KnownServerPtr& server : view_.ServersOf(query.service->id)) {
+    if (now < server->avoid_until) {
+      excluded.push_back(server->state.announcement.id);
     }
-    account.waiters.clear();
   }
+  Choice choice;
+  const std::uint64_t number = next_assignment_++;
+  if (hooks_.ask(number, query.service->id, query.repeatable, excluded)) {
+    auto waiter = std::make_shared<Waiter>(loop_);
+    waiter->timer.expires_after(kAssignmentTime);
+    choosing_[number] = waiter;
+    boost::system::error_code ignored;
+    co_await waiter->timer.async_wait(
+        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    choosing_.erase(number);
+    choice.server = view_.Find(waiter->server);
+    if (choice.server) {
+      choice.assignment = number;
+      co_return choice;
+    }
+    hooks_.end(number);
+  }
+  choice.server = chooser_.Choose(MonotonicNow(), view_, query);
+  co_return choice;
+}
+
+void EntryState::TakeChoice(std::uint64_t assignment, const BackendId& server) {
+  const auto found = choosing_.find(assignment);
+  if (found == choosing_.end()) return;
+  found->second->server = server;
+  found->second->timer.cancel();
+}
+
+void EntryState::End(const Choice& choice) {
+  if (choice.assignment != 0) hooks_.end(choice.assignment);
 }
 
 boost::asio::awaitable<TokenAnswer> EntryState::TakeToken(WorkspaceId workspace,
@@ -59,7 +109,7 @@
       account.stock.Want(now, account.on_order + account.to_ask);
   const bool taken = account.stock.Take(now);
   account.to_ask += ahead + (taken ? 0 : 1);
-  if (account.to_ask > 0) report_now_();
+  if (account.to_ask > 0) hooks_.report_now();
   if (taken) co_return TokenAnswer::kGranted;
   auto waiter = std::make_shared<Waiter>(loop_);
   waiter->timer.expires_after(wait);
@@ -87,12 +137,12 @@
 
 void EntryState::Succeeded(const KnownServer& server) {
   ++outcomes_[server.state.announcement.id].successes;
-  if (server.state.standing != Standing::kUp) report_now_();
+  if (server.state.standing != Standing::kUp) hooks_.report_now();
 }
 
 void EntryState::Erred(const KnownServer& server) {
   ++outcomes_[server.state.announcement.id].errors;
-  report_now_();
+  hooks_.report_now();
 }
 
 void EntryState::Broke(Instant now, KnownServer& server,
@@ -102,17 +152,17 @@
   if (may_have_crashed) {
     crashes_.push_back({request, server.state.announcement.id});
   }
-  report_now_();
+  hooks_.report_now();
 }
 
 void EntryState::Unreachable(Instant now, KnownServer& server) {
   server.avoid_until = std::max(server.avoid_until, now + kAvoidUnreachable);
   ++outcomes_[server.state.announcement.id].breaks;
-  report_now_();
+  hooks_.report_now();
 }
 
 void EntryState::Fill(EntryReport& report, bool first) {
-  report.epoch = view_.epoch();
+  report.board_id = view_.board_id();
   report.board_seen = view_.board();
   report.plan_seen = view_.plan() ? view_.plan()->version() : 0;
   report.outcomes = std::exchange(outcomes_, {});
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <span>
 
 #include "sapphirebank/core/random.h"
 #include "sapphirebank/fleet/allowance_stock.h"
@@ -24,10 +25,20 @@
 // loop only.
 class EntryState {
  public:
-  // `report_now` asks for a report to be sent at once.
+  struct Hooks {
+    // Asks for a report to be sent at once.
+    std::function<void()> report_now;
+    // Asks the hub for a server; false when no hub is in reach.
+    std::function<bool(std::uint64_t number, const ServiceId& service,
+                       bool repeatable, std::span<const BackendId> excluded)>
+        ask;
+    // Tells the hub that a request which it assigned is over.
+    std::function<void(std::uint64_t number)> end;
+  };
+
   EntryState(boost::asio::io_context& loop, PlanReader reader,
              Duration key_permission, double retry_slack, ZoneId zone,
-             std::uint64_t seed, std::function<void()> report_now);
+             std::uint64_t seed, Hooks hooks);
 
   // Takes an update of the leader.
   Result<void> Apply(Instant now, std::optional<Instant> asked_at,
@@ -56,9 +67,22 @@
   const EntryView& view() const { return view_; }
   RetryPurse& retries() { return retries_; }
 
-  KnownServerPtr Choose(Instant now, const ServerQuery& query) {
-    return chooser_.Choose(now, view_, query);
-  }
+  // A server for one try, and the hub's number of the assignment, 0 when this
+  // host chose itself.
+  struct Choice {
+    KnownServerPtr server;
+    std::uint64_t assignment = 0;
+  };
+
+  // Returns the server that the hub assigns, or one that this host chooses
+  // when the hub does not answer soon.
+  boost::asio::awaitable<Choice> Choose(ServerQuery query);
+
+  // Takes the hub's choice.
+  void TakeChoice(std::uint64_t assignment, const BackendId& server);
+
+  // The try has ended.
+  void End(const Choice& choice);
 
   // Returns a number in [0, 1).
   double Draw() { return random_.Unit(); }
@@ -69,6 +93,7 @@
 
     boost::asio::steady_timer timer;
     bool answered = false;
+    BackendId server;  // Of one that waits for a server.
   };
   struct Account {
     AllowanceStock stock;
@@ -84,7 +109,9 @@
   RetryPurse retries_;
   Random random_;
   ServerChooser chooser_;
-  std::function<void()> report_now_;
+  Hooks hooks_;
+  std::uint64_t next_assignment_ = 1;
+  std::map<std::uint64_t, std::shared_ptr<Waiter>> choosing_;
   std::map<WorkspaceId, Account> accounts_;
   std::map<BackendId, ServerOutcomes> outcomes_;
   std::map<ServiceId, std::uint32_t> requests_;
--- a/sapphirebank/fleet/allowance_bank.h
+++ b/sapphirebank/fleet/allowance_bank.h
@@ -9,11 +9,11 @@
 
 namespace sapphirebank {
 
-// Grants of a bank are good for this long at the host that got them. With the
-// bank's capacity it bounds what can run in a window: in 5 s at most 5.8
+// Grants of a bank are good for this long at the hub that got them, and as long
+// again at an entry host. With the bank's capacity it bounds what can run in a window: in 5 s at most 5.8
 // seconds' worth of rate and four fifths of the burst, below the 10% and 20
 // requests that a window may exceed the rate and burst by.
-inline constexpr Duration kGrantLifetime = std::chrono::milliseconds(800);
+inline constexpr Duration kGrantLifetime = std::chrono::milliseconds(400);
 
 // The rates of all workspaces over all hosts: one token bucket each, from
 // which hosts draw a few tokens at a time.
--- a/sapphirebank/fleet/allowance_stock.cc
+++ b/sapphirebank/fleet/allowance_stock.cc
@@ -39,6 +39,13 @@
   return true;
 }
 
+std::uint32_t AllowanceStock::Held(Instant now) {
+  DropExpired(now);
+  std::uint32_t held = 0;
+  for (const Batch& batch : batches_) held += batch.tokens;
+  return held;
+}
+
 void AllowanceStock::Add(Instant asked_at, std::uint32_t tokens) {
   if (tokens > 0) batches_.push_back({asked_at, tokens});
 }
@@ -48,9 +55,7 @@
   last_request_ = now;
   const double keep = std::exp(-elapsed / kSmoothingSeconds);
   request_rate_ = request_rate_ * keep + (1 - keep) / elapsed;
-  DropExpired(now);
-  std::uint32_t held = on_order;
-  for (const Batch& batch : batches_) held += batch.tokens;
+  const std::uint32_t held = Held(now) + on_order;
   const double target =
       std::min(std::floor(request_rate_ * ToSeconds(kGrantLifetime) *
                           kAdvancePart),
--- a/sapphirebank/fleet/allowance_stock.h
+++ b/sapphirebank/fleet/allowance_stock.h
@@ -16,6 +16,9 @@
   // Takes one token, if there is one.
   bool Take(Instant now);
 
+  // Returns the tokens that are held.
+  std::uint32_t Held(Instant now);
+
   // Adds tokens that were asked for at `asked_at`.
   void Add(Instant asked_at, std::uint32_t tokens);
 
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -8,14 +8,18 @@
 
 Result<void> EntryView::Apply(Instant now, std::optional<Instant> asked_at,
                               const FleetUpdate& update) {
-  // An update of a leader that was replaced has nothing to say any more.
-  if (update.epoch < epoch_) return {};
+  if (update.record < record_) {
+    return Fail(ErrorKind::kNotLeader, "the hub is behind this host");
+  }
+  record_ = update.record;
   ApplyServers(now, update);
-  epoch_ = update.epoch;
-  zones_out_ = update.zones_out;
-  quarantined_ = {update.quarantined.begin(), update.quarantined.end()};
-  request_rates_ = update.request_rates;
-  entry_hosts_ = update.entry_hosts;
+  if (update.general) {
+    zones_out_ = update.zones_out;
+    quarantined_ = {update.quarantined.begin(), update.quarantined.end()};
+    request_rates_ = update.request_rates;
+    entry_hosts_ = update.entry_hosts;
+    hubs_ = update.hubs;
+  }
   Result<void> read;
   if (update.plan) read = ApplyPlan(*update.plan);
   // The word counts only with the plan that it was given with.
@@ -75,6 +79,7 @@
       return !listed.contains(item.first);
     });
   }
+  board_id_ = update.board_id;
   board_ = update.board;
   if (update.servers.empty() && !update.whole_board) return;
   by_service_.clear();
@@ -90,6 +95,11 @@
   return found == by_service_.end() ? kNone : found->second;
 }
 
+KnownServerPtr EntryView::Find(const BackendId& id) const {
+  const auto found = servers_.find(id);
+  return found == servers_.end() ? nullptr : found->second;
+}
+
 double EntryView::RequestRate(const ServiceId& service) const {
   const auto found = request_rates_.find(service);
   return found == request_rates_.end() ? 0 : found->second;
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -48,8 +48,9 @@
       : reader_(std::move(reader)), key_permission_(key_permission) {}
 
   // Takes an update. `asked_at` is when the report that it answers was sent;
-  // nothing for news. Fails with kInvalidDeclaration when the plan in it
-  // cannot be read; the rest is taken all the same.
+  // nothing for news. Fails with kNotLeader, and takes nothing, when the
+  // sender knows less of the record than this host; with kInvalidDeclaration
+  // when the plan in it cannot be read, and the rest is taken all the same.
   Result<void> Apply(Instant now, std::optional<Instant> asked_at,
                      const FleetUpdate& update);
 
@@ -72,9 +73,15 @@
   double RequestRate(const ServiceId& service) const;
 
   std::uint32_t entry_hosts() const { return entry_hosts_; }
-  Term epoch() const { return epoch_; }
+  std::uint64_t board_id() const { return board_id_; }
   std::uint64_t board() const { return board_; }
 
+  // Returns the control hosts that this host may report to.
+  const std::vector<HubHost>& hubs() const { return hubs_; }
+
+  // Returns the server called `id`, or null.
+  KnownServerPtr Find(const BackendId& id) const;
+
   // Returns the announcements of all servers.
   std::vector<ServerAnnouncement> Known() const;
 
@@ -93,7 +100,9 @@
   std::unordered_set<RequestFingerprint> quarantined_;
   std::map<ServiceId, double> request_rates_;
   std::uint32_t entry_hosts_ = 1;
-  Term epoch_ = 0;
+  std::vector<HubHost> hubs_;
+  std::uint64_t record_ = 0;
+  std::uint64_t board_id_ = 0;
   std::uint64_t board_ = 0;
 };
 
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -37,6 +37,41 @@
   if (found != in.end()) found->get_to(out);
 }
 
+json GeneralToJson(const FleetUpdate& update) {
+  json out = {{"hosts", update.entry_hosts}};
+  for (const ZoneId& zone : update.zones_out) {
+    out["zones_out"].push_back(zone.value());
+  }
+  for (const auto& [service, rate] : update.request_rates) {
+    out["rates"][service.value()] = rate;
+  }
+  if (!update.quarantined.empty()) out["quarantined"] = update.quarantined;
+  for (const HubHost& hub : update.hubs) {
+    out["hubs"].push_back({hub.address, hub.zone.value()});
+  }
+  return out;
+}
+
+void ReadGeneral(const json& in, FleetUpdate& update) {
+  update.general = true;
+  in.at("hosts").get_to(update.entry_hosts);
+  if (const auto found = in.find("zones_out"); found != in.end()) {
+    for (const auto& zone : *found) {
+      update.zones_out.insert(ZoneId(zone.get<std::string>()));
+    }
+  }
+  if (const auto found = in.find("rates"); found != in.end()) {
+    update.request_rates = MapFromJson<ServiceId, double>(*found);
+  }
+  Optional(in, "quarantined", update.quarantined);
+  if (const auto found = in.find("hubs"); found != in.end()) {
+    for (const auto& hub : *found) {
+      update.hubs.push_back({hub.at(0).get<std::string>(),
+                             ZoneId(hub.at(1).get<std::string>())});
+    }
+  }
+}
+
 }  // namespace
 
 void to_json(json& out, const ServerAnnouncement& server) {
@@ -70,11 +105,10 @@
 }
 
 void to_json(json& out, const EntryReport& report) {
-  out = {{"n", report.number},        {"callers", ToString(report.callers)},
-         {"zone", report.zone.value()},
-         {"ready", report.ready},     {"leaving", report.leaving},
-         {"epoch", report.epoch},     {"board", report.board_seen},
-         {"plan", report.plan_seen}};
+  out = {{"n", report.number}, {"id", report.board_id},
+         {"b", report.board_seen}, {"p", report.plan_seen}};
+  if (!report.ready.empty()) out["ready"] = report.ready;
+  if (report.entry_hosts != 1) out["hosts"] = report.entry_hosts;
   for (const auto& [id, seen] : report.outcomes) {
     out["outcomes"][id.value()] = {seen.successes, seen.errors, seen.breaks};
   }
@@ -88,15 +122,11 @@
 
 void from_json(const json& in, EntryReport& report) {
   in.at("n").get_to(report.number);
-  const auto callers = EndpointFromString(in.at("callers").get<std::string>());
-  if (!callers) throw std::out_of_range(callers.error().detail);
-  report.callers = *callers;
-  report.zone = ZoneId(in.at("zone").get<std::string>());
-  in.at("ready").get_to(report.ready);
-  in.at("leaving").get_to(report.leaving);
-  in.at("epoch").get_to(report.epoch);
-  in.at("board").get_to(report.board_seen);
-  in.at("plan").get_to(report.plan_seen);
+  in.at("id").get_to(report.board_id);
+  in.at("b").get_to(report.board_seen);
+  in.at("p").get_to(report.plan_seen);
+  Optional(in, "ready", report.ready);
+  Optional(in, "hosts", report.entry_hosts);
   if (const auto found = in.find("outcomes"); found != in.end()) {
     for (const auto& [id, seen] : found->items()) {
       report.outcomes[BackendId(id)] = {seen.at(0).get<std::uint32_t>(),
@@ -120,11 +150,9 @@
 }
 
 void to_json(json& out, const FleetUpdate& update) {
-  out = {{"n", update.answers},
-         {"age", update.age.count()},
-         {"epoch", update.epoch},
-         {"board", update.board},
-         {"hosts", update.entry_hosts}};
+  out = {{"n", update.answers}, {"age", update.age.count()},
+         {"rec", update.record}, {"id", update.board_id},
+         {"b", update.board}};
   if (update.whole_board) out["whole"] = true;
   for (const ServerNews& news : update.servers) {
     out["servers"].push_back({news.announcement,
@@ -136,22 +164,18 @@
                    {"text", update.plan->text}};
     if (update.plan->base) out["plan"]["base"] = *update.plan->base;
   }
-  for (const ZoneId& zone : update.zones_out) {
-    out["zones_out"].push_back(zone.value());
+  if (update.general) out["general"] = GeneralToJson(update);
+  for (const auto& [workspace, grant] : update.granted) {
+    out["granted"][workspace.value()] = {grant.tokens, grant.settled};
   }
-  if (!update.granted.empty()) out["granted"] = CountsToJson(update.granted);
-  for (const auto& [service, rate] : update.request_rates) {
-    out["rates"][service.value()] = rate;
-  }
-  if (!update.quarantined.empty()) out["quarantined"] = update.quarantined;
 }
 
 void from_json(const json& in, FleetUpdate& update) {
   in.at("n").get_to(update.answers);
   update.age = ReadDuration(in.at("age"));
-  in.at("epoch").get_to(update.epoch);
-  in.at("board").get_to(update.board);
-  in.at("hosts").get_to(update.entry_hosts);
+  in.at("rec").get_to(update.record);
+  in.at("id").get_to(update.board_id);
+  in.at("b").get_to(update.board);
   Optional(in, "whole", update.whole_board);
   if (const auto found = in.find("servers"); found != in.end()) {
     for (const auto& item : *found) {
@@ -162,21 +186,20 @@
     PlanNews plan;
     found->at("version").get_to(plan.version);
     found->at("text").get_to(plan.text);
-    if (found->contains("base")) plan.base = found->at("base").get<PlanVersion>();
+    if (found->contains("base")) {
+      plan.base = found->at("base").get<PlanVersion>();
+    }
     update.plan = std::move(plan);
   }
-  if (const auto found = in.find("zones_out"); found != in.end()) {
-    for (const auto& zone : *found) {
-      update.zones_out.insert(ZoneId(zone.get<std::string>()));
-    }
+  if (const auto found = in.find("general"); found != in.end()) {
+    ReadGeneral(*found, update);
   }
   if (const auto found = in.find("granted"); found != in.end()) {
-    update.granted = MapFromJson<WorkspaceId, std::uint32_t>(*found);
-  }
-  if (const auto found = in.find("rates"); found != in.end()) {
-    update.request_rates = MapFromJson<ServiceId, double>(*found);
+    for (const auto& [workspace, grant] : found->items()) {
+      update.granted[WorkspaceId(workspace)] = {
+          grant.at(0).get<std::uint32_t>(), grant.at(1).get<std::uint32_t>()};
+    }
   }
-  Optional(in, "quarantined", update.quarantined);
 }
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/fleet_messages.h
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -19,19 +19,34 @@
 
 namespace sapphirebank {
 
-// What an entry host tells the leading control host: at once when it needs
-// something, otherwise a few times a second.
+// An entry host that callers may be told of.
+struct ReadyHost {
+  std::string address;  // "ip:port".
+  ZoneId zone;
+
+  friend bool operator==(const ReadyHost&, const ReadyHost&) = default;
+};
+
+// A control host that entry hosts may report to.
+struct HubHost {
+  std::string address;  // "ip:port" among the fleet's processes.
+  ZoneId zone;
+
+  friend bool operator==(const HubHost&, const HubHost&) = default;
+};
+
+// What an entry host tells its hub, or a hub the leading control host for all
+// entry hosts that report to it: at once when something is needed, otherwise a
+// few times a second.
 struct EntryReport {
   // Grows with each report of one link; the update that answers it has it.
   std::uint64_t number = 0;
-  // Where callers connect, and the host's zone.
-  Endpoint callers;
-  ZoneId zone;
-  bool ready = false;
-  // The host shuts down and wants no new callers.
-  bool leaving = false;
-  // The leadership whose board was seen, and how much of it.
-  Term epoch = 0;
+  // Hosts that take callers.
+  std::vector<ReadyHost> ready;
+  // Entry hosts that this report speaks for.
+  std::uint32_t entry_hosts = 1;
+  // The board that was seen, and how much of it.
+  std::uint64_t board_id = 0;
   std::uint64_t board_seen = 0;
   PlanVersion plan_seen = 0;
   std::map<BackendId, ServerOutcomes> outcomes;
@@ -44,21 +59,10 @@
     BackendId server;
   };
   std::vector<Crash> crashes;
-  // All live servers that the host knows, for a leader that is new to it.
+  // Servers that the receiver may not know of.
   std::vector<ServerAnnouncement> known;
 };
 
-// An entry host that callers may be told of.
-struct ReadyHost {
-  std::string address;  // "ip:port".
-  ZoneId zone;
-
-  friend bool operator==(const ReadyHost&, const ReadyHost&) = default;
-};
-
-void to_json(nlohmann::json& json, const ReadyHost& host);
-void from_json(const nlohmann::json& json, ReadyHost& host);
-
 // One server in an update. Times travel as spans, since clocks differ.
 struct ServerNews {
   ServerAnnouncement announcement;
@@ -75,28 +79,42 @@
   std::string text;
 };
 
-// What the leading control host tells an entry host.
+// Answers orders of tokens.
+struct TokenGrant {
+  std::uint32_t tokens = 0;
+  // Tokens of the order that this settles, granted or refused.
+  std::uint32_t settled = 0;
+};
+
+// What a hub tells an entry host, or the leading control host a hub.
 struct FleetUpdate {
   // The report that this answers; 0 for news that nobody asked for.
   std::uint64_t answers = 0;
-  // For how long it has not been proved that this host leads. Everything that
+  // For how long it has not been proved that the leader leads. Everything that
   // was accepted before then is in the update.
   Duration age{};
-  Term epoch = 0;
+  // Changes of the replicated record that the sender has applied.
+  std::uint64_t record = 0;
+  std::uint64_t board_id = 0;
   std::uint64_t board = 0;
   // The receiver must forget servers that are not listed.
   bool whole_board = false;
   std::vector<ServerNews> servers;
   std::optional<PlanNews> plan;
+  // Zones, rates, quarantine and hubs travel when they changed.
+  bool general = false;
   std::set<ZoneId> zones_out;
-  std::map<WorkspaceId, std::uint32_t> granted;
   // Requests a second over all hosts, by service.
   std::map<ServiceId, double> request_rates;
   std::vector<RequestFingerprint> quarantined;
   // Entry hosts among which shares are divided.
   std::uint32_t entry_hosts = 1;
+  std::vector<HubHost> hubs;
+  std::map<WorkspaceId, TokenGrant> granted;
 };
 
+void to_json(nlohmann::json& json, const ReadyHost& host);
+void from_json(const nlohmann::json& json, ReadyHost& host);
 void to_json(nlohmann::json& json, const ServerAnnouncement& server);
 void from_json(const nlohmann::json& json, ServerAnnouncement& server);
 void to_json(nlohmann::json& json, const EntryReport& report);
--- a/sapphirebank/fleet/server_board.cc
+++ b/sapphirebank/fleet/server_board.cc
@@ -67,6 +67,40 @@
   return true;
 }
 
+void ServerBoard::Adopt(Instant now, const ServerNews& news) {
+  const ServerAnnouncement& told = news.announcement;
+  Entry& entry = entries_[told.id];
+  const ServerAnnouncement& held = entry.state.announcement;
+  // This host may have heard of a later life before the leader did.
+  if (told.incarnation < held.incarnation) return;
+  const bool is_new_life = told.incarnation != held.incarnation;
+  if (is_new_life || told.sequence > held.sequence) {
+    entry.state.announcement = told;
+  }
+  if (is_new_life) entry.heard_at = now;
+  // Spans of time shift a little on their way.
+  constexpr Duration kShift = std::chrono::milliseconds(100);
+  const Instant cold_until = now + news.cold_for;
+  const bool warm_up_moved = news.cold_for > Duration::zero() &&
+                             cold_until > entry.state.cold_until + kShift;
+  const bool changed = is_new_life || warm_up_moved ||
+                       entry.state.standing != news.standing ||
+                       entry.state.retired != news.retired;
+  entry.state.standing = news.standing;
+  entry.state.retired = news.retired;
+  if (warm_up_moved) entry.state.cold_until = cold_until;
+  if (changed) Touch(entry);
+}
+
+void ServerBoard::BeginToJudge() {
+  for (auto& [id, entry] : entries_) {
+    entry.evidence = ServerEvidence();
+    if (entry.state.standing == Standing::kUp) continue;
+    entry.state.standing = Standing::kUp;
+    Touch(entry);
+  }
+}
+
 void ServerBoard::AddOutcomes(Instant now, const BackendId& id,
                               const ServerOutcomes& outcomes) {
   const auto found = entries_.find(id);
--- a/sapphirebank/fleet/server_board.h
+++ b/sapphirebank/fleet/server_board.h
@@ -7,6 +7,7 @@
 
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/time.h"
+#include "sapphirebank/fleet/fleet_messages.h"
 #include "sapphirebank/fleet/fleet_record.h"
 #include "sapphirebank/fleet/server_announcement.h"
 #include "sapphirebank/fleet/server_evidence.h"
@@ -45,6 +46,12 @@
   bool Hear(Instant now, const ServerAnnouncement& announcement,
             const FleetRecord& record);
 
+  // Takes the leader's word on a server.
+  void Adopt(Instant now, const ServerNews& news);
+
+  // Forgets the judgements of servers: this host judges them from now on.
+  void BeginToJudge();
+
   // Adds what one host saw of a server.
   void AddOutcomes(Instant now, const BackendId& id,
                    const ServerOutcomes& outcomes);
@@ -55,7 +62,7 @@
   // Takes the servers of a zone for cold.
   void ZoneReturned(Instant now, const ZoneId& zone, Duration warm_up);
 
-  // Acts on the passage of time.
+  // Judges servers by the passage of time.
   void Tick(Instant now);
 
   // Returns the number of the last change.
--- /dev/null
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -0,0 +1,130 @@
+#include "sapphirebank/fleet/server_dispatcher.h"
+
+#include <algorithm>
+
+namespace sapphirebank {
+
+ServerDispatcher::Candidates ServerDispatcher::Sort(
+    Instant now, const DispatchQuery& query, const ServerBoard& board,
+    const std::set<ZoneId>& zones_out) const {
+  Candidates candidates;
+  for (const auto& [id, entry] : board.entries()) {
+    const ServerState& server = entry.state;
+    const ServerAnnouncement& told = server.announcement;
+    if (server.retired || told.service != query.service ||
+        zones_out.contains(told.zone) || query.excluded.contains(id)) {
+      continue;
+    }
+    const bool is_near = told.zone == zone_;
+    const bool is_sound =
+        server.standing == Standing::kUp ||
+        (server.standing == Standing::kProbation && query.repeatable);
+    if (now < server.cold_until) {
+      if (is_near && is_sound) candidates.cold.push_back(&server);
+    } else if (!is_sound) {
+      candidates.poor.push_back(&server);
+    } else {
+      (is_near ? candidates.near : candidates.far).push_back(&server);
+    }
+  }
+  return candidates;
+}
+
+std::optional<BackendId> ServerDispatcher::Assign(
+    Instant now, const AssignmentId& id, const DispatchQuery& query,
+    const ServerBoard& board, const std::set<ZoneId>& zones_out,
+    const TrafficPlan& plan) {
+  const PlannedService* service = plan.FindService(query.service);
+  if (service == nullptr) return std::nullopt;
+  const Candidates candidates = Sort(now, query, board, zones_out);
+  const ServerState* chosen = ChooseCold(now, candidates, *service);
+  if (chosen == nullptr) chosen = LeastLoaded(candidates.near);
+  const bool is_full =
+      chosen == nullptr || InWork(*chosen) >= chosen->announcement.slots +
+                                                  settings_.most_waiting;
+  if (is_full && !candidates.far.empty()) {
+    chosen = LeastLoaded(candidates.far);
+  }
+  if (chosen == nullptr) chosen = LeastLoaded(candidates.poor);
+  if (chosen == nullptr) return std::nullopt;
+  const BackendId server = chosen->announcement.id;
+  assignments_[id] = {server, now + settings_.assignment_life};
+  ++in_work_[server];
+  return server;
+}
+
+// Fills cold servers first, but each only at the rate that it bears.
+const ServerState* ServerDispatcher::ChooseCold(Instant now,
+                                                const Candidates& candidates,
+                                                const PlannedService& service) {
+  for (const ServerState* server : candidates.cold) {
+    const double rate = settings_.part_of_warm_up_rate * service.warm_up_rate;
+    auto [found, is_new] = warm_ups_.try_emplace(server->announcement.id);
+    WarmUp& warm_up = found->second;
+    if (is_new) warm_up = {1, now};
+    warm_up.tokens =
+        std::min(settings_.warm_up_burst,
+                 warm_up.tokens + rate * ToSeconds(now - warm_up.filled_at));
+    warm_up.filled_at = now;
+    if (warm_up.tokens < 1) continue;
+    warm_up.tokens -= 1;
+    return server;
+  }
+  return nullptr;
+}
+
+double ServerDispatcher::InWork(const ServerState& server) const {
+  const auto found = in_work_.find(server.announcement.id);
+  return found == in_work_.end() ? 0 : found->second;
+}
+
+// Equally loaded servers are chosen among at random.
+const ServerState* ServerDispatcher::LeastLoaded(
+    const std::vector<const ServerState*>& among) {
+  const ServerState* best = nullptr;
+  double best_load = 0;
+  std::uint64_t equals = 0;
+  for (const ServerState* server : among) {
+    const double load =
+        InWork(*server) / std::max<std::uint32_t>(server->announcement.slots, 1);
+    if (best == nullptr || load < best_load) {
+      best = server;
+      best_load = load;
+      equals = 1;
+    } else if (load == best_load && random_.Below(++equals) == 0) {
+      best = server;
+    }
+  }
+  return best;
+}
+
+void ServerDispatcher::End(const AssignmentId& id) {
+  const auto found = assignments_.find(id);
+  if (found == assignments_.end()) return;
+  const auto count = in_work_.find(found->second.server);
+  if (--count->second == 0) in_work_.erase(count);
+  assignments_.erase(found);
+}
+
+void ServerDispatcher::EndAll(const HostId& host) {
+  std::vector<AssignmentId> ended;
+  for (auto next = assignments_.lower_bound({host, 0});
+       next != assignments_.end() && next->first.first == host; ++next) {
+    ended.push_back(next->first);
+  }
+  for (const AssignmentId& id : ended) End(id);
+}
+
+void ServerDispatcher::Tick(Instant now) {
+  std::vector<AssignmentId> over;
+  for (const auto& [id, assignment] : assignments_) {
+    if (now >= assignment.until) over.push_back(id);
+  }
+  for (const AssignmentId& id : over) End(id);
+  constexpr Duration kForgetWarmUp = std::chrono::seconds(30);
+  std::erase_if(warm_ups_, [&](const auto& item) {
+    return now - item.second.filled_at > kForgetWarmUp;
+  });
+}
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include "sapphirebank/core/ids.h"
+#include "sapphirebank/core/random.h"
+#include "sapphirebank/core/time.h"
+#include "sapphirebank/fleet/server_board.h"
+#include "sapphirebank/fleet/traffic_plan.h"
+
+namespace sapphirebank {
+
+struct ServerDispatcherSettings {
+  // An assignment whose end is not told counts for this long: longer than
+  // requests run, except a few.
+  Duration assignment_life = std::chrono::seconds(4);
+  // Requests that a near server may have waiting before one of another zone is
+  // asked: a short wait costs less than a body that crosses zones.
+  double most_waiting = 2;
+  // Part of its warm-up rate that a cold server is sent.
+  double part_of_warm_up_rate = 0.8;
+  // Requests that a cold server may be sent at once.
+  double warm_up_burst = 2;
+};
+
+// One entry host's request for a server.
+struct DispatchQuery {
+  ServiceId service;
+  bool repeatable = false;
+  // Servers that had the request or that the host cannot reach.
+  std::set<BackendId> excluded;
+};
+
+// Names each assignment: the host that asked and its number.
+using AssignmentId = std::pair<HostId, std::uint64_t>;
+
+// Assigns requests to the servers of one zone by what each has in work, which
+// one place can count exactly: join the shortest queue (Winston, "Optimality of
+// the Shortest Line Discipline", 1977).
+class ServerDispatcher {
+ public:
+  ServerDispatcher(ServerDispatcherSettings settings, ZoneId zone,
+                   Random random)
+      : settings_(settings), zone_(std::move(zone)), random_(random) {}
+
+  // Returns the server for a request, or nothing when the host must choose
+  // itself.
+  std::optional<BackendId> Assign(Instant now, const AssignmentId& id,
+                                  const DispatchQuery& query,
+                                  const ServerBoard& board,
+                                  const std::set<ZoneId>& zones_out,
+                                  const TrafficPlan& plan);
+
+  // The request has ended.
+  void End(const AssignmentId& id);
+
+  // The host is gone, and its requests with it.
+  void EndAll(const HostId& host);
+
+  // Acts on the passage of time.
+  void Tick(Instant now);
+
+ private:
+  struct Assignment {
+    BackendId server;
+    Instant until;
+  };
+  struct WarmUp {
+    double tokens = 0;
+    Instant filled_at;
+  };
+  struct Candidates {
+    std::vector<const ServerState*> near;
+    std::vector<const ServerState*> far;
+    std::vector<const ServerState*> cold;
+    std::vector<const ServerState*> poor;
+  };
+
+  Candidates Sort(Instant now, const DispatchQuery& query,
+                  const ServerBoard& board,
+                  const std::set<ZoneId>& zones_out) const;
+  const ServerState* ChooseCold(Instant now, const Candidates& candidates,
+                                const PlannedService& service);
+  const ServerState* LeastLoaded(const std::vector<const ServerState*>& among);
+  double InWork(const ServerState& server) const;
+
+  ServerDispatcherSettings settings_;
+  ZoneId zone_;
+  Random random_;
+  std::map<AssignmentId, Assignment> assignments_;
+  std::map<BackendId, int> in_work_;
+  std::map<BackendId, WarmUp> warm_ups_;
+};
+
+}  // namespace sapphirebank
