Hubs spend their part of the rates; local suspicion; early first election

Cause: with the leader frozen no token came, and requests below the rate were refused; after a power loss the group waited out an election timeout for a leader that nobody had heard; a broken-off request left its server in use for the two hops to the leader and back. Ruled out: wider purses; windows after a power loss hold both purses. Change: AllowanceBank gives hubs 0.6 of a rate and the leader's 0.45; first election after 200 to 400 ms; Suspect(); purse starts at 0.3, 0.165 a request.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -24,6 +24,10 @@
 // A leader that is lost is replaced within one to two of these and a vote.
 constexpr Duration kElectionTimeout = std::chrono::milliseconds(800);
 
+// The same right after a start, when links come up within a few tens of
+// milliseconds.
+constexpr Duration kFirstElectionTimeout = std::chrono::milliseconds(200);
+
 // Least time between two pushes of news, so that many changes share one.
 constexpr Duration kPushPeriod = std::chrono::milliseconds(40);
 
@@ -50,6 +54,7 @@
   host.open_group = true;
   host.raft.heartbeat_interval = kHeartbeat;
   host.raft.election_timeout = kElectionTimeout;
+  host.raft.first_election_timeout = kFirstElectionTimeout;
   host.hello_interval = std::chrono::milliseconds(300);
   host.stamp_interval = std::chrono::hours(1);
   for (const Endpoint& seed : settings.seeds) {
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -187,7 +187,9 @@
   const bool is_relay = peers_.at(link).is_control;
   // A relay that has not heard of a new leader asks again.
   if (is_relay && !leads_) return;
-  SendUpdate(link, hub_.Take(now, from, report, host_.state().fleet()), now);
+  FleetUpdate update =
+      hub_.Take(now, from, is_relay, report, host_.state().fleet());
+  SendUpdate(link, std::move(update), now);
 }
 
 // Takes the leader's word, at a relay.
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -16,13 +16,13 @@
 constexpr Duration kReportPeriod = std::chrono::milliseconds(500);
 
 // A hub that leaves a report unanswered for this time is given up.
-constexpr Duration kAnswerTime = std::chrono::milliseconds(700);
+constexpr Duration kAnswerTime = std::chrono::milliseconds(400);
 
 // Time for a connection to come up: hosts are a few milliseconds apart.
 constexpr Duration kConnectTime = std::chrono::milliseconds(400);
 
 // Wake-ups with and without a hub.
-constexpr Duration kQuietTick = std::chrono::milliseconds(250);
+constexpr Duration kQuietTick = std::chrono::milliseconds(125);
 constexpr Duration kSearchTick = std::chrono::milliseconds(100);
 
 // A hub whose word is older than this may be cut off from the leader. An
--- a/sapphirebank/consensus/raft_node.cc
+++ b/sapphirebank/consensus/raft_node.cc
@@ -57,7 +57,7 @@
   }
   persisted_ = log_.last().index;
   unstable_from_ = persisted_ + 1;
-  ResetElectionDeadline(now);
+  SetElectionDeadline(now, settings_.first_election_timeout);
 }
 
 void RaftNode::Bootstrap(const GroupMembership& membership, Term first_term) {
@@ -192,10 +192,13 @@
 }
 
 void RaftNode::ResetElectionDeadline(Instant now) {
-  const auto spread =
-      static_cast<std::uint64_t>(settings_.election_timeout.count());
+  SetElectionDeadline(now, settings_.election_timeout);
+}
+
+void RaftNode::SetElectionDeadline(Instant now, Duration timeout) {
+  const auto spread = static_cast<std::uint64_t>(timeout.count());
   election_deadline_ =
-      now + settings_.election_timeout +
+      now + timeout +
       Duration(random_.Below(std::max<std::uint64_t>(spread, 1)));
 }
 
--- a/sapphirebank/consensus/raft_node.h
+++ b/sapphirebank/consensus/raft_node.h
@@ -27,6 +27,9 @@
   // A follower that hears no leader stands for election after one to two of
   // these; a leader that hears no majority for one steps down.
   Duration election_timeout = std::chrono::milliseconds(600);
+  // The same for a node that has just started and so need not wait out a
+  // leader that it heard. The pre-vote keeps it from disturbing one.
+  Duration first_election_timeout = std::chrono::milliseconds(600);
   std::size_t max_append_bytes = 256UL << 10;
   std::size_t snapshot_chunk_bytes = 256UL << 10;
   // Entries sent to a follower before it acknowledges any of them.
@@ -174,6 +177,7 @@
              PeerMessageBody body);
   void SetTerm(Term term);
   void ResetElectionDeadline(Instant now);
+  void SetElectionDeadline(Instant now, Duration timeout);
   void AppendOwn(EntryKind kind, std::string payload);
   void RecordMembership(const LogEntry& entry);
   void TruncateFrom(LogIndex from);
--- a/sapphirebank/fleet/allowance_bank.cc
+++ b/sapphirebank/fleet/allowance_bank.cc
@@ -6,21 +6,19 @@
 namespace sapphirebank {
 namespace {
 
-// Part of the burst that a bucket holds; see kGrantLifetime.
-constexpr double kCapacityOfBurst = 0.8;
-
 // Part of its capacity with which a new bucket starts.
 constexpr double kStartOfCapacity = 0.3;
 
 }  // namespace
 
-void AllowanceBank::Adopt(Instant now, const TrafficPlan& plan) {
+void AllowanceBank::Adopt(Instant now, const TrafficPlan& plan,
+                          BankShare share) {
   std::map<WorkspaceId, Bucket> next;
   for (const PlannedWorkspace& workspace : plan.parts().workspaces) {
     if (workspace.rate <= 0) continue;
     Bucket bucket;
-    bucket.rate = workspace.rate;
-    bucket.capacity = std::max(1.0, kCapacityOfBurst * workspace.burst);
+    bucket.rate = share.of_rate * workspace.rate;
+    bucket.capacity = std::max(1.0, share.of_burst * workspace.burst);
     const auto known = buckets_.find(workspace.id);
     if (known != buckets_.end()) {
       bucket.tokens = std::min(known->second.tokens, bucket.capacity);
--- a/sapphirebank/fleet/allowance_bank.h
+++ b/sapphirebank/fleet/allowance_bank.h
@@ -9,19 +9,30 @@
 
 namespace sapphirebank {
 
-// Grants of a bank are good for this long at the hub that got them, and as long
-// again at an entry host. With the bank's capacity it bounds what can run in a window: in 5 s at most 5.8
-// seconds' worth of rate and four fifths of the burst, below the 10% and 20
-// requests that a window may exceed the rate and burst by.
+// Tokens that an entry host holds are good for this long.
 inline constexpr Duration kGrantLifetime = std::chrono::milliseconds(400);
 
-// The rates of all workspaces over all hosts: one token bucket each, from
-// which hosts draw a few tokens at a time.
+// The part of every workspace's rate and burst that one bank gives out.
+//
+// A hub spends its part of the rate without asking, and the leader's bank
+// serves the hubs that need more. Over 5 s all banks together give out 5.25
+// seconds' worth of rate and nine tenths of the burst, and tokens in hand are
+// worth another 0.4 s of a part; a window may exceed the rate and burst by 10%
+// and 20 requests.
+struct BankShare {
+  double of_rate = 0;
+  double of_burst = 0;
+};
+inline constexpr BankShare kLeadersShare = {0.45, 0.4};
+inline constexpr BankShare kAllHubsShare = {0.6, 0.5};
+
+// The rates of all workspaces over all hosts, or a part of them: one token
+// bucket each.
 class AllowanceBank {
  public:
   // Takes the rates of `plan`. Buckets that are new start with a part of their
   // capacity, since a leader before this one may have granted the rest.
-  void Adopt(Instant now, const TrafficPlan& plan);
+  void Adopt(Instant now, const TrafficPlan& plan, BankShare share);
 
   // Takes up to `wanted` tokens for a workspace. A workspace without a limit
   // gets all of them.
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -43,7 +43,8 @@
   if (plan && (!plan_ || plan->version() > plan_->version())) {
     plan_ = plan;
     plans_.Add(plan->version(), record.document());
-    bank_.Adopt(now, *plan);
+    leaders_bank_.Adopt(now, *plan, kLeadersShare);
+    ShareRates(now);
   }
   if (zones_out_ == record.zones_out()) return;
   for (const ZoneId& zone : zones_out_) {
@@ -65,7 +66,7 @@
   return counts;
 }
 
-FleetUpdate FleetHub::Take(Instant now, const HostId& id,
+FleetUpdate FleetHub::Take(Instant now, const HostId& id, bool is_relay,
                            const EntryReport& report,
                            const FleetRecord& record) {
   for (const ServerAnnouncement& server : report.known) {
@@ -74,6 +75,7 @@
   Reporter& reporter = reporters_[id];
   reporter.ready = report.ready;
   reporter.entry_hosts = report.entry_hosts;
+  reporter.is_relay = is_relay;
   reporter.heard_at = now;
   reporter.plan_sent = report.plan_seen;
   const bool knows_board = report.board_id == id_;
@@ -82,7 +84,7 @@
   for (const ReadyHost& host : report.ready) adopted_ready_.erase(host.address);
   Sum(now, report);
   for (const auto& [workspace, wanted] : report.wanted) {
-    Grant(now, id, workspace, wanted);
+    Grant(now, id, is_relay, workspace, wanted);
   }
   FleetUpdate update = Fill(now, reporter, record);
   update.answers = report.number;
@@ -91,6 +93,9 @@
 
 // Judges what was seen, or adds it to what the leader is told.
 void FleetHub::Sum(Instant now, const EntryReport& report) {
+  for (const auto& [server, outcomes] : report.outcomes) {
+    if (outcomes.breaks > 0) dispatcher_.Suspect(now, server);
+  }
   if (leads_) {
     for (const auto& [server, outcomes] : report.outcomes) {
       board_.AddOutcomes(now, server, outcomes);
@@ -131,25 +136,24 @@
   due.settled += grant.settled;
 }
 
-void FleetHub::Grant(Instant now, const HostId& host,
+// Grants from this hub's own part of the rates; what that lacks comes from the
+// leader's.
+void FleetHub::Grant(Instant now, const HostId& host, bool is_relay,
                      const WorkspaceId& workspace, std::uint32_t wanted) {
+  std::uint32_t granted = 0;
+  if (!is_relay) granted = own_bank_.Take(now, workspace, wanted);
+  const std::uint32_t missing = wanted - granted;
   if (leads_) {
-    Settle(host, workspace, {bank_.Take(now, workspace, wanted), wanted});
+    granted += leaders_bank_.Take(now, workspace, missing);
+    Settle(host, workspace, {granted, wanted});
     return;
   }
+  if (granted > 0) Settle(host, workspace, {granted, granted});
+  if (missing == 0) return;
   Account& account = accounts_[workspace];
-  for (std::uint32_t i = 0; i < wanted; ++i) {
-    account.to_ask +=
-        account.stock.Want(now, account.on_order + account.to_ask);
-  }
-  if (account.waiting.empty() && account.stock.Held(now) >= wanted) {
-    for (std::uint32_t i = 0; i < wanted; ++i) account.stock.Take(now);
-    Settle(host, workspace, {wanted, wanted});
-  } else {
-    account.to_ask += wanted;
-    account.waiting.push_back({host, wanted});
-  }
-  if (account.to_ask > 0) must_report_up_ = true;
+  account.to_ask += missing;
+  account.waiting.push_back({host, missing});
+  must_report_up_ = true;
 }
 
 FleetUpdate FleetHub::News(Instant now, const HostId& id,
@@ -214,6 +218,24 @@
   return std::max<std::uint32_t>(hosts, 1);
 }
 
+std::uint32_t FleetHub::OwnEntryHosts() const {
+  std::uint32_t hosts = 0;
+  for (const auto& [id, reporter] : reporters_) {
+    if (!reporter.is_relay) ++hosts;
+  }
+  return hosts;
+}
+
+// Sets this hub's part of the rates by its part of the entry hosts.
+void FleetHub::ShareRates(Instant now) {
+  if (!plan_) return;
+  const std::uint32_t all = std::max(EntryHosts(), OwnEntryHosts());
+  own_part_ = static_cast<double>(OwnEntryHosts()) / std::max(all, 1U);
+  own_bank_.Adopt(now, *plan_,
+                  {kAllHubsShare.of_rate * own_part_,
+                   kAllHubsShare.of_burst * own_part_});
+}
+
 void FleetHub::CountRequests(Instant now, const EntryReport& report) {
   const double elapsed = ToSeconds(now - rates_at_);
   rates_at_ = now;
@@ -265,30 +287,23 @@
     ++general_;
   }
   for (const auto& [workspace, grant] : update.granted) {
-    TakeGrant(now, workspace, grant);
+    TakeGrant(workspace, grant);
   }
 }
 
-// Passes a grant on to those who wait, in their order; what is left over is
-// stock, and a refusal goes to those who wait longest.
-void FleetHub::TakeGrant(Instant now, const WorkspaceId& workspace,
-                         TokenGrant grant) {
+// Passes a grant on to those who wait, in their order.
+void FleetHub::TakeGrant(const WorkspaceId& workspace, TokenGrant grant) {
   Account& account = accounts_[workspace];
   account.on_order -= std::min(account.on_order, grant.settled);
-  account.stock.Add(now, grant.tokens);
-  while (!account.waiting.empty() &&
-         account.stock.Held(now) >= account.waiting.front().tokens) {
-    const Account::Waiting waiting = account.waiting.front();
-    account.waiting.pop_front();
-    for (std::uint32_t i = 0; i < waiting.tokens; ++i) account.stock.Take(now);
-    Settle(waiting.host, workspace, {waiting.tokens, waiting.tokens});
-  }
-  std::uint32_t refused = grant.settled - std::min(grant.settled, grant.tokens);
-  while (!account.waiting.empty() && refused > 0) {
-    const Account::Waiting waiting = account.waiting.front();
-    account.waiting.pop_front();
-    refused -= std::min(refused, waiting.tokens);
-    Settle(waiting.host, workspace, {0, waiting.tokens});
+  while (!account.waiting.empty() && grant.settled > 0) {
+    Account::Waiting& waiting = account.waiting.front();
+    const std::uint32_t settled = std::min(waiting.tokens, grant.settled);
+    const std::uint32_t tokens = std::min(settled, grant.tokens);
+    Settle(waiting.host, workspace, {tokens, settled});
+    grant.tokens -= tokens;
+    grant.settled -= settled;
+    waiting.tokens -= settled;
+    if (waiting.tokens == 0) account.waiting.pop_front();
   }
 }
 
@@ -339,6 +354,10 @@
   std::erase_if(adopted_ready_, [&](const auto& item) {
     return now - item.second.since >= settings_.entry_silence;
   });
+  const std::uint32_t own = OwnEntryHosts();
+  const std::uint32_t all = std::max(EntryHosts(), own);
+  const double part = static_cast<double>(own) / std::max(all, 1U);
+  if (part != own_part_) ShareRates(now);
   if (!leads_) return;
   board_.Tick(now);
   if (now < next_general_) return;
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -12,7 +12,6 @@
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/time.h"
 #include "sapphirebank/fleet/allowance_bank.h"
-#include "sapphirebank/fleet/allowance_stock.h"
 #include "sapphirebank/fleet/crash_ledger.h"
 #include "sapphirebank/fleet/fleet_messages.h"
 #include "sapphirebank/fleet/fleet_record.h"
@@ -60,8 +59,8 @@
 
   // Takes a report, of an entry host or of a relay, and returns what it is to
   // be told.
-  FleetUpdate Take(Instant now, const HostId& host, const EntryReport& report,
-                   const FleetRecord& record);
+  FleetUpdate Take(Instant now, const HostId& host, bool is_relay,
+                   const EntryReport& report, const FleetRecord& record);
 
   // Returns news for a host that has not asked for them.
   FleetUpdate News(Instant now, const HostId& host, const FleetRecord& record);
@@ -111,6 +110,8 @@
   struct Reporter {
     std::vector<ReadyHost> ready;
     std::uint32_t entry_hosts = 1;
+    // A relay, which has a hub's share of the rates itself.
+    bool is_relay = false;
     Instant heard_at;
     std::uint64_t board_sent = 0;
     PlanVersion plan_sent = 0;
@@ -121,13 +122,12 @@
     ReadyHost host;
     Instant since;
   };
-  // Tokens of a workspace at a relay.
+  // Orders of tokens that a relay passed on.
   struct Account {
     struct Waiting {
       HostId host;
       std::uint32_t tokens = 0;
     };
-    AllowanceStock stock;
     std::deque<Waiting> waiting;
     std::uint32_t to_ask = 0;
     std::uint32_t on_order = 0;
@@ -135,13 +135,15 @@
 
   FleetUpdate Fill(Instant now, Reporter& host, const FleetRecord& record);
   void Sum(Instant now, const EntryReport& report);
-  void Grant(Instant now, const HostId& host, const WorkspaceId& workspace,
-             std::uint32_t wanted);
+  void Grant(Instant now, const HostId& host, bool is_relay,
+             const WorkspaceId& workspace, std::uint32_t wanted);
   void Settle(const HostId& host, const WorkspaceId& workspace,
               TokenGrant grant);
-  void TakeGrant(Instant now, const WorkspaceId& workspace, TokenGrant grant);
+  void TakeGrant(const WorkspaceId& workspace, TokenGrant grant);
   void CountRequests(Instant now, const EntryReport& report);
   std::uint32_t EntryHosts() const;
+  std::uint32_t OwnEntryHosts() const;
+  void ShareRates(Instant now);
 
   FleetHubSettings settings_;
   std::uint64_t id_;
@@ -149,7 +151,10 @@
   bool leads_ = false;
   ServerBoard board_;
   ServerDispatcher dispatcher_;
-  AllowanceBank bank_;
+  // What this hub spends by itself, and what the leader gives out to hubs.
+  AllowanceBank own_bank_;
+  AllowanceBank leaders_bank_;
+  double own_part_ = 0;
   CrashLedger crashes_;
   PlanHistory plans_;
   std::shared_ptr<const TrafficPlan> plan_;
--- a/sapphirebank/fleet/retry_purse.cc
+++ b/sapphirebank/fleet/retry_purse.cc
@@ -11,7 +11,7 @@
 }
 
 double& RetryPurse::SavedFor(const ServiceId& service) {
-  return saved_.try_emplace(service, Most()).first->second;
+  return saved_.try_emplace(service, settings_.at_start).first->second;
 }
 
 void RetryPurse::Earn(const ServiceId& service) {
--- a/sapphirebank/fleet/retry_purse.h
+++ b/sapphirebank/fleet/retry_purse.h
@@ -9,9 +9,12 @@
 struct RetryPurseSettings {
   // Retries that each request earns for its service. The fleet may spend 0.2;
   // the rest is left for requests that count in another window.
-  double per_request = 0.18;
+  double per_request = 0.165;
   // Part of the fleet's fixed retries that all hosts together may have saved.
-  double part_of_slack = 0.9;
+  double part_of_slack = 0.6;
+  // Retries that a host starts with: many start again at once after a power
+  // loss, in the window in which they spent what they had.
+  double at_start = 0.3;
 };
 
 // A host's own share of the fleet's retry budget, for each service. The shares
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -17,8 +17,9 @@
     }
     const bool is_near = told.zone == zone_;
     const bool is_sound =
-        server.standing == Standing::kUp ||
-        (server.standing == Standing::kProbation && query.repeatable);
+        !suspected_until_.contains(id) &&
+        (server.standing == Standing::kUp ||
+        (server.standing == Standing::kProbation && query.repeatable));
     if (now < server.cold_until) {
       if (is_near && is_sound) candidates.cold.push_back(&server);
     } else if (!is_sound) {
@@ -34,6 +35,8 @@
     Instant now, const AssignmentId& id, const DispatchQuery& query,
     const ServerBoard& board, const std::set<ZoneId>& zones_out,
     const TrafficPlan& plan) {
+  std::erase_if(suspected_until_,
+                [&](const auto& item) { return item.second <= now; });
   const PlannedService* service = plan.FindService(query.service);
   if (service == nullptr) return std::nullopt;
   const Candidates candidates = Sort(now, query, board, zones_out);
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -24,6 +24,9 @@
   double most_waiting = 2;
   // Part of its warm-up rate that a cold server is sent.
   double part_of_warm_up_rate = 0.8;
+  // A server that broke a request off gets no other for this time: the leader's
+  // judgement comes within it.
+  Duration suspicion = std::chrono::milliseconds(250);
   // Requests that a cold server may be sent at once.
   double warm_up_burst = 2;
 };
@@ -56,6 +59,11 @@
                                   const std::set<ZoneId>& zones_out,
                                   const TrafficPlan& plan);
 
+  // The server broke a request off.
+  void Suspect(Instant now, const BackendId& server) {
+    suspected_until_[server] = now + settings_.suspicion;
+  }
+
   // The request has ended.
   void End(const AssignmentId& id);
 
@@ -95,6 +103,7 @@
   std::map<AssignmentId, Assignment> assignments_;
   std::map<BackendId, int> in_work_;
   std::map<BackendId, WarmUp> warm_ups_;
+  std::map<BackendId, Instant> suspected_until_;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/server_evidence.h
+++ b/sapphirebank/fleet/server_evidence.h
@@ -31,10 +31,10 @@
   // about 0.012.
   double bad_share = 0.2;
   // First time without requests; it grows with each failed probation.
-  Duration first_rest = std::chrono::milliseconds(1000);
-  double rest_growth = 1.5;
-  // Failing servers come back within seconds, so waiting longer loses room.
-  Duration longest_rest = std::chrono::milliseconds(4000);
+  Duration first_rest = std::chrono::milliseconds(900);
+  double rest_growth = 1.3;
+  // A server that failed by itself must be used again 2 s later.
+  Duration longest_rest = std::chrono::milliseconds(1500);
   // Successes that end a probation.
   std::uint32_t probation_successes = 2;
   // A probation without any failure ends after this time as well.
