Tries at busy servers are not given up, nor any while a host leaves

Ruled out: a longer try time alone; queues reach seconds. Change: the hub says whether others wait; only a try at an idle server is given up, by a timer that looks at the leaving state when it fires.

--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -218,10 +218,12 @@
     query.excluded.insert(BackendId(id.get<std::string>()));
   }
   const auto number = message.at("n").get<std::uint64_t>();
-  const auto server = hub_.Assign(Now(), {from, number}, query);
+  const DispatchChoice choice =
+      hub_.Assign(Now(), {from, number}, query).value_or(DispatchChoice());
   links_.Send(link, {{"t", "use"},
                      {"n", number},
-                     {"id", server ? server->value() : ""}});
+                     {"id", choice.server.value()},
+                     {"busy", choice.is_busy}});
 }
 
 void ControlProcess::OnDone(const json& message) {
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -217,7 +217,8 @@
     const std::string type = message.at("t").get<std::string>();
     if (type == "use") {
       hooks_.use(message.at("n").get<std::uint64_t>(),
-                 BackendId(message.at("id").get<std::string>()));
+                 {BackendId(message.at("id").get<std::string>()),
+                  message.at("busy").get<bool>()});
     } else if (type == "update") {
       TakeUpdate(message.at("u").get<FleetUpdate>());
     }
--- a/programs/fleet_host/entry_link.h
+++ b/programs/fleet_host/entry_link.h
@@ -15,6 +15,7 @@
 #include "sapphirebank/core/random.h"
 #include "sapphirebank/fleet/fleet_messages.h"
 #include "sapphirebank/fleet/fleet_settings.h"
+#include "sapphirebank/fleet/server_dispatcher.h"
 #include "sapphirebank/telemetry/log_writer.h"
 #include "sapphirebank/transport/fleet_link.h"
 
@@ -33,7 +34,7 @@
                                const FleetUpdate&)>
         update;
     // Takes the hub's choice of a server; empty when it has none.
-    std::function<void(std::uint64_t number, const BackendId& server)> use;
+    std::function<void(std::uint64_t number, const DispatchChoice&)> use;
     // Returns the hubs that were named last.
     std::function<const std::vector<HubHost>&()> hubs;
     // Returns the seeds as the settings name them now.
--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -14,10 +14,10 @@
 
 // Part of the grace time in which callers that still come are served: they
 // keep addresses for some seconds.
-constexpr double kServeOnPart = 0.7;
+constexpr double kServeOnPart = 0.6;
 
 // Part of the grace time after which the process ends in any case.
-constexpr double kEndPart = 0.97;
+constexpr double kEndPart = 0.88;
 
 constexpr Duration kIdleCheckPeriod = std::chrono::milliseconds(50);
 
@@ -74,8 +74,8 @@
                        const FleetUpdate& update) {
                   return TakeUpdate(asked_at, update);
                 },
-                [this](std::uint64_t number, const BackendId& server) {
-                  state_.TakeChoice(number, server);
+                [this](std::uint64_t number, const DispatchChoice& choice) {
+                  state_.TakeChoice(number, choice);
                 },
                 [this]() -> const std::vector<HubHost>& {
                   return state_.view().hubs();
--- a/programs/fleet_host/entry_requests.cc
+++ b/programs/fleet_host/entry_requests.cc
@@ -21,9 +21,10 @@
 constexpr int kTokenWaitPart = 8;
 
 // A try of a request that may be repeated is given up after this part of the
-// objective when another server can still be asked: services answer within a
-// third of it, but for one request in a hundred.
-constexpr double kTryPartOfObjective = 0.75;
+// objective when another server can still be asked and the server has nothing
+// else to do: services answer within a third of it, but for one request in a
+// hundred.
+constexpr double kTryPartOfObjective = 0.6;
 
 // Time that must be left for a retry to make sense.
 constexpr Duration kLeastRetryTime = std::chrono::milliseconds(30);
@@ -181,7 +182,7 @@
     query.tried = work.tried;
     const EntryState::Choice choice = co_await state_.Choose(query);
     if (!choice.server) break;
-    last = co_await Try(work, choice.server);
+    last = co_await Try(work, choice);
     state_.End(choice);
     if (last.answer && !last.may_retry) break;
     if (!MayRetry(work, last, MonotonicNow())) break;
@@ -202,18 +203,27 @@
   return !end.arrived || state_.retries().Spend(work.service->id);
 }
 
-Duration EntryRequests::TryTime(const Work& work, Instant now) {
-  const Duration left = work.deadline - now;
+// Returns whether a try may be given up in favour of another one.
+bool EntryRequests::MayGiveUp(const Work& work) {
   const bool is_last = work.arrivals + 1 >= work.route->max_tries;
-  const bool can_pay = state_.retries().CanSpend(work.service->id);
-  if (!work.route->idempotent || is_last || leaving_ || !can_pay) return left;
-  const Duration part = FromSeconds(ToSeconds(work.route->latency_objective) *
-                                    kTryPartOfObjective);
-  return std::min(left, part);
+  return work.route->idempotent && !is_last && !leaving_ &&
+         state_.retries().CanSpend(work.service->id);
+}
+
+// Ends a try whose server does not answer in time, unless the host has begun
+// to leave by then.
+void EntryRequests::WatchTry(const Work& work, asio::steady_timer& timer,
+                             const std::shared_ptr<CallerWatch>& watch) {
+  timer.expires_after(FromSeconds(ToSeconds(work.route->latency_objective) *
+                                  kTryPartOfObjective));
+  timer.async_wait([this, &work, watch](boost::system::error_code error) {
+    if (!error && MayGiveUp(work)) watch->HangUp();
+  });
 }
 
 asio::awaitable<EntryRequests::TryEnd> EntryRequests::Try(
-    Work& work, KnownServerPtr server) {
+    Work& work, EntryState::Choice choice) {
+  const KnownServerPtr server = choice.server;
   const Instant now = MonotonicNow();
   const ServerAnnouncement& target = server->state.announcement;
   work.tried.push_back(server);
@@ -235,7 +245,7 @@
   exchange.fields = dialect_.backend_fields(work.request.head.fields, terms);
   exchange.body = work.request.body;
   exchange.connect_timeout = std::min(kConnectTime, work.deadline - now);
-  exchange.answer_timeout = TryTime(work, now);
+  exchange.answer_timeout = work.deadline - now;
   exchange.hold_limit = kHoldLimit;
   const RequestId& id = work.terms.id;
   exchange.belongs = [this, id](const HeaderFields& fields) {
@@ -243,11 +253,21 @@
   };
   // Work that must run once is not broken off when its caller leaves.
   std::shared_ptr<CallerWatch> watch;
-  if (work.route->idempotent) watch = work.request.watch;
+  asio::steady_timer timer(loop_);
+  if (work.route->idempotent) {
+    watch = std::make_shared<CallerWatch>();
+    work.request.watch->set_on_hang_up([watch] { watch->HangUp(); });
+    if (!choice.is_busy) WatchTry(work, timer, watch);
+  }
   ++server->in_flight;
   ExchangeResult result = co_await client_.Exchange(std::move(exchange), watch);
   --server->in_flight;
+  timer.cancel();
+  work.request.watch->set_on_hang_up(nullptr);
   if (auto* failure = std::get_if<AttemptFailure>(&result.outcome)) {
+    const bool gave_up =
+        watch && watch->hung_up() && !work.request.watch->hung_up();
+    failure->timed_out = failure->timed_out || gave_up;
     co_return JudgeFailure(work, *server, *failure);
   }
   co_return JudgeAnswer(work, *server,
--- a/programs/fleet_host/entry_requests.h
+++ b/programs/fleet_host/entry_requests.h
@@ -2,6 +2,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <string>
 #include <vector>
@@ -49,12 +50,14 @@
   Result<void> Admit(Work& work) const;
   boost::asio::awaitable<Result<void>> TakeAllowance(Work& work);
   boost::asio::awaitable<HttpAnswer> Forward(Work& work);
-  boost::asio::awaitable<TryEnd> Try(Work& work, KnownServerPtr server);
+  boost::asio::awaitable<TryEnd> Try(Work& work, EntryState::Choice choice);
   TryEnd JudgeFailure(Work& work, KnownServer& server,
                       const AttemptFailure& failure);
   TryEnd JudgeAnswer(Work& work, KnownServer& server, HttpAnswer answer);
   const PlannedService* ChooseService(const Work& work);
-  Duration TryTime(const Work& work, Instant now);
+  bool MayGiveUp(const Work& work);
+  void WatchTry(const Work& work, boost::asio::steady_timer& timer,
+                const std::shared_ptr<CallerWatch>& watch);
   bool MayRetry(Work& work, const TryEnd& end, Instant now);
   HttpAnswer Refuse(const Work& work, ErrorKind kind, Duration retry_after);
   void LogEnd(const Work& work, const HttpAnswer& answer);
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -79,9 +79,10 @@
     co_await waiter->timer.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     choosing_.erase(number);
-    choice.server = view_.Find(waiter->server);
+    choice.server = view_.Find(waiter->choice.server);
     if (choice.server) {
       choice.assignment = number;
+      choice.is_busy = waiter->choice.is_busy;
       co_return choice;
     }
     hooks_.end(number);
@@ -90,10 +91,11 @@
   co_return choice;
 }
 
-void EntryState::TakeChoice(std::uint64_t assignment, const BackendId& server) {
+void EntryState::TakeChoice(std::uint64_t assignment,
+                            const DispatchChoice& choice) {
   const auto found = choosing_.find(assignment);
   if (found == choosing_.end()) return;
-  found->second->server = server;
+  found->second->choice = choice;
   found->second->timer.cancel();
 }
 
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -14,6 +14,7 @@
 #include "sapphirebank/fleet/entry_view.h"
 #include "sapphirebank/fleet/retry_purse.h"
 #include "sapphirebank/fleet/server_chooser.h"
+#include "sapphirebank/fleet/server_dispatcher.h"
 
 namespace sapphirebank {
 
@@ -72,6 +73,8 @@
   struct Choice {
     KnownServerPtr server;
     std::uint64_t assignment = 0;
+    // Others wait at the server or may.
+    bool is_busy = true;
   };
 
   // Returns the server that the hub assigns, or one that this host chooses
@@ -79,7 +82,7 @@
   boost::asio::awaitable<Choice> Choose(ServerQuery query);
 
   // Takes the hub's choice.
-  void TakeChoice(std::uint64_t assignment, const BackendId& server);
+  void TakeChoice(std::uint64_t assignment, const DispatchChoice& choice);
 
   // The try has ended.
   void End(const Choice& choice);
@@ -93,7 +96,7 @@
 
     boost::asio::steady_timer timer;
     bool answered = false;
-    BackendId server;  // Of one that waits for a server.
+    DispatchChoice choice;  // Of one that waits for a server.
   };
   struct Account {
     AllowanceStock stock;
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -307,8 +307,9 @@
   }
 }
 
-std::optional<BackendId> FleetHub::Assign(Instant now, const AssignmentId& id,
-                                          const DispatchQuery& query) {
+std::optional<DispatchChoice> FleetHub::Assign(Instant now,
+                                               const AssignmentId& id,
+                                               const DispatchQuery& query) {
   if (!plan_) return std::nullopt;
   return dispatcher_.Assign(now, id, query, board_, zones_out_, *plan_);
 }
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -82,7 +82,7 @@
   void TakeUp(Instant now, const FleetUpdate& update);
 
   // Assigns a request of an entry host to a server.
-  std::optional<BackendId> Assign(Instant now, const AssignmentId& id,
+  std::optional<DispatchChoice> Assign(Instant now, const AssignmentId& id,
                                   const DispatchQuery& query);
   void EndAssignment(const AssignmentId& id) { dispatcher_.End(id); }
 
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -31,7 +31,7 @@
   return candidates;
 }
 
-std::optional<BackendId> ServerDispatcher::Assign(
+std::optional<DispatchChoice> ServerDispatcher::Assign(
     Instant now, const AssignmentId& id, const DispatchQuery& query,
     const ServerBoard& board, const std::set<ZoneId>& zones_out,
     const TrafficPlan& plan) {
@@ -51,9 +51,12 @@
   if (chosen == nullptr) chosen = LeastLoaded(candidates.poor);
   if (chosen == nullptr) return std::nullopt;
   const BackendId server = chosen->announcement.id;
+  // What other hubs send to a server of their zone is not known here.
+  const bool is_far = chosen->announcement.zone != zone_;
+  const bool is_busy = InWork(*chosen) >= chosen->announcement.slots;
   assignments_[id] = {server, now + settings_.assignment_life};
   ++in_work_[server];
-  return server;
+  return DispatchChoice{server, is_far || is_busy};
 }
 
 // Fills cold servers first, but each only at the rate that it bears.
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -39,6 +39,14 @@
   std::set<BackendId> excluded;
 };
 
+// The server for a request.
+struct DispatchChoice {
+  BackendId server;
+  // Others wait at the server or may, so that a late answer says nothing about
+  // it.
+  bool is_busy = false;
+};
+
 // Names each assignment: the host that asked and its number.
 using AssignmentId = std::pair<HostId, std::uint64_t>;
 
@@ -53,7 +61,7 @@
 
   // Returns the server for a request, or nothing when the host must choose
   // itself.
-  std::optional<BackendId> Assign(Instant now, const AssignmentId& id,
+  std::optional<DispatchChoice> Assign(Instant now, const AssignmentId& id,
                                   const DispatchQuery& query,
                                   const ServerBoard& board,
                                   const std::set<ZoneId>& zones_out,
