--- /dev/null
+++ b/unit_tests/fleet/budgets_test.cc
@@ -0,0 +1,87 @@
+#include <catch2/catch.hpp>
+
+#include "sapphirebank/fleet/crash_ledger.h"
+#include "sapphirebank/fleet/plan_history.h"
+#include "sapphirebank/fleet/retry_purse.h"
+
+namespace sapphirebank {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr Instant kStart{seconds(1000)};
+const ServiceId kDesk("desk");
+
+TEST_CASE("all purses together keep to the fleet's retries", "[fleet]") {
+  const auto hosts = GENERATE(1, 10, 44, 60);
+  constexpr double kSlack = 62;
+  std::vector<RetryPurse> purses(static_cast<std::size_t>(hosts),
+                                 RetryPurse(RetryPurseSettings(), kSlack));
+  for (RetryPurse& purse : purses) purse.SetHosts(hosts);
+  // Half as many checks as requests earn retries too. First a quiet time to
+  // save, then a window in which everything fails.
+  constexpr int kRequests = 2000;
+  int spent = 0;
+  for (int round = 0; round < 2; ++round) {
+    for (int i = 0; i < kRequests * 3 / 2; ++i) {
+      RetryPurse& purse = purses[static_cast<std::size_t>(i % hosts)];
+      purse.Earn(kDesk);
+      if (round == 1 && purse.Spend(kDesk)) ++spent;
+    }
+  }
+  CHECK(spent <= 0.2 * kRequests + kSlack);
+  CHECK(spent >= 0.1 * kRequests);
+}
+
+TEST_CASE("a purse with too little does not pay", "[fleet]") {
+  RetryPurse purse(RetryPurseSettings(), 60);
+  CHECK_FALSE(purse.CanSpend(kDesk));
+  CHECK_FALSE(purse.Spend(kDesk));
+  for (int i = 0; i < 8; ++i) purse.Earn(kDesk);
+  CHECK(purse.CanSpend(kDesk));
+  CHECK(purse.Spend(kDesk));
+}
+
+TEST_CASE("a request that crashes server after server is refused", "[fleet]") {
+  CrashLedger ledger{CrashLedgerSettings()};
+  const RequestFingerprint request = 77;
+  CHECK_FALSE(ledger.Add(kStart, request, BackendId("a")));
+  CHECK_FALSE(ledger.Add(kStart, request, BackendId("a")));
+  CHECK_FALSE(ledger.Add(kStart, request, BackendId("b")));
+  CHECK_FALSE(ledger.Add(kStart, 78, BackendId("c")));
+  CHECK(ledger.Quarantined(kStart).empty());
+  CHECK(ledger.Add(kStart + seconds(1), request, BackendId("c")));
+  CHECK(ledger.Quarantined(kStart + seconds(2)) ==
+        std::vector<RequestFingerprint>{request});
+  CHECK(ledger.Quarantined(kStart + seconds(100)).empty());
+}
+
+TEST_CASE("breaks far apart have other causes", "[fleet]") {
+  CrashLedger ledger{CrashLedgerSettings()};
+  CHECK_FALSE(ledger.Add(kStart, 1, BackendId("a")));
+  CHECK_FALSE(ledger.Add(kStart + seconds(20), 1, BackendId("b")));
+  CHECK_FALSE(ledger.Add(kStart + seconds(40), 1, BackendId("c")));
+}
+
+TEST_CASE("a host gets what changed since its plan, or all of it", "[fleet]") {
+  PlanHistory history;
+  nlohmann::json document = {{"routes", nlohmann::json::object()}};
+  for (PlanVersion version = 1; version <= 12; ++version) {
+    document["routes"]["r" + std::to_string(version)] =
+        std::string(200, static_cast<char>('a' + version));
+    history.Add(version, document.dump());
+  }
+  const PlanNews all = history.NewsSince(0);
+  CHECK_FALSE(all.base);
+  CHECK(all.text == document.dump());
+  CHECK_FALSE(history.NewsSince(3).base);  // Too old to be kept.
+  const PlanNews news = history.NewsSince(11);
+  REQUIRE(news.base == PlanVersion{11});
+  CHECK(news.text.size() < all.text.size() / 2);
+  nlohmann::json before = document;
+  before["routes"].erase("r12");
+  CHECK(before.patch(nlohmann::json::parse(news.text)) == document);
+}
+
+}  // namespace
+}  // namespace sapphirebank
--- /dev/null
+++ b/unit_tests/fleet/server_dispatcher_test.cc
@@ -0,0 +1,123 @@
+#include "sapphirebank/fleet/server_dispatcher.h"
+
+#include <catch2/catch.hpp>
+#include <deque>
+
+#include "unit_tests/fleet/fleet_fixtures.h"
+
+namespace sapphirebank {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart{seconds(1000)};
+
+struct Bench {
+  ServerBoard board{ServerBoardSettings()};
+  FleetRecord record;
+  std::shared_ptr<const TrafficPlan> plan = MakePlan(APlan());
+  std::set<ZoneId> zones_out;
+  ServerDispatcher dispatcher{ServerDispatcherSettings(), ZoneId("kochi"),
+                              Random(3)};
+  std::uint64_t next = 1;
+
+  std::string Assign(Instant now, bool repeatable = false,
+                     std::set<BackendId> excluded = {}) {
+    const DispatchQuery query = {ServiceId("desk"), repeatable,
+                                 std::move(excluded)};
+    const auto choice = dispatcher.Assign(now, {HostId("entry"), next++}, query,
+                                          board, zones_out, *plan);
+    return choice ? choice->server.value() : "";
+  }
+};
+
+TEST_CASE("requests go to the server with the least in work", "[fleet]") {
+  Bench bench;
+  for (const char* id : {"a", "b", "c"}) {
+    bench.board.Hear(kStart, AServer(id), bench.record);
+  }
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 6; ++i) ++counts[bench.Assign(kStart)];
+  for (const auto& [id, count] : counts) CHECK(count == 2);
+  // An end makes room.
+  bench.dispatcher.End({HostId("entry"), 1});
+  bench.dispatcher.End({HostId("entry"), 1});
+  const auto first = bench.Assign(kStart);
+  CHECK_FALSE(first.empty());
+  // A host that is gone ends all it had.
+  bench.dispatcher.EndAll(HostId("entry"));
+  counts.clear();
+  for (int i = 0; i < 3; ++i) ++counts[bench.Assign(kStart)];
+  CHECK(counts.size() == 3);
+}
+
+TEST_CASE("another zone is asked when this one is full or out", "[fleet]") {
+  Bench bench;
+  bench.board.Hear(kStart, AServer("near", "kochi"), bench.record);
+  bench.board.Hear(kStart, AServer("far", "fann"), bench.record);
+  // Two slots and two that may wait.
+  for (int i = 0; i < 4; ++i) CHECK(bench.Assign(kStart) == "near");
+  CHECK(bench.Assign(kStart) == "far");
+  bench.dispatcher.EndAll(HostId("entry"));
+  CHECK(bench.Assign(kStart, false, {BackendId("near")}) == "far");
+  bench.zones_out = {ZoneId("kochi")};
+  CHECK(bench.Assign(kStart) == "far");
+  bench.zones_out = {ZoneId("kochi"), ZoneId("fann")};
+  CHECK(bench.Assign(kStart).empty());
+}
+
+TEST_CASE("only repeatable requests probe a server on probation", "[fleet]") {
+  Bench bench;
+  bench.board.Hear(kStart, AServer("a", "kochi"), bench.record);
+  bench.board.Hear(kStart, AServer("b", "kochi"), bench.record);
+  bench.board.AddOutcomes(kStart, BackendId("a"), {0, 0, 1});
+  for (int i = 0; i < 3; ++i) CHECK(bench.Assign(kStart, true) == "b");
+  bench.board.Tick(kStart + seconds(1));
+  bench.dispatcher.EndAll(HostId("entry"));
+  for (int i = 0; i < 3; ++i) CHECK(bench.Assign(kStart, false) == "b");
+  CHECK(bench.Assign(kStart, true) == "a");
+}
+
+TEST_CASE("a server that broke a request off rests until it is judged",
+          "[fleet]") {
+  Bench bench;
+  bench.board.Hear(kStart, AServer("a", "kochi"), bench.record);
+  bench.board.Hear(kStart, AServer("b", "kochi"), bench.record);
+  bench.dispatcher.Suspect(kStart, BackendId("a"));
+  for (int i = 0; i < 3; ++i) CHECK(bench.Assign(kStart) == "b");
+  CHECK(bench.Assign(kStart + seconds(1)) == "a");
+}
+
+TEST_CASE("a cold server keeps to its rate in every second", "[fleet]") {
+  Bench bench;
+  ServerAnnouncement cold = AServer("cold");
+  cold.warm_up_left = seconds(10);
+  bench.board.Hear(kStart, cold, bench.record);
+  bench.board.Hear(kStart, AServer("warm"), bench.record);
+  // The platform's bound: rate x 1.5 + 5 in any second.
+  const double bound = 6 * 1.5 + 5;
+  std::deque<Instant> sent;
+  std::size_t most = 0;
+  for (int i = 0; i < 5000; ++i) {
+    const Instant now = kStart + i * milliseconds(2);
+    if (bench.Assign(now) == "cold") sent.push_back(now);
+    bench.dispatcher.EndAll(HostId("entry"));
+    while (!sent.empty() && now - sent.front() >= seconds(1)) sent.pop_front();
+    most = std::max(most, sent.size());
+  }
+  CHECK(most > 0);
+  CHECK(static_cast<double>(most) <= bound);
+}
+
+TEST_CASE("assignments whose end is lost are forgotten", "[fleet]") {
+  Bench bench;
+  bench.board.Hear(kStart, AServer("near", "kochi"), bench.record);
+  bench.board.Hear(kStart, AServer("far", "fann"), bench.record);
+  for (int i = 0; i < 5; ++i) bench.Assign(kStart);
+  bench.dispatcher.Tick(kStart + ServerDispatcherSettings().assignment_life);
+  CHECK(bench.Assign(kStart) == "near");
+}
+
+}  // namespace
+}  // namespace sapphirebank
--- /dev/null
+++ b/unit_tests/platform/request_codec_test.cc
@@ -0,0 +1,120 @@
+#include "platform/request_codec.h"
+
+#include <catch2/catch.hpp>
+
+namespace sapphirebank {
+namespace {
+
+using std::chrono::milliseconds;
+
+const EntryDialect kDialect = PlatformEntryDialect();
+
+HttpRequestHead AHead() {
+  HttpRequestHead head;
+  head.method = "GET";
+  head.target = "/x/1?q=1";
+  head.fields = {{"host", "a.example"},
+                 {"sapphirebank-request-id", "9c41"},
+                 {"sapphirebank-deadline-ms", "800"},
+                 {"authorization", "Token key-1"},
+                 {"accept", "text/plain"},
+                 {"connection", "keep-alive, x-hop"},
+                 {"x-hop", "1"},
+                 {"sapphirebank-tenant", "forged"},
+                 {"sapphirebank-expect-instance", "forged"}};
+  return head;
+}
+
+TEST_CASE("what a caller says is read", "[platform]") {
+  const auto terms = kDialect.read_terms(AHead());
+  REQUIRE(terms);
+  CHECK(terms->id == RequestId("9c41"));
+  CHECK(terms->patience == milliseconds(800));
+  CHECK(terms->host == "a.example");
+  CHECK(terms->key == "key-1");
+  for (const char* wrong : {"", "soon", "-5", "0", "8 00"}) {
+    HttpRequestHead head = AHead();
+    head.fields[2].value = wrong;
+    CHECK_FALSE(kDialect.read_terms(head)->patience);
+  }
+  HttpRequestHead other = AHead();
+  other.fields[3].value = "Basic key-1";
+  CHECK(kDialect.read_terms(other)->key.empty());
+  HttpRequestHead unnamed = AHead();
+  unnamed.fields.erase(unnamed.fields.begin() + 1);
+  CHECK(kDialect.read_terms(unnamed).error().kind ==
+        ErrorKind::kMalformedRequest);
+}
+
+TEST_CASE("a backend server sees the terms but never the key", "[platform]") {
+  const HeaderFields fields = kDialect.backend_fields(
+      AHead().fields,
+      {milliseconds(640), BackendId("i-1"), WorkspaceId("north")});
+  CHECK(FieldValue(fields, "authorization").empty());
+  CHECK(FieldValue(fields, "sapphirebank-deadline-ms") == "640");
+  CHECK(FieldValue(fields, "sapphirebank-expect-instance") == "i-1");
+  CHECK(FieldValue(fields, "sapphirebank-tenant") == "north");
+  CHECK(FieldValue(fields, "sapphirebank-request-id") == "9c41");
+  CHECK(FieldValue(fields, "accept") == "text/plain");
+  CHECK(FieldValue(fields, "x-hop").empty());
+  CHECK(FieldValue(fields, "connection").empty());
+  const HeaderFields open = kDialect.backend_fields(
+      AHead().fields, {milliseconds(1), BackendId("i-1"), WorkspaceId()});
+  CHECK(FieldValue(open, "sapphirebank-tenant").empty());
+}
+
+TEST_CASE("what a backend server says is read", "[platform]") {
+  HttpAnswer answer;
+  answer.status = 503;
+  answer.fields = {{"sapphirebank-not-executed", "1"},
+                   {"sapphirebank-server-load", "3,4,8"}};
+  const BackendWord word = kDialect.read_word(answer, Instant());
+  CHECK(word.not_run);
+  CHECK_FALSE(word.misdirected);
+  REQUIRE(word.load);
+  CHECK(word.load->running == 3);
+  CHECK(word.load->waiting == 4);
+  CHECK(word.load->slots == 8);
+  answer.fields.clear();
+  CHECK_FALSE(kDialect.read_word(answer, Instant()).not_run);
+  answer.status = 421;
+  CHECK(kDialect.read_word(answer, Instant()).misdirected);
+  for (const char* wrong : {"3,4", "a,b,c", "3,4,8,9", ",,", "-1,0,2"}) {
+    answer.fields = {{"sapphirebank-server-load", wrong}};
+    CHECK_FALSE(kDialect.read_word(answer, Instant()).load);
+  }
+}
+
+TEST_CASE("an answer with another id belongs to another request",
+          "[platform]") {
+  const RequestId id("9c41");
+  CHECK(kDialect.belongs({{"sapphirebank-request-id", "9c41"}}, id));
+  CHECK_FALSE(kDialect.belongs({{"sapphirebank-request-id", "9c42"}}, id));
+  CHECK(kDialect.belongs({}, id));
+}
+
+TEST_CASE("only refusals that promise say when to come back", "[platform]") {
+  const RequestId id("9c41");
+  for (const ErrorAnswer& row : ErrorTable()) {
+    const HttpAnswer answer = kDialect.refusal(Error(row.kind, "x"), id,
+                                               milliseconds(300));
+    CHECK(answer.status == row.http_status);
+    CHECK(FieldValue(answer.fields, "sapphirebank-request-id") == "9c41");
+    const bool promises = answer.status == 429 || answer.status == 503;
+    CHECK(FieldValue(answer.fields, "retry-after") ==
+          (promises ? "0.30" : ""));
+    // The platform holds these statuses for promises that nothing ran.
+    if (promises || answer.status == 408 || answer.status == 421) {
+      const bool may_be_sent_to_callers = row.kind != ErrorKind::kNoQuorum;
+      if (may_be_sent_to_callers) CHECK(row.execution == Execution::kNotRun);
+    }
+  }
+  CHECK(FieldValue(kDialect.refusal(Error(ErrorKind::kNoBackendServer, "x"), id,
+                                    Duration::zero())
+                       .fields,
+                   "retry-after")
+            .empty());
+}
+
+}  // namespace
+}  // namespace sapphirebank
