--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -213,6 +213,7 @@
                            const json& message) {
   DispatchQuery query;
   query.service = ServiceId(message.at("s").get<std::string>());
+  query.zone = ZoneId(message.at("z").get<std::string>());
   query.repeatable = message.at("r").get<bool>();
   for (const auto& id : message.at("x")) {
     query.excluded.insert(BackendId(id.get<std::string>()));
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -202,6 +202,7 @@
   links_.Send(*link_, {{"t", "ask"},
                        {"n", number},
                        {"s", service.value()},
+                       {"z", settings_.zone.value()},
                        {"r", repeatable},
                        {"x", std::move(names)}});
   return true;
--- a/sapphirebank/fleet/allowance_bank.h
+++ b/sapphirebank/fleet/allowance_bank.h
@@ -16,15 +16,15 @@
 //
 // A hub spends its part of the rate without asking, and the leader's bank
 // serves the hubs that need more. Over 5 s all banks together give out 5.25
-// seconds' worth of rate and nine tenths of the burst, and tokens in hand are
+// seconds' worth of rate and four fifths of the burst, and tokens in hand are
 // worth another 0.4 s of a part; a window may exceed the rate and burst by 10%
 // and 20 requests.
 struct BankShare {
   double of_rate = 0;
   double of_burst = 0;
 };
-inline constexpr BankShare kLeadersShare = {0.45, 0.4};
-inline constexpr BankShare kAllHubsShare = {0.6, 0.5};
+inline constexpr BankShare kLeadersShare = {0.45, 0.35};
+inline constexpr BankShare kAllHubsShare = {0.6, 0.45};
 
 // The rates of all workspaces over all hosts, or a part of them: one token
 // bucket each.
--- a/sapphirebank/fleet/allowance_stock.cc
+++ b/sapphirebank/fleet/allowance_stock.cc
@@ -23,6 +23,10 @@
 // from just before may still be in use.
 constexpr double kOwnShare = 0.7;
 
+// Tokens of the own share when answers stop to come: with a whole one, many
+// hosts together would exceed a small rate at once.
+constexpr double kOwnStart = 0.5;
+
 }  // namespace
 
 void AllowanceStock::DropExpired(Instant now) {
@@ -47,6 +51,9 @@
 }
 
 void AllowanceStock::Add(Instant asked_at, std::uint32_t tokens) {
+  // The own share is for a time without answers and starts with it.
+  own_tokens_ = kOwnStart;
+  own_filled_at_ = asked_at;
   if (tokens > 0) batches_.push_back({asked_at, tokens});
 }
 
--- a/sapphirebank/fleet/allowance_stock.h
+++ b/sapphirebank/fleet/allowance_stock.h
@@ -41,7 +41,7 @@
   // Requests a second, smoothed over about two seconds.
   double request_rate_ = 0;
   Instant last_request_;
-  double own_tokens_ = 1;
+  double own_tokens_ = 0;
   Instant own_filled_at_;
 };
 
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -25,6 +25,9 @@
 void FleetHub::Lead(Instant now) {
   leads_ = true;
   board_.BeginToJudge();
+  // The leader before gave out from this part as well.
+  leaders_bank_ = AllowanceBank();
+  if (plan_) leaders_bank_.Adopt(now, *plan_, kLeadersShare);
   accounts_.clear();
   sum_ = EntryReport();
   must_report_up_ = false;
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -15,7 +15,7 @@
         zones_out.contains(told.zone) || query.excluded.contains(id)) {
       continue;
     }
-    const bool is_near = told.zone == zone_;
+    const bool is_near = told.zone == query.zone;
     const bool is_sound =
         !suspected_until_.contains(id) &&
         (server.standing == Standing::kUp ||
@@ -40,7 +40,7 @@
   const PlannedService* service = plan.FindService(query.service);
   if (service == nullptr) return std::nullopt;
   const Candidates candidates = Sort(now, query, board, zones_out);
-  const ServerState* chosen = ChooseCold(now, candidates, *service);
+  const ServerState* chosen = ChooseCold(now, candidates, query, *service);
   if (chosen == nullptr) chosen = LeastLoaded(candidates.near);
   const bool is_full =
       chosen == nullptr || InWork(*chosen) >= chosen->announcement.slots +
@@ -52,7 +52,8 @@
   if (chosen == nullptr) return std::nullopt;
   const BackendId server = chosen->announcement.id;
   // What other hubs send to a server of their zone is not known here.
-  const bool is_far = chosen->announcement.zone != zone_;
+  const bool is_far = chosen->announcement.zone != zone_ ||
+                      query.zone != zone_;
   const bool is_busy = InWork(*chosen) >= chosen->announcement.slots;
   assignments_[id] = {server, now + settings_.assignment_life};
   ++in_work_[server];
@@ -62,9 +63,12 @@
 // Fills cold servers first, but each only at the rate that it bears.
 const ServerState* ServerDispatcher::ChooseCold(Instant now,
                                                 const Candidates& candidates,
+                                                const DispatchQuery& query,
                                                 const PlannedService& service) {
+  const double part = query.zone == zone_ ? settings_.part_of_warm_up_rate
+                                          : settings_.part_as_stand_in;
   for (const ServerState* server : candidates.cold) {
-    const double rate = settings_.part_of_warm_up_rate * service.warm_up_rate;
+    const double rate = part * service.warm_up_rate;
     auto [found, is_new] = warm_ups_.try_emplace(server->announcement.id);
     WarmUp& warm_up = found->second;
     if (is_new) warm_up = {1, now};
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -29,11 +29,15 @@
   Duration suspicion = std::chrono::milliseconds(250);
   // Requests that a cold server may be sent at once.
   double warm_up_burst = 2;
+  // The same for a zone that has no hub: several others stand in for it.
+  double part_as_stand_in = 0.2;
 };
 
 // One entry host's request for a server.
 struct DispatchQuery {
   ServiceId service;
+  // Of the host: its servers are near.
+  ZoneId zone;
   bool repeatable = false;
   // Servers that had the request or that the host cannot reach.
   std::set<BackendId> excluded;
@@ -50,8 +54,9 @@
 // Names each assignment: the host that asked and its number.
 using AssignmentId = std::pair<HostId, std::uint64_t>;
 
-// Assigns requests to the servers of one zone by what each has in work, which
-// one place can count exactly: join the shortest queue (Winston, "Optimality of
+// Assigns requests to the servers of the asking host's zone by what each has in
+// work. The hub of a zone counts that exactly, and also stands in for a zone
+// that has lost its hub, whose servers nobody would use otherwise: join the shortest queue (Winston, "Optimality of
 // the Shortest Line Discipline", 1977).
 class ServerDispatcher {
  public:
@@ -101,6 +106,7 @@
                   const ServerBoard& board,
                   const std::set<ZoneId>& zones_out) const;
   const ServerState* ChooseCold(Instant now, const Candidates& candidates,
+                                const DispatchQuery& query,
                                 const PlannedService& service);
   const ServerState* LeastLoaded(const std::vector<const ServerState*>& among);
   double InWork(const ServerState& server) const;
--- a/unit_tests/fleet/allowance_test.cc
+++ b/unit_tests/fleet/allowance_test.cc
@@ -80,6 +80,9 @@
 
 TEST_CASE("a host's own share stays below an even one", "[fleet]") {
   AllowanceStock stock;
+  stock.Add(kStart, 0);
+  // No host has a whole token at once: many would exceed a small rate.
+  CHECK_FALSE(stock.TakeOwnShare(kStart, 100, 10));
   int taken = 0;
   for (int i = 0; i < 10'000; ++i) {
     if (stock.TakeOwnShare(kStart + i * milliseconds(1), 100, 10)) ++taken;
--- a/unit_tests/fleet/fleet_hub_test.cc
+++ b/unit_tests/fleet/fleet_hub_test.cc
@@ -121,6 +121,19 @@
   CHECK(tokens <= 10);  // No time passed: the burst is all there is.
 }
 
+TEST_CASE("a leader starts with a part of what the one before gave out",
+          "[fleet]") {
+  TwoHubs hubs(100);
+  hubs.now += seconds(60);
+  hubs.relay.Lead(hubs.now);
+  EntryReport report = hubs.AReport();
+  report.wanted[kNorth] = 1000;
+  const FleetUpdate update =
+      hubs.relay.Take(hubs.now, kRelay, true, report, hubs.record);
+  CHECK(update.granted.at(kNorth).settled == 1000);
+  CHECK(update.granted.at(kNorth).tokens <= 100 * kLeadersShare.of_burst / 3);
+}
+
 TEST_CASE("callers are named ready hosts of all hubs", "[fleet]") {
   TwoHubs hubs;
   hubs.relay.Take(hubs.now, kEntry, false, hubs.AReport(), hubs.record);
--- a/unit_tests/fleet/server_dispatcher_test.cc
+++ b/unit_tests/fleet/server_dispatcher_test.cc
@@ -21,10 +21,11 @@
   ServerDispatcher dispatcher{ServerDispatcherSettings(), ZoneId("kochi"),
                               Random(3)};
   std::uint64_t next = 1;
+  ZoneId zone{"kochi"};  // Of the asking host.
 
   std::string Assign(Instant now, bool repeatable = false,
                      std::set<BackendId> excluded = {}) {
-    const DispatchQuery query = {ServiceId("desk"), repeatable,
+    const DispatchQuery query = {ServiceId("desk"), zone, repeatable,
                                  std::move(excluded)};
     const auto choice = dispatcher.Assign(now, {HostId("entry"), next++}, query,
                                           board, zones_out, *plan);
@@ -67,6 +68,16 @@
   CHECK(bench.Assign(kStart).empty());
 }
 
+TEST_CASE("a hub that stands in uses the servers of the host's zone",
+          "[fleet]") {
+  Bench bench;
+  bench.board.Hear(kStart, AServer("kochi", "kochi"), bench.record);
+  bench.board.Hear(kStart, AServer("fann", "fann"), bench.record);
+  bench.zone = ZoneId("fann");
+  for (int i = 0; i < 4; ++i) CHECK(bench.Assign(kStart) == "fann");
+  CHECK(bench.Assign(kStart) == "kochi");
+}
+
 TEST_CASE("only repeatable requests probe a server on probation", "[fleet]") {
   Bench bench;
   bench.board.Hear(kStart, AServer("a", "kochi"), bench.record);
