--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -104,8 +104,8 @@
       loop_(loop),
       files_(std::move(files)),
       host_(std::move(host)),
-      hub_(FleetHubSettings(), RandomSeed(), HubHost{self_.value(), settings.zone},
-           Random(RandomSeed())),
+      hub_(FleetHubSettings(), RandomSeed(),
+           HubHost{self_.value(), settings.zone}, Random(RandomSeed())),
       published_(std::make_shared<const std::vector<ReadyHost>>()),
       random_(RandomSeed()),
       thread_(system),
@@ -133,8 +133,7 @@
     server.ip = at.ip;
     server.port = at.port;
     HttpServer::Hooks hooks;
-    hooks.accept_head =
-        [](const HttpRequestHead&) -> Result<std::uint64_t> {
+    hooks.accept_head = [](const HttpRequestHead&) -> Result<std::uint64_t> {
       return kMaxCallBytes;
     };
     hooks.handle = [this](HttpRequest request) {
@@ -199,9 +198,9 @@
       log_.Write(LogLevel::kInfo, "plan_in_force",
                  {{"version", plan_->version()}});
     } else {
-      log_.Write(LogLevel::kError, "plan_unreadable",
-                 {{"version", record.version()},
-                  {"cause", plan.error().detail}});
+      log_.Write(
+          LogLevel::kError, "plan_unreadable",
+          {{"version", record.version()}, {"cause", plan.error().detail}});
     }
   }
   hub_.Follow(now, record, plan_);
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -26,9 +26,10 @@
 
 // A control host of a fleet that learns everything from its control hosts: it
 // keeps the replicated record and is the hub of entry hosts of its zone; while
-// it leads it is also the authority on servers and tokens. Decisions and the disk have one thread, links another, and the
-// calls of operators, backend servers and callers the event loop, so that a
-// slow disk does not keep callers from their addresses.
+// it leads it is also the authority on servers and tokens. Decisions and the
+// disk have one thread, links another, and the calls of operators, backend
+// servers and callers the event loop, so that a slow disk does not keep callers
+// from their addresses.
 class ControlProcess {
  public:
   // `plan_reader` reads the documents of plans. Fails with kInvalidSettings or
@@ -91,7 +92,8 @@
   FleetLink::Hooks LinkHooks();
   void OnUp(LinkId link, const HostId& host);
   void OnDown(LinkId link, const std::string& reason);
-  void OnMessage(LinkId link, const HostId& from, const nlohmann::json& message);
+  void OnMessage(LinkId link, const HostId& from,
+                 const nlohmann::json& message);
   void OnControl(LinkId link, Peer& peer, const nlohmann::json& message);
   void OnReport(LinkId link, const HostId& from, const nlohmann::json& message);
   void OnUpdate(const HostId& from, const nlohmann::json& message);
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "sapphirebank/core/cbor.h"
 #include "programs/fleet_host/control_process.h"
+#include "sapphirebank/core/cbor.h"
 #include "sapphirebank/transport/await_callback.h"
 
 // The calls of operators, backend servers and callers at a control host.
@@ -30,9 +30,9 @@
 boost::asio::awaitable<HttpAnswer> ControlProcess::Serve(HttpRequest request) {
   const Result<FleetCall> call = dialect_.read_call(request);
   if (!call) {
-    log_.Write(LogLevel::kInfo, "call_refused",
-               {{"target", request.head.target},
-                {"cause", call.error().detail}});
+    log_.Write(
+        LogLevel::kInfo, "call_refused",
+        {{"target", request.head.target}, {"cause", call.error().detail}});
     co_return dialect_.refusal(call.error());
   }
   if (const auto* lookup = std::get_if<LookupCall>(&*call)) {
@@ -152,8 +152,8 @@
   for (const std::uint64_t number : over) {
     const auto call = pending_.extract(number);
     if (call.empty()) continue;
-    call.mapped().callback(Fail(ErrorKind::kNoQuorum,
-                                "the control hosts did not agree in time"));
+    call.mapped().callback(
+        Fail(ErrorKind::kNoQuorum, "the control hosts did not agree in time"));
   }
 }
 
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -2,8 +2,8 @@
 #include <iterator>
 #include <utility>
 
-#include "sapphirebank/core/cbor.h"
 #include "programs/fleet_host/control_process.h"
+#include "sapphirebank/core/cbor.h"
 
 // The links of a control host, to the others and to entry hosts.
 namespace sapphirebank {
@@ -247,12 +247,13 @@
     if (!decoded) return;
     command = std::move(*decoded);
   }
-  Decide(std::move(command), [this, link, number](const Result<std::string>& r) {
-    links_.Send(link, {{"t", "done"},
-                       {"call", number},
-                       {"ok", r.has_value()},
-                       {"text", r ? *r : r.error().detail}});
-  });
+  Decide(std::move(command),
+         [this, link, number](const Result<std::string>& r) {
+           links_.Send(link, {{"t", "done"},
+                              {"call", number},
+                              {"ok", r.has_value()},
+                              {"text", r ? *r : r.error().detail}});
+         });
   FlushSoon();
 }
 
--- a/programs/fleet_host/entry_dialect.h
+++ b/programs/fleet_host/entry_dialect.h
@@ -49,7 +49,8 @@
   std::function<BackendWord(const HttpAnswer&, Instant now)> read_word;
   // Returns the refusal that the caller gets. `retry_after` is when a retry
   // makes sense, zero when it does not.
-  std::function<HttpAnswer(const Error&, const RequestId&, Duration retry_after)>
+  std::function<HttpAnswer(const Error&, const RequestId&,
+                           Duration retry_after)>
       refusal;
 };
 
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -116,7 +116,8 @@
   std::vector<std::string> failed;
   const auto add = [&](const std::string& address, bool is_near) {
     const auto passed = passed_over_.find(address);
-    const bool has_failed = passed != passed_over_.end() && passed->second > now;
+    const bool has_failed =
+        passed != passed_over_.end() && passed->second > now;
     (has_failed ? failed : is_near ? near : others).push_back(address);
   };
   for (const HubHost& hub : hooks_.hubs()) {
@@ -126,9 +127,8 @@
     const std::string address = ToString(settings_.FleetEndpoint(seed));
     const auto& hubs = hooks_.hubs();
     const bool is_listed =
-        std::any_of(hubs.begin(), hubs.end(), [&](const HubHost& hub) {
-          return hub.address == address;
-        });
+        std::any_of(hubs.begin(), hubs.end(),
+                    [&](const HubHost& hub) { return hub.address == address; });
     if (!is_listed) add(address, false);
   }
   std::sort(near.begin(), near.end());
@@ -246,7 +246,8 @@
   const bool had_time = now - connect_started_ > kTimeForHub;
   const bool is_behind =
       !taken && taken.error().kind == ErrorKind::kNotLeader && had_time;
-  const bool is_old = update.answers != 0 && update.age > kOldestAge && had_time;
+  const bool is_old =
+      update.answers != 0 && update.age > kOldestAge && had_time;
   if (!is_behind && !is_old) return;
   Drop(is_old ? "its word is old" : "it is behind this host");
   ConnectNext();
--- a/programs/fleet_host/entry_link.h
+++ b/programs/fleet_host/entry_link.h
@@ -22,7 +22,8 @@
 namespace sapphirebank {
 
 // An entry host's link to its hub, a control host of its zone if there is one:
-// finds it from the seeds, reports, takes updates and asks for servers. Used on one event loop only.
+// finds it from the seeds, reports, takes updates and asks for servers. Used on
+// one event loop only.
 class EntryLink {
  public:
   struct Hooks {
--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -170,12 +170,12 @@
   link_.ReportNow();
   timer_.expires_after(Part(settings_.grace, kServeOnPart));
   const Instant end = now + Part(settings_.grace, kEndPart);
-  timer_.async_wait([this, end, done = std::move(done)](
-                        boost::system::error_code error) {
-    if (error) return;
-    callers_->Drain();
-    AwaitIdle(end, done);
-  });
+  timer_.async_wait(
+      [this, end, done = std::move(done)](boost::system::error_code error) {
+        if (error) return;
+        callers_->Drain();
+        AwaitIdle(end, done);
+      });
 }
 
 void EntryProcess::AwaitIdle(Instant until, std::function<void()> done) {
@@ -184,10 +184,10 @@
     return;
   }
   timer_.expires_after(kIdleCheckPeriod);
-  timer_.async_wait([this, until, done = std::move(done)](
-                        boost::system::error_code error) {
-    if (!error) AwaitIdle(until, done);
-  });
+  timer_.async_wait(
+      [this, until, done = std::move(done)](boost::system::error_code error) {
+        if (!error) AwaitIdle(until, done);
+      });
 }
 
 }  // namespace sapphirebank
--- a/programs/fleet_host/entry_requests.cc
+++ b/programs/fleet_host/entry_requests.cc
@@ -93,8 +93,8 @@
     answer = co_await Forward(work);
   } else {
     const Duration retry_after = AnswerFor(admitted.error().kind).retry_after;
-    answer = Refuse(work, admitted.error().kind,
-                    std::min(retry_after, kComeBack));
+    answer =
+        Refuse(work, admitted.error().kind, std::min(retry_after, kComeBack));
   }
   LogEnd(work, answer);
   co_return answer;
@@ -141,8 +141,7 @@
     co_return Result<void>();
   }
   const Duration wait = work.route->latency_objective / kTokenWaitPart;
-  const TokenAnswer token =
-      co_await state_.TakeToken(work.workspace->id, wait);
+  const TokenAnswer token = co_await state_.TakeToken(work.workspace->id, wait);
   if (token == TokenAnswer::kGranted) co_return Result<void>();
   if (token == TokenAnswer::kRefused) {
     co_return Fail(ErrorKind::kRateExceeded, "no token left");
@@ -189,8 +188,7 @@
   }
   if (last.answer) co_return std::move(*last.answer);
   ErrorKind kind = last.failure;
-  const bool promises_not_run =
-      AnswerFor(kind).execution == Execution::kNotRun;
+  const bool promises_not_run = AnswerFor(kind).execution == Execution::kNotRun;
   if (work.may_have_run && promises_not_run) kind = ErrorKind::kBackendBroken;
   const Duration retry_after = work.may_have_run ? Duration::zero() : kComeBack;
   co_return Refuse(work, kind, retry_after);
--- a/programs/sapphirebankd/process.cc
+++ b/programs/sapphirebankd/process.cc
@@ -1,6 +1,7 @@
 #include "programs/sapphirebankd/process.h"
 
 #include <fmt/format.h>
+
 #include <fstream>
 #include <iterator>
 #include <string>
--- a/sapphirebank/consensus/control_command.cc
+++ b/sapphirebank/consensus/control_command.cc
@@ -117,8 +117,8 @@
 
 // Names of the alternatives of ControlCommand, in their order.
 constexpr auto kCommandNames = std::to_array<std::string_view>(
-    {"change", "restore", "claim", "complete", "end_host", "clock",
-     "plan", "zone", "retire"});
+    {"change", "restore", "claim", "complete", "end_host", "clock", "plan",
+     "zone", "retire"});
 static_assert(kCommandNames.size() == std::variant_size_v<ControlCommand>);
 
 template <std::size_t kIndex = 0>
--- a/sapphirebank/consensus/control_command.h
+++ b/sapphirebank/consensus/control_command.h
@@ -99,8 +99,8 @@
 };
 
 using ControlCommand =
-    std::variant<ApplyChange, RestoreDeclarations, Claim, CompleteClaim, EndHost,
-                 AdvanceClock, StorePlan, SetZoneOut, RetireBackend>;
+    std::variant<ApplyChange, RestoreDeclarations, Claim, CompleteClaim,
+                 EndHost, AdvanceClock, StorePlan, SetZoneOut, RetireBackend>;
 
 // Returns `command` as CBOR.
 std::string EncodeCommand(const ControlCommand& command);
--- a/sapphirebank/consensus/control_host.cc
+++ b/sapphirebank/consensus/control_host.cc
@@ -152,8 +152,7 @@
   const bool hears_leader =
       now - node_.leader_heard_at() < 2 * settings_.raft.election_timeout;
   if (is_member && hears_leader) return;
-  if (!settings_.open_group && node_.IsEmpty() &&
-      presence_.MayFormGroup(now)) {
+  if (!settings_.open_group && node_.IsEmpty() && presence_.MayFormGroup(now)) {
     std::vector<GroupMember> members = {{settings_.host, node_.self(), true}};
     for (const auto& [host, node] : presence_.Present(now)) {
       members.push_back({host, node, true});
--- a/sapphirebank/consensus/control_state.h
+++ b/sapphirebank/consensus/control_state.h
@@ -12,8 +12,8 @@
 namespace sapphirebank {
 
 // What the control hosts agree on: the declarations, the idempotency claims
-// and the record of a fleet that learns everything from them. The same commands in the same order give the same state and the same
-// answers on every host.
+// and the record of a fleet that learns everything from them. The same commands
+// in the same order give the same state and the same answers on every host.
 class ControlState {
  public:
   // Applies one agreed command and returns its answer.
--- a/sapphirebank/fleet/allowance_stock.cc
+++ b/sapphirebank/fleet/allowance_stock.cc
@@ -63,10 +63,9 @@
   const double keep = std::exp(-elapsed / kSmoothingSeconds);
   request_rate_ = request_rate_ * keep + (1 - keep) / elapsed;
   const std::uint32_t held = Held(now) + on_order;
-  const double target =
-      std::min(std::floor(request_rate_ * ToSeconds(kGrantLifetime) *
-                          kAdvancePart),
-               kMostInAdvance);
+  const double target = std::min(
+      std::floor(request_rate_ * ToSeconds(kGrantLifetime) * kAdvancePart),
+      kMostInAdvance);
   const auto wanted = static_cast<std::uint32_t>(target);
   return wanted > held ? wanted - held : 0;
 }
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -24,8 +24,8 @@
   if (update.plan) read = ApplyPlan(*update.plan);
   // The word counts only with the plan that it was given with.
   if (read && asked_at) {
-    current_until_ = std::max(current_until_,
-                              *asked_at - update.age + key_permission_);
+    current_until_ =
+        std::max(current_until_, *asked_at - update.age + key_permission_);
   }
   return read;
 }
@@ -64,8 +64,8 @@
     listed.insert(id);
     KnownServerPtr& server = servers_[id];
     const bool is_new_life =
-        !server || server->state.announcement.incarnation !=
-                       news.announcement.incarnation;
+        !server ||
+        server->state.announcement.incarnation != news.announcement.incarnation;
     if (is_new_life) server = std::make_shared<KnownServer>();
     const bool is_back = server->state.standing == Standing::kDown &&
                          news.standing == Standing::kUp;
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -191,8 +191,7 @@
     ServerNews news;
     news.announcement = entry.state.announcement;
     news.standing = entry.state.standing;
-    news.cold_for =
-        std::max(entry.state.cold_until - now, Duration::zero());
+    news.cold_for = std::max(entry.state.cold_until - now, Duration::zero());
     news.retired = entry.state.retired;
     update.servers.push_back(std::move(news));
   }
@@ -234,9 +233,9 @@
   if (!plan_) return;
   const std::uint32_t all = std::max(EntryHosts(), OwnEntryHosts());
   own_part_ = static_cast<double>(OwnEntryHosts()) / std::max(all, 1U);
-  own_bank_.Adopt(now, *plan_,
-                  {kAllHubsShare.of_rate * own_part_,
-                   kAllHubsShare.of_burst * own_part_});
+  own_bank_.Adopt(
+      now, *plan_,
+      {kAllHubsShare.of_rate * own_part_, kAllHubsShare.of_burst * own_part_});
 }
 
 void FleetHub::CountRequests(Instant now, const EntryReport& report) {
@@ -263,7 +262,8 @@
   report.plan_seen = plans_.newest();
   if (first) {
     for (const auto& [id, entry] : board_.entries()) {
-      if (!entry.state.retired) report.known.push_back(entry.state.announcement);
+      if (!entry.state.retired)
+        report.known.push_back(entry.state.announcement);
     }
   }
   for (auto& [workspace, account] : accounts_) {
@@ -333,7 +333,8 @@
 }
 
 void FleetHub::AdoptReady(Instant now, const std::vector<ReadyHost>& ready) {
-  for (const ReadyHost& host : ready) adopted_ready_[host.address] = {host, now};
+  for (const ReadyHost& host : ready)
+    adopted_ready_[host.address] = {host, now};
 }
 
 std::vector<ReadyHost> FleetHub::Ready(Instant now) const {
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -83,7 +83,7 @@
 
   // Assigns a request of an entry host to a server.
   std::optional<DispatchChoice> Assign(Instant now, const AssignmentId& id,
-                                  const DispatchQuery& query);
+                                       const DispatchQuery& query);
   void EndAssignment(const AssignmentId& id) { dispatcher_.End(id); }
 
   // The host's link ended. It is no longer named to callers.
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -66,8 +66,8 @@
   Optional(in, "quarantined", update.quarantined);
   if (const auto found = in.find("hubs"); found != in.end()) {
     for (const auto& hub : *found) {
-      update.hubs.push_back({hub.at(0).get<std::string>(),
-                             ZoneId(hub.at(1).get<std::string>())});
+      update.hubs.push_back(
+          {hub.at(0).get<std::string>(), ZoneId(hub.at(1).get<std::string>())});
     }
   }
 }
@@ -105,8 +105,10 @@
 }
 
 void to_json(json& out, const EntryReport& report) {
-  out = {{"n", report.number}, {"id", report.board_id},
-         {"b", report.board_seen}, {"p", report.plan_seen}};
+  out = {{"n", report.number},
+         {"id", report.board_id},
+         {"b", report.board_seen},
+         {"p", report.plan_seen}};
   if (!report.ready.empty()) out["ready"] = report.ready;
   if (report.entry_hosts != 1) out["hosts"] = report.entry_hosts;
   for (const auto& [id, seen] : report.outcomes) {
@@ -150,8 +152,10 @@
 }
 
 void to_json(json& out, const FleetUpdate& update) {
-  out = {{"n", update.answers}, {"age", update.age.count()},
-         {"rec", update.record}, {"id", update.board_id},
+  out = {{"n", update.answers},
+         {"age", update.age.count()},
+         {"rec", update.record},
+         {"id", update.board_id},
          {"b", update.board}};
   if (update.whole_board) out["whole"] = true;
   for (const ServerNews& news : update.servers) {
--- a/sapphirebank/fleet/fleet_record.cc
+++ b/sapphirebank/fleet/fleet_record.cc
@@ -24,11 +24,10 @@
   if (IsRetired(backend.backend, backend.incarnation)) return;
   retired_[backend.backend] = {backend.incarnation, ++changes_};
   if (retired_.size() <= kMaxRetired) return;
-  const auto oldest =
-      std::min_element(retired_.begin(), retired_.end(),
-                       [](const auto& a, const auto& b) {
-                         return a.second.order < b.second.order;
-                       });
+  const auto oldest = std::min_element(retired_.begin(), retired_.end(),
+                                       [](const auto& a, const auto& b) {
+                                         return a.second.order < b.second.order;
+                                       });
   retired_.erase(oldest);
 }
 
--- a/sapphirebank/fleet/fleet_settings.cc
+++ b/sapphirebank/fleet/fleet_settings.cc
@@ -62,8 +62,7 @@
 
 Result<FleetSettings> FleetSettings::Parse(std::string_view text,
                                            std::string_view file_name) {
-  auto document =
-      ParseStrictJson(text, file_name, ErrorKind::kInvalidSettings);
+  auto document = ParseStrictJson(text, file_name, ErrorKind::kInvalidSettings);
   if (!document) return tl::unexpected(document.error());
   FleetSettings settings;
   Problems problems;
--- a/sapphirebank/fleet/fleet_settings.h
+++ b/sapphirebank/fleet/fleet_settings.h
@@ -58,7 +58,8 @@
   static Result<FleetSettings> Parse(std::string_view text,
                                      std::string_view file_name);
 
-  // Returns the address at which the fleet's processes on the host of `address` are reached.
+  // Returns the address at which the fleet's processes on the host of `address`
+  // are reached.
   Endpoint FleetEndpoint(const Endpoint& address) const {
     return {address.ip, fleet_port};
   }
--- a/sapphirebank/fleet/server_board.cc
+++ b/sapphirebank/fleet/server_board.cc
@@ -51,9 +51,8 @@
   // The announced rest of a warm-up shrinks as time passes; only a longer one
   // is news.
   constexpr Duration kNewsOfWarmUp = std::chrono::milliseconds(500);
-  const bool warm_up_grew =
-      announcement.warm_up_left > Duration::zero() &&
-      cold_until > entry.state.cold_until + kNewsOfWarmUp;
+  const bool warm_up_grew = announcement.warm_up_left > Duration::zero() &&
+                            cold_until > entry.state.cold_until + kNewsOfWarmUp;
   const bool moved = before.endpoint != announcement.endpoint ||
                      before.service != announcement.service ||
                      before.zone != announcement.zone ||
@@ -114,8 +113,8 @@
 }
 
 std::size_t ServerBoard::DownInService(const ServerAnnouncement& of) const {
-  return static_cast<std::size_t>(std::count_if(
-      entries_.begin(), entries_.end(), [&](const auto& item) {
+  return static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
         const ServerState& state = item.second.state;
         return state.standing == Standing::kDown && !state.retired &&
                state.announcement.service == of.service;
@@ -128,8 +127,8 @@
   constexpr double kMostDown = 0.5;
   std::size_t live = 0;
   for (const auto& [id, other] : entries_) {
-    if (!other.state.retired && other.state.announcement.service ==
-                                    entry.state.announcement.service) {
+    if (!other.state.retired &&
+        other.state.announcement.service == entry.state.announcement.service) {
       ++live;
     }
   }
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -19,7 +19,7 @@
     const bool is_sound =
         !suspected_until_.contains(id) &&
         (server.standing == Standing::kUp ||
-        (server.standing == Standing::kProbation && query.repeatable));
+         (server.standing == Standing::kProbation && query.repeatable));
     if (now < server.cold_until) {
       if (is_near && is_sound) candidates.cold.push_back(&server);
     } else if (!is_sound) {
@@ -43,8 +43,8 @@
   const ServerState* chosen = ChooseCold(now, candidates, query, *service);
   if (chosen == nullptr) chosen = LeastLoaded(candidates.near);
   const bool is_full =
-      chosen == nullptr || InWork(*chosen) >= chosen->announcement.slots +
-                                                  settings_.most_waiting;
+      chosen == nullptr ||
+      InWork(*chosen) >= chosen->announcement.slots + settings_.most_waiting;
   if (is_full && !candidates.far.empty()) {
     chosen = LeastLoaded(candidates.far);
   }
@@ -52,8 +52,7 @@
   if (chosen == nullptr) return std::nullopt;
   const BackendId server = chosen->announcement.id;
   // What other hubs send to a server of their zone is not known here.
-  const bool is_far = chosen->announcement.zone != zone_ ||
-                      query.zone != zone_;
+  const bool is_far = chosen->announcement.zone != zone_ || query.zone != zone_;
   const bool is_busy = InWork(*chosen) >= chosen->announcement.slots;
   assignments_[id] = {server, now + settings_.assignment_life};
   ++in_work_[server];
@@ -95,8 +94,8 @@
   double best_load = 0;
   std::uint64_t equals = 0;
   for (const ServerState* server : among) {
-    const double load =
-        InWork(*server) / std::max<std::uint32_t>(server->announcement.slots, 1);
+    const double load = InWork(*server) /
+                        std::max<std::uint32_t>(server->announcement.slots, 1);
     if (best == nullptr || load < best_load) {
       best = server;
       best_load = load;
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -56,8 +56,8 @@
 
 // Assigns requests to the servers of the asking host's zone by what each has in
 // work. The hub of a zone counts that exactly, and also stands in for a zone
-// that has lost its hub, whose servers nobody would use otherwise: join the shortest queue (Winston, "Optimality of
-// the Shortest Line Discipline", 1977).
+// that has lost its hub, whose servers nobody would use otherwise: join the
+// shortest queue (Winston, "Optimality of the Shortest Line Discipline", 1977).
 class ServerDispatcher {
  public:
   ServerDispatcher(ServerDispatcherSettings settings, ZoneId zone,
@@ -67,10 +67,10 @@
   // Returns the server for a request, or nothing when the host must choose
   // itself.
   std::optional<DispatchChoice> Assign(Instant now, const AssignmentId& id,
-                                  const DispatchQuery& query,
-                                  const ServerBoard& board,
-                                  const std::set<ZoneId>& zones_out,
-                                  const TrafficPlan& plan);
+                                       const DispatchQuery& query,
+                                       const ServerBoard& board,
+                                       const std::set<ZoneId>& zones_out,
+                                       const TrafficPlan& plan);
 
   // The server broke a request off.
   void Suspect(Instant now, const BackendId& server) {
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -230,9 +230,9 @@
     if (connection.server_idle_time == Duration::zero()) {
       return settings_.max_idle_time;
     }
-    return std::min(settings_.max_idle_time,
-                    FromSeconds(ToSeconds(connection.server_idle_time) *
-                                kIdleShare));
+    return std::min(
+        settings_.max_idle_time,
+        FromSeconds(ToSeconds(connection.server_idle_time) * kIdleShare));
   }
 
   asio::io_context& loop_;
--- a/sapphirebank/transport/http_client.h
+++ b/sapphirebank/transport/http_client.h
@@ -4,8 +4,8 @@
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <cstdint>
-#include <memory>
 #include <functional>
+#include <memory>
 #include <string>
 #include <variant>
 
--- a/sapphirebank/transport/websocket_link.cc
+++ b/sapphirebank/transport/websocket_link.cc
@@ -128,12 +128,11 @@
     endpoint.set_max_message_size(kMaxMessageBytes);
     endpoint.set_open_handshake_timeout(kOpenTimeoutMs);
     endpoint.set_close_handshake_timeout(kCloseTimeoutMs);
-    endpoint.set_tcp_post_init_handler(
-        [&endpoint](const connection_hdl& handle) {
-          SetSocketOptions(endpoint.get_con_from_hdl(handle)
-                               ->get_raw_socket()
-                               .native_handle());
-        });
+    endpoint.set_tcp_post_init_handler([&endpoint](
+                                           const connection_hdl& handle) {
+      SetSocketOptions(
+          endpoint.get_con_from_hdl(handle)->get_raw_socket().native_handle());
+    });
     endpoint.set_open_handler(
         [this](const connection_hdl& handle) { Opened(handle); });
     endpoint.set_close_handler(
--- a/unit_tests/consensus/open_group_test.cc
+++ b/unit_tests/consensus/open_group_test.cc
@@ -118,8 +118,8 @@
       NextOpenMembership(group, present, {NodeId("d")}, true, silent);
   REQUIRE(first);
   CHECK(first->Find(NodeId("b")) == nullptr);
-  const auto second = NextOpenMembership(*first, present, {NodeId("d")}, true,
-                                         SilentVoters());
+  const auto second =
+      NextOpenMembership(*first, present, {NodeId("d")}, true, SilentVoters());
   REQUIRE(second);
   CHECK(second->IsVoter(NodeId("d")));
   CHECK(second->VoterCount() == 3);
--- a/unit_tests/fleet/entry_view_test.cc
+++ b/unit_tests/fleet/entry_view_test.cc
@@ -74,8 +74,7 @@
   REQUIRE(view.Apply(kStart, std::nullopt, AnUpdate(1, 6)));
   CHECK(view.plan()->version() == 7);
   FleetUpdate patch = AnUpdate(2);
-  const std::string text =
-      R"([{"op":"replace","path":"/version","value":8}])";
+  const std::string text = R"([{"op":"replace","path":"/version","value":8}])";
   patch.plan = PlanNews{8, PlanVersion{6}, text};
   // Without its plan the leader's word is not taken either.
   CHECK_FALSE(view.Apply(kStart, kStart, patch));
--- a/unit_tests/fleet/fleet_fixtures.h
+++ b/unit_tests/fleet/fleet_fixtures.h
@@ -16,8 +16,9 @@
   ServerAnnouncement server;
   server.id = BackendId(id);
   server.service = ServiceId("desk");
-  server.endpoint = {"10.0.0.1", static_cast<std::uint16_t>(
-                                     1000 + std::hash<std::string>()(id) % 999)};
+  server.endpoint = {
+      "10.0.0.1",
+      static_cast<std::uint16_t>(1000 + std::hash<std::string>()(id) % 999)};
   server.zone = ZoneId(zone);
   server.slots = 2;
   server.sequence = sequence;
--- a/unit_tests/fleet/fleet_hub_test.cc
+++ b/unit_tests/fleet/fleet_hub_test.cc
@@ -19,10 +19,10 @@
 // encoding.
 struct TwoHubs {
   FleetRecord record;
-  FleetHub leader{FleetHubSettings(), 1, {"10.0.0.1:7", ZoneId("kochi")},
-                  Random(1)};
-  FleetHub relay{FleetHubSettings(), 2, {"10.0.0.2:7", ZoneId("fann")},
-                 Random(2)};
+  FleetHub leader{
+      FleetHubSettings(), 1, {"10.0.0.1:7", ZoneId("kochi")}, Random(1)};
+  FleetHub relay{
+      FleetHubSettings(), 2, {"10.0.0.2:7", ZoneId("fann")}, Random(2)};
   Instant now = kStart;
   std::uint64_t number = 1;
 
@@ -46,8 +46,8 @@
   void Sync() {
     EntryReport report = relay.ReportUp(now, number == 1);
     report.number = number++;
-    relay.TakeUp(now, Carry(leader.Take(now, kRelay, true, Carry(report),
-                                        record)));
+    relay.TakeUp(now,
+                 Carry(leader.Take(now, kRelay, true, Carry(report), record)));
   }
 
   EntryReport AReport() {
@@ -88,8 +88,8 @@
   hubs.Sync();
   CHECK(hubs.leader.board().entries().contains(BackendId("a")));
   // A leader that is new learns all from the first reports.
-  FleetHub next{FleetHubSettings(), 3, {"10.0.0.3:7", ZoneId("kochi")},
-                Random(3)};
+  FleetHub next{
+      FleetHubSettings(), 3, {"10.0.0.3:7", ZoneId("kochi")}, Random(3)};
   next.Lead(hubs.now);
   next.Take(hubs.now, kRelay, true, hubs.relay.ReportUp(hubs.now, true),
             hubs.record);
--- a/unit_tests/fleet/fleet_messages_test.cc
+++ b/unit_tests/fleet/fleet_messages_test.cc
@@ -35,8 +35,8 @@
   update.age = std::chrono::milliseconds(20);
   update.record = 3;
   update.whole_board = true;
-  update.servers = {{AServer("a"), Standing::kProbation,
-                     std::chrono::seconds(2), true}};
+  update.servers = {
+      {AServer("a"), Standing::kProbation, std::chrono::seconds(2), true}};
   update.plan = PlanNews{8, PlanVersion{7}, "[]"};
   update.general = true;
   update.zones_out = {ZoneId("kochi")};
--- a/unit_tests/fleet/server_board_test.cc
+++ b/unit_tests/fleet/server_board_test.cc
@@ -113,8 +113,7 @@
   CHECK(StateOf(board, "b").retired);
 }
 
-TEST_CASE("most servers of a service stay in use whatever is seen",
-          "[fleet]") {
+TEST_CASE("most servers of a service stay in use whatever is seen", "[fleet]") {
   ServerBoard board{ServerBoardSettings()};
   const FleetRecord record;
   for (int i = 0; i < 10; ++i) {
--- a/unit_tests/platform/call_codec_test.cc
+++ b/unit_tests/platform/call_codec_test.cc
@@ -52,9 +52,8 @@
   const auto read = [](const std::string& call, const std::string& body = "") {
     return kDialect.read_call(ACall("/api/rpc?call=" + call, body)).value();
   };
-  const auto beat =
-      std::get<HeartbeatCall>(read("instances.heartbeat&of=i-1",
-                                   ABeat().dump()));
+  const auto beat = std::get<HeartbeatCall>(
+      read("instances.heartbeat&of=i-1", ABeat().dump()));
   CHECK(beat.server.id == BackendId("i-1"));
   CHECK(beat.server.endpoint == Endpoint{"10.128.0.9", 8080});
   CHECK(beat.server.sequence == 4);
@@ -148,15 +147,17 @@
       [](json& c) { c["routes"]["r-2"].erase("kind"); },
       [](json& c) { c["routes"]["r-1"]["trafficSplit"][0]["weight"] = -1; },
       [](json& c) { c["routes"]["r-1"]["trafficSplit"][0].erase("weight"); },
-      [](json& c) { c["tenants"]["t2"] = {{"apiKeys", {"k2"}}}; }};
-  REQUIRE(kDialect.read_call(
-      ACall("/api/rpc?call=config.put", AConfig().dump())));
+      [](json& c) {
+        c["tenants"]["t2"] = {{"apiKeys", {"k2"}}};
+      }};
+  REQUIRE(
+      kDialect.read_call(ACall("/api/rpc?call=config.put", AConfig().dump())));
   for (const auto& spoil : spoils) {
     json config = AConfig();
     spoil(config);
     INFO(config.dump());
-    const auto call = kDialect.read_call(
-        ACall("/api/rpc?call=config.put", config.dump()));
+    const auto call =
+        kDialect.read_call(ACall("/api/rpc?call=config.put", config.dump()));
     REQUIRE_FALSE(call);
     const int status = kDialect.refusal(call.error()).status;
     CHECK(status >= 400);
@@ -207,7 +208,8 @@
   CHECK(ReadWireTime("1500ms") == milliseconds(1500));
   CHECK(ReadWireTime("2.5s") == milliseconds(2500));
   CHECK(ReadWireTime("0ms") == milliseconds(0));
-  for (const char* wrong : {"", "ms", "5", "-1s", "5m", "1 s", "1e99s", "nan"}) {
+  for (const char* wrong :
+       {"", "ms", "5", "-1s", "5m", "1 s", "1e99s", "nan"}) {
     CHECK_FALSE(ReadWireTime(wrong));
   }
 }
--- a/unit_tests/platform/request_codec_test.cc
+++ b/unit_tests/platform/request_codec_test.cc
@@ -96,21 +96,21 @@
 TEST_CASE("only refusals that promise say when to come back", "[platform]") {
   const RequestId id("9c41");
   for (const ErrorAnswer& row : ErrorTable()) {
-    const HttpAnswer answer = kDialect.refusal(Error(row.kind, "x"), id,
-                                               milliseconds(300));
+    const HttpAnswer answer =
+        kDialect.refusal(Error(row.kind, "x"), id, milliseconds(300));
     CHECK(answer.status == row.http_status);
     CHECK(FieldValue(answer.fields, "sapphirebank-request-id") == "9c41");
     const bool promises = answer.status == 429 || answer.status == 503;
-    CHECK(FieldValue(answer.fields, "retry-after") ==
-          (promises ? "0.30" : ""));
+    CHECK(FieldValue(answer.fields, "retry-after") == (promises ? "0.30" : ""));
     // The platform holds these statuses for promises that nothing ran.
     if (promises || answer.status == 408 || answer.status == 421) {
       const bool may_be_sent_to_callers = row.kind != ErrorKind::kNoQuorum;
       if (may_be_sent_to_callers) CHECK(row.execution == Execution::kNotRun);
     }
   }
-  CHECK(FieldValue(kDialect.refusal(Error(ErrorKind::kNoBackendServer, "x"), id,
-                                    Duration::zero())
+  CHECK(FieldValue(kDialect
+                       .refusal(Error(ErrorKind::kNoBackendServer, "x"), id,
+                                Duration::zero())
                        .fields,
                    "retry-after")
             .empty());
