--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -41,6 +41,9 @@
 // Reports whose answers are waited for; older ones were lost with a leader.
 constexpr std::size_t kMostReportsUp = 64;
 
+// A plan with thousands of routes takes a few megabytes.
+constexpr std::uint64_t kMaxCallBytes = std::uint64_t{16} << 20U;
+
 // Time for a handed-on leadership to be taken before the process ends.
 constexpr Duration kHandOverTime = std::chrono::milliseconds(250);
 
@@ -126,8 +129,6 @@
   } catch (const std::runtime_error& e) {
     return Fail(ErrorKind::kInvalidSettings, e.what());
   }
-  // A plan with thousands of routes takes a few megabytes.
-  constexpr std::uint64_t kMaxCallBytes = std::uint64_t{16} << 20U;
   const auto open = [&](const Endpoint& at, std::optional<HttpServer>& out) {
     HttpServerSettings server;
     server.ip = at.ip;
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -112,7 +112,7 @@
   void Ask(std::optional<ControlCommand> command, Callback callback);
   void Advance(Instant now);
   void AskAgainLater(Pending& call);
-  void Decide(std::optional<ControlCommand> command, Callback callback);
+  void Decide(std::optional<ControlCommand> command, const Callback& callback);
   bool IsDone(const ControlCommand& command) const;
   ControlCommand Complete(ControlCommand command) const;
   void HearServer(const ServerAnnouncement& server);
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -190,7 +190,7 @@
 
 // Carries out a call at the leader.
 void ControlProcess::Decide(std::optional<ControlCommand> command,
-                            Callback callback) {
+                            const Callback& callback) {
   const Instant now = Now();
   if (!leads_) {
     callback(Fail(ErrorKind::kNotLeader, "this control host does not lead"));
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -105,11 +105,13 @@
   }
   if (now < next_connect_) return;
   next_connect_ = now + kConnectPeriod;
+  const auto& members = host_.raft().membership().members();
   std::vector<HostId> hosts;
+  hosts.reserve(settings_.seeds.size() + members.size());
   for (const Endpoint& seed : settings_.seeds) {
     hosts.emplace_back(ToString(settings_.FleetEndpoint(seed)));
   }
-  for (const GroupMember& member : host_.raft().membership().members()) {
+  for (const GroupMember& member : members) {
     hosts.push_back(member.host);
   }
   for (const HostId& host : hosts) {
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -90,9 +90,9 @@
 
 const std::vector<KnownServerPtr>& EntryView::ServersOf(
     const ServiceId& service) const {
-  static const std::vector<KnownServerPtr> kNone;
+  static const std::vector<KnownServerPtr> none;
   const auto found = by_service_.find(service);
-  return found == by_service_.end() ? kNone : found->second;
+  return found == by_service_.end() ? none : found->second;
 }
 
 KnownServerPtr EntryView::Find(const BackendId& id) const {
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -12,8 +12,8 @@
 
 }  // namespace
 
-FleetHub::FleetHub(FleetHubSettings settings, std::uint64_t id, HubHost self,
-                   Random random)
+FleetHub::FleetHub(FleetHubSettings settings, std::uint64_t id,
+                   const HubHost& self, Random random)
     : settings_(settings),
       id_(id),
       self_(self),
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -41,7 +41,7 @@
 class FleetHub {
  public:
   // `id` differs from every other start of a hub; `self` names this hub.
-  FleetHub(FleetHubSettings settings, std::uint64_t id, HubHost self,
+  FleetHub(FleetHubSettings settings, std::uint64_t id, const HubHost& self,
            Random random);
 
   // Becomes the authority, or a relay.
--- a/system_tests/platform_path_test.cc
+++ b/system_tests/platform_path_test.cc
@@ -154,6 +154,7 @@
   }
   static std::vector<std::string> ControlIps() {
     std::vector<std::string> ips;
+    ips.reserve(kControls);
     for (int i = 0; i < kControls; ++i) ips.push_back(ControlIp(i));
     return ips;
   }
