One function reads a settings file

Cause: platform/main.cc and the daemon's main.cc read files alike. Change: ReadTextFile() in config; same message, same errors.

--- a/programs/sapphirebankd/main.cc
+++ b/programs/sapphirebankd/main.cc
@@ -6,9 +6,7 @@
 #include <caf/actor_system.hpp>
 #include <caf/actor_system_config.hpp>
 #include <csignal>
-#include <fstream>
 #include <iostream>
-#include <iterator>
 #include <memory>
 #include <string>
 
@@ -17,6 +15,7 @@
 #include "programs/sapphirebankd/operator_door.h"
 #include "programs/sapphirebankd/process.h"
 #include "sapphirebank/config/daemon_settings.h"
+#include "sapphirebank/config/text_file.h"
 
 namespace sapphirebank {
 namespace {
@@ -49,14 +48,9 @@
 }
 
 Result<DaemonSettings> ReadSettings(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) {
-    return Fail(ErrorKind::kInvalidSettings,
-                fmt::format("{}: cannot be read", path));
-  }
-  const std::string text((std::istreambuf_iterator<char>(file)),
-                         std::istreambuf_iterator<char>());
-  return DaemonSettings::Parse(text, path);
+  return ReadTextFile(path).and_then([&](const std::string& text) {
+    return DaemonSettings::Parse(text, path);
+  });
 }
 
 Result<DaemonSettings> SettingsOf(const Arguments& arguments) {
