A control host that knows no declarations yet names no operator

A host that has just started holds no declarations that it knows to be accepted, so it took the operator's key for the first operator of its settings; the change then bore another operator's name than the first time. A withdrawn first key was taken in that time as well. Ruled out: load; nothing else ran. Change: while nothing is known, the operators are read from a confirmed record; without a majority nobody is an operator (503). Test: in processes, one of three hosts restarted: 200 before, 503 after; a unit case of the port. A change made as first operator and sent again once operators are declared is still refused: its name is part of what a resend must repeat.

--- a/programs/sapphirebankd/operator_door.cc
+++ b/programs/sapphirebankd/operator_door.cc
@@ -3,6 +3,7 @@
 #include <future>
 #include <utility>
 
+#include "sapphirebank/config/declarations_document.h"
 #include "sapphirebank/config/operator_lookup.h"
 
 namespace sapphirebank {
@@ -52,6 +53,22 @@
   });
 }
 
+// Returns the declarations by which operators are known. A host that has just
+// started holds accepted changes that it does not know to be accepted yet, and
+// must not take the first operator of its settings for the one that declared
+// others.
+Result<std::shared_ptr<const Declarations>> KnownDeclarations(
+    ControlDaemon& control) {
+  if (auto known = control.declarations()) return known;
+  const auto current = ReadDeclarations(control);
+  if (!current) return tl::unexpected(current.error());
+  if (current->revision == 0) return std::make_shared<const Declarations>();
+  return DeclarationsFromDocument(current->document)
+      .map([](Declarations declarations) {
+        return std::make_shared<const Declarations>(std::move(declarations));
+      });
+}
+
 }  // namespace
 
 Result<std::unique_ptr<OperatorServer>> OpenOperatorPort(
@@ -59,11 +76,12 @@
   OperatorServerSettings server;
   server.endpoint = settings.listeners.operators;
   OperatorHooks hooks;
-  hooks.operator_of_digest = [&control, first = settings.first_operator_sha256](
-                                 std::string_view sha256) {
-    const auto declarations = control.declarations();
-    return OperatorOfDigest(declarations ? *declarations : Declarations(),
-                            sha256, first);
+  hooks.operator_of_digest =
+      [&control, first = settings.first_operator_sha256](
+          std::string_view sha256) -> Result<std::optional<std::string>> {
+    const auto declarations = KnownDeclarations(control);
+    if (!declarations) return tl::unexpected(declarations.error());
+    return OperatorOfDigest(**declarations, sha256, first);
   };
   hooks.declarations = [&control] { return ReadDeclarations(control); };
   hooks.apply = [&control](const ApplyChange& change) {
--- a/sapphirebank/transport/operator_server.cc
+++ b/sapphirebank/transport/operator_server.cc
@@ -221,7 +221,9 @@
     const std::string field = request.get_header_value("Authorization");
     if (field.starts_with(kBearer)) {
       const std::string digest = Sha256Hex(field.substr(kBearer.size()));
-      if (auto name = hooks_.operator_of_digest(digest)) return *name;
+      auto name = hooks_.operator_of_digest(digest);
+      if (!name) return tl::unexpected(name.error());
+      if (*name) return std::move(**name);
     }
     return Fail(ErrorKind::kOperatorUnknown,
                 "expected \"Authorization: Bearer\" with an operator's key");
--- a/sapphirebank/transport/operator_server.h
+++ b/sapphirebank/transport/operator_server.h
@@ -32,8 +32,9 @@
 // What the server asks the control host. All are called on the server's
 // threads, several at a time.
 struct OperatorHooks {
-  // Returns the operator whose key has this digest, or nothing.
-  std::function<std::optional<std::string>(std::string_view sha256)>
+  // Returns the operator whose key has this digest, or nothing. Fails when the
+  // host cannot tell who the operators are.
+  std::function<Result<std::optional<std::string>>(std::string_view sha256)>
       operator_of_digest;
   std::function<Result<DocumentAtRevision>()> declarations;
   // Applies a change of the operator named in it. It must answer a resend as
--- a/system_tests/fleet.cc
+++ b/system_tests/fleet.cc
@@ -317,6 +317,17 @@
   return json::parse(reply->body);
 }
 
+int Fleet::OperatorStatusOf(int control) const {
+  int status = 0;
+  Await("a control host answers", [&] {
+    httplib::Client client("127.0.0.1", control_ports_.at(control)[1]);
+    const auto reply = client.Get("/v1/status", OperatorHeaders());
+    if (reply) status = reply->status;
+    return status != 0;
+  });
+  return status;
+}
+
 int Fleet::Leader() const {
   std::string leader;
   Await("a leader is known", [&] {
--- a/system_tests/fleet.h
+++ b/system_tests/fleet.h
@@ -81,6 +81,9 @@
   // Returns what one control host answers now; null for a refusal.
   nlohmann::json ReadDeclarationsFrom(int control) const;
 
+  // Waits until a control host answers an operator, and returns the status.
+  int OperatorStatusOf(int control) const;
+
   // Returns the index of the control host that leads.
   int Leader() const;
 
--- a/system_tests/promises_test.cc
+++ b/system_tests/promises_test.cc
@@ -139,6 +139,20 @@
   CHECK(fleet.ReadDeclarations().at("revision") == first.at("revision"));
 }
 
+TEST_CASE("a control host that knows no declarations yet names no operator",
+          "[system]") {
+  Fleet fleet({.control_hosts = 3});
+  fleet.AwaitService();
+  for (int i = 0; i < 3; ++i) fleet.control(i).Kill();
+  // Without a majority it cannot tell what was accepted, so that neither a
+  // declared operator nor the first one of its settings may speak there.
+  fleet.StartControl(0);
+  CHECK(fleet.OperatorStatusOf(0) == 503);
+  for (int i = 1; i < 3; ++i) fleet.StartControl(i);
+  Await("the operator is known",
+        [&] { return fleet.OperatorStatusOf(0) == 200; });
+}
+
 TEST_CASE("a control leader that was frozen never answers with old state",
           "[system]") {
   Fleet fleet({.control_hosts = 3});
--- a/unit_tests/transport/operator_server_test.cc
+++ b/unit_tests/transport/operator_server_test.cc
@@ -1,6 +1,7 @@
 #include "sapphirebank/transport/operator_server.h"
 
 #include <arpa/inet.h>
+#include <httplib.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -26,8 +27,8 @@
   OperatorHooks Hooks() {
     OperatorHooks hooks;
     hooks.operator_of_digest =
-        [](std::string_view sha256) -> std::optional<std::string> {
-      if (sha256 != Sha256Hex(kKey)) return std::nullopt;
+        [](std::string_view sha256) -> Result<std::optional<std::string>> {
+      if (sha256 != Sha256Hex(kKey)) return std::optional<std::string>();
       return "desk";
     };
     hooks.declarations = [this]() -> Result<DocumentAtRevision> {
@@ -116,6 +117,23 @@
   return answer;
 }
 
+TEST_CASE("a host that cannot tell who the operators are refuses them all",
+          "[operators]") {
+  FakeControl control;
+  OperatorHooks hooks = control.Hooks();
+  hooks.operator_of_digest =
+      [](std::string_view) -> Result<std::optional<std::string>> {
+    return Fail(ErrorKind::kNoQuorum, "no leader yet");
+  };
+  const auto server = Serve(std::move(hooks));
+  httplib::Client client("127.0.0.1", server->port());
+  const httplib::Headers headers = {
+      {"Authorization", std::string("Bearer ") + kKey}};
+  const auto answer = client.Get("/v1/status", headers);
+  REQUIRE(answer);
+  CHECK(answer->status == AnswerFor(ErrorKind::kNoQuorum).http_status);
+}
+
 TEST_CASE("an operator reads and changes the declarations", "[operators]") {
   FakeControl control;
   const auto server = Serve(control.Hooks());
