Log line of a lost link names the peer in a field of its own

Cause: link_lost had the field host twice over: that of the process which writes the line and that of the peer; readers of JSON keep one of them. Change: the peer stands in peer. Ruled out: renaming the process's own field, which all lines share.

--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -63,7 +63,7 @@
     if (!LinkTo(peer.host)) hub_.Lost(peer.host);
     if (peer.is_control) TellHubs();
     log_.Write(LogLevel::kInfo, "link_lost",
-               {{"host", peer.host.value()}, {"cause", reason}});
+               {{"peer", peer.host.value()}, {"cause", reason}});
     FlushSoon();
   } else if (!reason.empty()) {
     log_.Write(LogLevel::kWarning, "link_refused", {{"cause", reason}});
