The retry purse saves in the retry budget that requests already had

Cause: RetryPurse and RetryBudget kept the same tokens by two pieces of code. Change: RetryBudget takes its share, reserve and most as settings; the purse holds one for each service. Ruled out: a change of any figure; share, reserve and most are as before.

--- a/sapphirebank/fleet/retry_purse.cc
+++ b/sapphirebank/fleet/retry_purse.cc
@@ -6,25 +6,25 @@
 
 void RetryPurse::SetHosts(double hosts) { hosts_ = std::max(hosts, 1.0); }
 
-double RetryPurse::Most() const {
-  return settings_.part_of_slack * fleet_slack_ / hosts_;
+double RetryPurse::MaxSaved() const {
+  // One whole retry must fit, or many hosts with small shares never retry.
+  return std::max(settings_.part_of_slack * fleet_slack_ / hosts_, 1.0);
 }
 
-double& RetryPurse::SavedFor(const ServiceId& service) {
-  return saved_.try_emplace(service, settings_.at_start).first->second;
+RetryBudget& RetryPurse::BudgetOf(const ServiceId& service) {
+  const RetryBudgetSettings fresh = {settings_.per_request, settings_.at_start,
+                                     MaxSaved()};
+  return budgets_.try_emplace(service, fresh).first->second;
 }
 
 void RetryPurse::Earn(const ServiceId& service) {
-  double& saved = SavedFor(service);
-  // One whole retry must fit, or many hosts with small shares never retry.
-  saved = std::min(saved + settings_.per_request, std::max(Most(), 1.0));
+  RetryBudget& budget = BudgetOf(service);
+  budget.set_max_saved(MaxSaved());
+  budget.CountFirstTry();
 }
 
 bool RetryPurse::Spend(const ServiceId& service) {
-  double& saved = SavedFor(service);
-  if (saved < 1) return false;
-  saved -= 1;
-  return true;
+  return BudgetOf(service).TryTake();
 }
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/retry_purse.h
+++ b/sapphirebank/fleet/retry_purse.h
@@ -3,6 +3,7 @@
 #include <map>
 
 #include "sapphirebank/core/ids.h"
+#include "sapphirebank/request/retry_budget.h"
 
 namespace sapphirebank {
 
@@ -35,19 +36,21 @@
   void Earn(const ServiceId& service);
 
   // Returns whether a retry could be paid for.
-  bool CanSpend(const ServiceId& service) { return SavedFor(service) >= 1; }
+  bool CanSpend(const ServiceId& service) {
+    return BudgetOf(service).available();
+  }
 
   // Pays for a retry; false when there is nothing left.
   bool Spend(const ServiceId& service);
 
  private:
-  double Most() const;
-  double& SavedFor(const ServiceId& service);
+  double MaxSaved() const;
+  RetryBudget& BudgetOf(const ServiceId& service);
 
   RetryPurseSettings settings_;
   double fleet_slack_;
   double hosts_ = 1;
-  std::map<ServiceId, double> saved_;
+  std::map<ServiceId, RetryBudget> budgets_;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/request/dispatcher.h
+++ b/sapphirebank/request/dispatcher.h
@@ -111,7 +111,7 @@
   struct ServiceState {
     ServiceId id;
     BackendPolicy policy;
-    RetryBudget retries{0};
+    RetryBudget retries{RetryBudgetSettings()};
     std::optional<FairQueue> queue;
   };
 
--- a/sapphirebank/request/retry_budget.cc
+++ b/sapphirebank/request/retry_budget.cc
@@ -5,7 +5,7 @@
 namespace sapphirebank {
 
 void RetryBudget::CountFirstTry() {
-  tokens_ = std::min(kMaxSaved, tokens_ + share_);
+  tokens_ = std::min(settings_.max_saved, tokens_ + settings_.share);
 }
 
 bool RetryBudget::TryTake() {
--- a/sapphirebank/request/retry_budget.h
+++ b/sapphirebank/request/retry_budget.h
@@ -4,13 +4,22 @@
 
 namespace sapphirebank {
 
+struct RetryBudgetSettings {
+  // Retries for each first try, in [0, 1].
+  double share = 0;
+  // Retries that a service begins with.
+  double reserve = 3;
+  // Retries that it can save up.
+  double max_saved = 100;
+};
+
 // Limits the retries of one service on one host to a share of its first tries,
 // so that retries cannot multiply the load on backend servers that already
 // fail.
 class RetryBudget {
  public:
-  // `share` is the number of retries for each first try, in [0, 1].
-  explicit RetryBudget(double share) : share_(share) {}
+  explicit RetryBudget(const RetryBudgetSettings& settings)
+      : settings_(settings), tokens_(settings.reserve) {}
 
   // Counts a first try.
   void CountFirstTry();
@@ -22,15 +31,14 @@
   bool available() const { return tokens_ >= 1; }
 
   // Changes the share.
-  void set_share(double share) { share_ = share; }
+  void set_share(double share) { settings_.share = share; }
 
- private:
-  // Retries that a service begins with, and the most that it can save up.
-  static constexpr double kReserve = 3;
-  static constexpr double kMaxSaved = 100;
+  // Changes how much can be saved from the next first try on.
+  void set_max_saved(double max_saved) { settings_.max_saved = max_saved; }
 
-  double share_;
-  double tokens_ = kReserve;
+ private:
+  RetryBudgetSettings settings_;
+  double tokens_;
 };
 
 }  // namespace sapphirebank
--- a/unit_tests/request/attempt_policy_test.cc
+++ b/unit_tests/request/attempt_policy_test.cc
@@ -91,7 +91,7 @@
 }
 
 TEST_CASE("retries stay a share of first tries", "[request]") {
-  RetryBudget budget(0.1);
+  RetryBudget budget(RetryBudgetSettings{.share = 0.1});
   int granted = 0;
   constexpr int kFirstTries = 1000;
   for (int i = 0; i < kFirstTries; ++i) {
