The timer of a try does not touch a request that has ended

Cause: the handler of WatchTry() held a reference to the request; a timer that had fired already when the try ended ran after the request was gone. Change: the handler holds a weak reference to the try and does nothing once it is over. Ruled out: cancel() alone; it does not take back a handler that is queued.

--- a/programs/fleet_host/entry_requests.cc
+++ b/programs/fleet_host/entry_requests.cc
@@ -258,10 +258,11 @@
   // Work that must run once is not broken off when its caller leaves.
   std::shared_ptr<CallerWatch> watch;
   asio::steady_timer timer(loop_);
+  std::shared_ptr<void> try_lives;
   if (work.route->idempotent) {
     watch = std::make_shared<CallerWatch>();
     work.request.watch->set_on_hang_up([watch] { watch->HangUp(); });
-    if (!choice.is_busy) WatchTry(work, timer, watch);
+    if (!choice.is_busy) try_lives = WatchTry(work, timer, watch);
   }
   ++server->in_flight;
   ExchangeResult result = co_await client_.Exchange(std::move(exchange), watch);
--- a/programs/fleet_host/entry_requests.h
+++ b/programs/fleet_host/entry_requests.h
@@ -56,8 +56,10 @@
   TryEnd JudgeAnswer(Work& work, KnownServer& server, HttpAnswer answer);
   const PlannedService* ChooseService(const Work& work);
   bool MayGiveUp(const Work& work);
-  void WatchTry(const Work& work, boost::asio::steady_timer& timer,
-                const std::shared_ptr<CallerWatch>& watch);
+  // Returns what must live as long as the try.
+  std::shared_ptr<void> WatchTry(const Work& work,
+                                 boost::asio::steady_timer& timer,
+                                 const std::shared_ptr<CallerWatch>& watch);
   bool MayRetry(Work& work, const TryEnd& end, Instant now);
   HttpAnswer Refuse(const Work& work, ErrorKind kind, Duration retry_after);
   void LogEnd(const Work& work, const HttpAnswer& answer);
