Successes count while half of a service is down

Cause: while no further server of a service may be put to rest, what hosts saw of the sound ones was dropped whole. Their successes were missing afterwards, so that a single break put them to rest. Change: only failures are dropped then, and only of servers in use. Test: 'successes count while half of a service is down' failed before (down), passes now.

--- a/sapphirebank/fleet/server_board.cc
+++ b/sapphirebank/fleet/server_board.cc
@@ -106,7 +106,9 @@
   if (found == entries_.end()) return;
   Entry& entry = found->second;
   if (outcomes.successes > 0) entry.reached_at = now;
-  if (entry.evidence.standing() == Standing::kUp && !MayLeave(entry)) return;
+  const bool may_fall = entry.evidence.standing() == Standing::kUp &&
+                        outcomes.errors + outcomes.breaks > 0;
+  if (may_fall && !MayLeave(entry)) return;
   if (!entry.evidence.Add(now, outcomes, settings_.evidence)) return;
   entry.state.standing = entry.evidence.standing();
   Touch(entry);
--- a/unit_tests/fleet/server_board_test.cc
+++ b/unit_tests/fleet/server_board_test.cc
@@ -129,6 +129,27 @@
   CHECK(down == 5);
 }
 
+TEST_CASE("successes count while half of a service is down", "[fleet]") {
+  const ServerBoardSettings settings;
+  ServerBoard board{settings};
+  const FleetRecord record;
+  for (const char* id : {"a", "b", "c", "d"}) {
+    board.Hear(kStart, AServer(id), record);
+  }
+  for (const char* id : {"a", "b"}) {
+    board.AddOutcomes(kStart, BackendId(id), {0, 0, 1});
+  }
+  REQUIRE(StateOf(board, "b").standing == Standing::kDown);
+  board.AddOutcomes(kStart, BackendId("c"), {20, 0, 0});
+  const Instant probed = kStart + settings.evidence.first_rest;
+  board.Tick(probed);
+  board.AddOutcomes(probed, BackendId("a"), {2, 0, 0});
+  REQUIRE(StateOf(board, "a").standing == Standing::kUp);
+  // One break among twenty successes is no gray server.
+  board.AddOutcomes(probed, BackendId("c"), {0, 0, 1});
+  CHECK(StateOf(board, "c").standing == Standing::kUp);
+}
+
 TEST_CASE("a relay takes the leader's word but not on an earlier life",
           "[fleet]") {
   ServerBoard board{ServerBoardSettings()};
