Requests that may be repeated prove servers, others go where one was just taken

Each that came back from its rest met whatever request came next; one that must run once was lost there. Ruled out: longer rests (a server that failed by itself must be used after 2 s); health checks (the servers pass them). Change: the hub notes when each server last took a request (ServerProofs). First tries of requests that may be repeated go to the server asked least recently; retries and requests that must run once to the one proven last. The hub pays for the retries of its zone's hosts; a host keeps a small purse for tries that it gives up and for times without a hub. Each judgement of a server is a log line. Tests: 'what must run once goes where a lookup was just taken', 'servers that fail in turn meet lookups first', 'a retry goes to a server that was proven', 'a hub pays for the retries of all its hosts'; 'all purses together keep to the fleet's retries' counts hubs and hosts together. In 'requests go to the server with the least in work' the ended requests say nothing of their servers now; else these would be preferred, as they should.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -67,6 +67,12 @@
   return host;
 }
 
+FleetHubSettings HubSettings(const FleetSettings& settings) {
+  FleetHubSettings hub;
+  hub.retry_slack = settings.retry_slack;
+  return hub;
+}
+
 }  // namespace
 
 Result<std::unique_ptr<ControlProcess>> ControlProcess::Start(
@@ -107,7 +113,7 @@
       loop_(loop),
       files_(std::move(files)),
       host_(std::move(host)),
-      hub_(FleetHubSettings(), RandomSeed(),
+      hub_(HubSettings(settings), RandomSeed(),
            HubHost{self_.value(), settings.zone}, Random(RandomSeed())),
       published_(std::make_shared<const std::vector<ReadyHost>>()),
       random_(RandomSeed()),
@@ -187,6 +193,17 @@
   if (!leads_) ReportUp(now);
   PushNews(now);
   PublishReady(now);
+  LogJudgements();
+}
+
+void ControlProcess::LogJudgements() {
+  for (const StandingChange& change : hub_.TakeStandingChanges()) {
+    log_.Write(LogLevel::kInfo, "server_judged",
+               {{"server", change.server.value()},
+                {"standing", ToString(change.standing)},
+                {"successes", change.successes},
+                {"failures", change.failures}});
+  }
 }
 
 void ControlProcess::FollowRecord(Instant now) {
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -87,6 +87,7 @@
   Duration Age(Instant now) const;
   void SendUpdate(LinkId link, FleetUpdate update, Instant now);
   void PublishReady(Instant now);
+  void LogJudgements();
 
   // control_process_links.cc
   FleetLink::Hooks LinkHooks();
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -4,6 +4,7 @@
 
 #include "programs/fleet_host/control_process.h"
 #include "sapphirebank/core/cbor.h"
+#include "sapphirebank/core/json_read.h"
 
 // The links of a control host, to the others and to entry hosts.
 namespace sapphirebank {
@@ -138,7 +139,8 @@
       OnAsk(link, from, message);
       return;
     } else if (type == "end") {
-      hub_.EndAssignment({from, message.at("n").get<std::uint64_t>()});
+      hub_.EndAssignment({from, message.at("n").get<std::uint64_t>()},
+                         ReadEnum(message.at("end"), AssignmentEnd::kUnjudged));
       return;
     } else if (type == "report") {
       OnReport(link, from, message);
@@ -216,6 +218,7 @@
   query.service = ServiceId(message.at("s").get<std::string>());
   query.zone = ZoneId(message.at("z").get<std::string>());
   query.repeatable = message.at("r").get<bool>();
+  query.is_retry = message.at("again").get<bool>();
   for (const auto& id : message.at("x")) {
     query.excluded.insert(BackendId(id.get<std::string>()));
   }
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -194,22 +194,23 @@
   links_.Send(*link_, {{"t", "report"}, {"r", report}});
 }
 
-bool EntryLink::Ask(std::uint64_t number, const ServiceId& service,
-                    bool repeatable, std::span<const BackendId> excluded) {
+bool EntryLink::Ask(std::uint64_t number, const DispatchQuery& query) {
   if (!hub_answered_) return false;
   json names = json::array();
-  for (const BackendId& id : excluded) names.push_back(id.value());
+  for (const BackendId& id : query.excluded) names.push_back(id.value());
   links_.Send(*link_, {{"t", "ask"},
                        {"n", number},
-                       {"s", service.value()},
+                       {"s", query.service.value()},
                        {"z", settings_.zone.value()},
-                       {"r", repeatable},
+                       {"r", query.repeatable},
+                       {"again", query.is_retry},
                        {"x", std::move(names)}});
   return true;
 }
 
-void EntryLink::End(std::uint64_t number) {
-  if (hub_answered_) links_.Send(*link_, {{"t", "end"}, {"n", number}});
+void EntryLink::End(std::uint64_t number, AssignmentEnd end) {
+  if (!hub_answered_) return;
+  links_.Send(*link_, {{"t", "end"}, {"n", number}, {"end", end}});
 }
 
 void EntryLink::OnMessage(LinkId link, const json& message) {
--- a/programs/fleet_host/entry_link.h
+++ b/programs/fleet_host/entry_link.h
@@ -8,7 +8,6 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -51,12 +50,11 @@
   // Reports at once when a hub is in reach; otherwise the next report says it.
   void ReportNow();
 
-  // Asks for a server. Returns false when no hub is in reach.
-  bool Ask(std::uint64_t number, const ServiceId& service, bool repeatable,
-           std::span<const BackendId> excluded);
+  // Asks for a server near this host. Returns false when no hub is in reach.
+  bool Ask(std::uint64_t number, const DispatchQuery& query);
 
   // Tells that the request that was assigned is over.
-  void End(std::uint64_t number);
+  void End(std::uint64_t number, AssignmentEnd end);
 
  private:
   using LinkId = FleetLink::LinkId;
--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -60,11 +60,12 @@
              settings.retry_slack, settings.zone, RandomSeed(),
              EntryState::Hooks{
                  [this] { ReportSoon(); },
-                 [this](std::uint64_t number, const ServiceId& service,
-                        bool repeatable, std::span<const BackendId> excluded) {
-                   return link_.Ask(number, service, repeatable, excluded);
+                 [this](std::uint64_t number, const DispatchQuery& query) {
+                   return link_.Ask(number, query);
                  },
-                 [this](std::uint64_t number) { link_.End(number); }}),
+                 [this](std::uint64_t number, AssignmentEnd end) {
+                   link_.End(number, end);
+                 }}),
       requests_(loop, state_, std::move(dialect), log),
       timer_(loop),
       link_(loop, settings,
--- a/programs/fleet_host/entry_requests.cc
+++ b/programs/fleet_host/entry_requests.cc
@@ -64,6 +64,8 @@
   int arrivals = 0;
   // A server may have run it.
   bool may_have_run = false;
+  // The next try takes from the retry budget.
+  bool must_pay = false;
 };
 
 EntryRequests::EntryRequests(asio::io_context& loop, EntryState& state,
@@ -179,11 +181,12 @@
     ServerQuery query;
     query.service = work.service;
     query.repeatable = work.route->idempotent;
+    query.is_retry = work.must_pay;
     query.tried = work.tried;
     const EntryState::Choice choice = co_await state_.Choose(query);
     if (!choice.server) break;
     last = co_await Try(work, choice);
-    state_.End(choice);
+    state_.End(choice, last.server);
     if (last.answer) ready = std::exchange(last.answer, std::nullopt);
     if (!MayRetry(work, last, MonotonicNow())) break;
   }
@@ -198,15 +201,18 @@
 bool EntryRequests::MayRetry(Work& work, const TryEnd& end, Instant now) {
   if (!end.may_retry || work.deadline - now < kLeastRetryTime) return false;
   if (work.arrivals >= work.route->max_tries) return false;
-  // A try that no server saw takes nothing from the budget.
-  return !end.arrived || state_.retries().Spend(work.service->id);
+  // A try that no server saw takes nothing from the budget, and one that was
+  // given up is paid for.
+  work.must_pay = end.arrived && !end.is_paid;
+  return true;
 }
 
-// Returns whether a try may be given up in favour of another one.
-bool EntryRequests::MayGiveUp(const Work& work) {
+// Returns whether a try is given up in favour of another one, which is paid for
+// then.
+bool EntryRequests::GiveUp(const Work& work) {
   const bool is_last = work.arrivals + 1 >= work.route->max_tries;
   return work.route->idempotent && !is_last && !leaving_ &&
-         state_.retries().CanSpend(work.service->id);
+         state_.retries().Spend(work.service->id);
 }
 
 // Ends a try whose server does not answer in time, unless the host has begun
@@ -220,7 +226,7 @@
                                   kTryPartOfObjective));
   timer.async_wait([this, &work, watch, lives = std::weak_ptr(try_lives)](
                        boost::system::error_code error) {
-    if (!error && !lives.expired() && MayGiveUp(work)) watch->HangUp();
+    if (!error && !lives.expired() && GiveUp(work)) watch->HangUp();
   });
   return try_lives;
 }
@@ -273,7 +279,9 @@
     const bool gave_up =
         watch && watch->hung_up() && !work.request.watch->hung_up();
     failure->timed_out = failure->timed_out || gave_up;
-    co_return JudgeFailure(work, *server, *failure);
+    TryEnd end = JudgeFailure(work, *server, *failure);
+    end.is_paid = gave_up;
+    co_return end;
   }
   co_return JudgeAnswer(work, *server,
                         std::move(std::get<HttpAnswer>(result.outcome)));
@@ -286,7 +294,9 @@
   if (failure.stage == AttemptStage::kNotConnected) {
     end.failure = ErrorKind::kBackendUnreachable;
     end.may_retry = true;
-    if (!work.request.watch->hung_up()) state_.Unreachable(now, server);
+    if (work.request.watch->hung_up()) return end;
+    end.server = AssignmentEnd::kFailed;
+    state_.Unreachable(now, server);
     return end;
   }
   end.arrived = true;
@@ -296,6 +306,7 @@
                                   : ErrorKind::kBackendBroken;
   end.may_retry = work.route->idempotent;
   if (work.request.watch->hung_up()) return end;
+  end.server = AssignmentEnd::kFailed;
   const bool is_fault = !failure.timed_out || now < work.deadline;
   if (is_fault) {
     client_.Forget(server.state.announcement.endpoint);
@@ -318,6 +329,7 @@
   if (word.misdirected) {
     end.failure = ErrorKind::kNoBackendServer;
     end.may_retry = true;
+    end.server = AssignmentEnd::kFailed;
     state_.Unreachable(now, server);
     return end;
   }
@@ -333,6 +345,7 @@
   work.may_have_run = true;
   StripConnectionFields(answer.fields);
   const bool failed = answer.status >= kFirstServerError;
+  end.server = failed ? AssignmentEnd::kFailed : AssignmentEnd::kServed;
   if (failed) {
     state_.Erred(server);
     end.may_retry = work.route->idempotent && !answer.stream;
--- a/programs/fleet_host/entry_requests.h
+++ b/programs/fleet_host/entry_requests.h
@@ -45,6 +45,10 @@
     bool may_retry = false;
     // The server had a part of the request.
     bool arrived = false;
+    // The next try is paid for already.
+    bool is_paid = false;
+    // What it says about the server.
+    AssignmentEnd server = AssignmentEnd::kUnjudged;
   };
 
   Result<void> Admit(Work& work) const;
@@ -55,7 +59,7 @@
                       const AttemptFailure& failure);
   TryEnd JudgeAnswer(Work& work, KnownServer& server, HttpAnswer answer);
   const PlannedService* ChooseService(const Work& work);
-  bool MayGiveUp(const Work& work);
+  bool GiveUp(const Work& work);
   // Returns what must live as long as the try.
   std::shared_ptr<void> WatchTry(const Work& work,
                                  boost::asio::steady_timer& timer,
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -29,7 +29,7 @@
                        std::uint64_t seed, Hooks hooks)
     : loop_(loop),
       view_(std::move(reader), key_permission),
-      retries_(RetryPurseSettings(), retry_slack),
+      retries_(kEntryHostRetries, retry_slack),
       random_(seed),
       chooser_(ServerChooserSettings(), std::move(zone), Random(seed + 1)),
       hooks_(std::move(hooks)) {}
@@ -37,7 +37,7 @@
 Result<void> EntryState::Apply(Instant now, std::optional<Instant> asked_at,
                                const FleetUpdate& update) {
   auto applied = view_.Apply(now, asked_at, update);
-  retries_.SetHosts(update.entry_hosts);
+  retries_.SetPurses(update.entry_hosts);
   TakeGrants(asked_at.value_or(now), update);
   return applied;
 }
@@ -60,18 +60,21 @@
 boost::asio::awaitable<EntryState::Choice> EntryState::Choose(
     ServerQuery query) {
   const Instant now = MonotonicNow();
-  std::vector<BackendId> excluded;
+  DispatchQuery question;
+  question.service = query.service->id;
+  question.repeatable = query.repeatable;
+  question.is_retry = query.is_retry;
   for (const KnownServerPtr& server : query.tried) {
-    excluded.push_back(server->state.announcement.id);
+    question.excluded.insert(server->state.announcement.id);
   }
   for (const KnownServerPtr& server : view_.ServersOf(query.service->id)) {
     if (now < server->avoid_until) {
-      excluded.push_back(server->state.announcement.id);
+      question.excluded.insert(server->state.announcement.id);
     }
   }
   Choice choice;
   const std::uint64_t number = next_assignment_++;
-  if (hooks_.ask(number, query.service->id, query.repeatable, excluded)) {
+  if (hooks_.ask(number, question)) {
     auto waiter = std::make_shared<Waiter>(loop_);
     waiter->timer.expires_after(kAssignmentTime);
     choosing_[number] = waiter;
@@ -85,8 +88,9 @@
       choice.is_busy = waiter->choice.is_busy;
       co_return choice;
     }
-    hooks_.end(number);
+    hooks_.end(number, AssignmentEnd::kUnjudged);
   }
+  if (query.is_retry && !retries_.Spend(query.service->id)) co_return choice;
   choice.server = chooser_.Choose(MonotonicNow(), view_, query);
   co_return choice;
 }
@@ -99,8 +103,8 @@
   found->second->timer.cancel();
 }
 
-void EntryState::End(const Choice& choice) {
-  if (choice.assignment != 0) hooks_.end(choice.assignment);
+void EntryState::End(const Choice& choice, AssignmentEnd end) {
+  if (choice.assignment != 0) hooks_.end(choice.assignment, end);
 }
 
 boost::asio::awaitable<TokenAnswer> EntryState::TakeToken(WorkspaceId workspace,
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -7,7 +7,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <span>
 
 #include "sapphirebank/core/random.h"
 #include "sapphirebank/fleet/allowance_stock.h"
@@ -30,11 +29,9 @@
     // Asks for a report to be sent at once.
     std::function<void()> report_now;
     // Asks the hub for a server; false when no hub is in reach.
-    std::function<bool(std::uint64_t number, const ServiceId& service,
-                       bool repeatable, std::span<const BackendId> excluded)>
-        ask;
+    std::function<bool(std::uint64_t number, const DispatchQuery& query)> ask;
     // Tells the hub that a request which it assigned is over.
-    std::function<void(std::uint64_t number)> end;
+    std::function<void(std::uint64_t number, AssignmentEnd end)> end;
   };
 
   EntryState(boost::asio::io_context& loop, PlanReader reader,
@@ -78,14 +75,15 @@
   };
 
   // Returns the server that the hub assigns, or one that this host chooses
-  // when the hub does not answer soon.
+  // when the hub does not answer soon. A retry for which neither the hub nor
+  // this host can pay gets none.
   boost::asio::awaitable<Choice> Choose(ServerQuery query);
 
   // Takes the hub's choice.
   void TakeChoice(std::uint64_t assignment, const DispatchChoice& choice);
 
   // The try has ended.
-  void End(const Choice& choice);
+  void End(const Choice& choice, AssignmentEnd end);
 
   // Returns a number in [0, 1).
   double Draw() { return random_.Unit(); }
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -19,6 +19,7 @@
       self_(self),
       board_(settings.board),
       dispatcher_(settings.dispatch, self.zone, random),
+      retries_(kHubRetries, settings.retry_slack),
       crashes_(settings.crashes),
       hubs_({self}) {}
 
@@ -97,7 +98,11 @@
 // Judges what was seen, or adds it to what the leader is told.
 void FleetHub::Sum(Instant now, const EntryReport& report) {
   for (const auto& [server, outcomes] : report.outcomes) {
-    if (outcomes.breaks > 0) dispatcher_.Suspect(now, server);
+    if (outcomes.breaks > 0) {
+      dispatcher_.Suspect(now, server);
+    } else if (outcomes.errors > 0) {
+      dispatcher_.Doubt(server);
+    }
   }
   if (leads_) {
     for (const auto& [server, outcomes] : report.outcomes) {
@@ -233,6 +238,7 @@
   if (!plan_) return;
   const std::uint32_t all = std::max(EntryHosts(), OwnEntryHosts());
   own_part_ = static_cast<double>(OwnEntryHosts()) / std::max(all, 1U);
+  if (own_part_ > 0) retries_.SetPurses(1 / own_part_);
   own_bank_.Adopt(
       now, *plan_,
       {kAllHubsShare.of_rate * own_part_, kAllHubsShare.of_burst * own_part_});
@@ -314,7 +320,12 @@
                                                const AssignmentId& id,
                                                const DispatchQuery& query) {
   if (!plan_) return std::nullopt;
-  return dispatcher_.Assign(now, id, query, board_, zones_out_, *plan_);
+  if (!query.is_retry) retries_.Earn(query.service);
+  if (query.is_retry && !retries_.CanSpend(query.service)) return std::nullopt;
+  const auto choice =
+      dispatcher_.Assign(now, id, query, board_, zones_out_, *plan_);
+  if (choice && query.is_retry) retries_.Spend(query.service);
+  return choice;
 }
 
 void FleetHub::Lost(const HostId& host) {
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -16,6 +16,7 @@
 #include "sapphirebank/fleet/fleet_messages.h"
 #include "sapphirebank/fleet/fleet_record.h"
 #include "sapphirebank/fleet/plan_history.h"
+#include "sapphirebank/fleet/retry_purse.h"
 #include "sapphirebank/fleet/server_board.h"
 #include "sapphirebank/fleet/server_dispatcher.h"
 #include "sapphirebank/fleet/traffic_plan.h"
@@ -26,6 +27,8 @@
   ServerBoardSettings board;
   ServerDispatcherSettings dispatch;
   CrashLedgerSettings crashes;
+  // Retries that the whole fleet may make beyond those that requests earn.
+  double retry_slack = 0;
   // An entry host that is not heard for this time is no longer named to
   // callers: four reports, and well below the 6 s after which naming it would
   // be wrong.
@@ -81,10 +84,13 @@
   // Of a relay: takes the leader's update.
   void TakeUp(Instant now, const FleetUpdate& update);
 
-  // Assigns a request of an entry host to a server.
+  // Assigns a request of an entry host to a server; a retry only when it can
+  // be paid for.
   std::optional<DispatchChoice> Assign(Instant now, const AssignmentId& id,
                                        const DispatchQuery& query);
-  void EndAssignment(const AssignmentId& id) { dispatcher_.End(id); }
+  void EndAssignment(const AssignmentId& id, AssignmentEnd end) {
+    dispatcher_.End(id, end);
+  }
 
   // The host's link ended. It is no longer named to callers.
   void Lost(const HostId& host);
@@ -105,6 +111,11 @@
 
   const ServerBoard& board() const { return board_; }
 
+  // Returns the judgements of servers since the last call.
+  std::vector<StandingChange> TakeStandingChanges() {
+    return board_.TakeStandingChanges();
+  }
+
  private:
   // An entry host or a relay that reports here.
   struct Reporter {
@@ -155,6 +166,7 @@
   AllowanceBank own_bank_;
   AllowanceBank leaders_bank_;
   double own_part_ = 0;
+  RetryPurse retries_;
   CrashLedger crashes_;
   PlanHistory plans_;
   std::shared_ptr<const TrafficPlan> plan_;
--- a/sapphirebank/fleet/retry_purse.cc
+++ b/sapphirebank/fleet/retry_purse.cc
@@ -4,11 +4,11 @@
 
 namespace sapphirebank {
 
-void RetryPurse::SetHosts(double hosts) { hosts_ = std::max(hosts, 1.0); }
+void RetryPurse::SetPurses(double purses) { purses_ = std::max(purses, 1.0); }
 
 double RetryPurse::MaxSaved() const {
-  // One whole retry must fit, or many hosts with small shares never retry.
-  return std::max(settings_.part_of_slack * fleet_slack_ / hosts_, 1.0);
+  // One whole retry must fit, or many purses with small shares never pay.
+  return std::max(settings_.part_of_slack * fleet_slack_ / purses_, 1.0);
 }
 
 RetryBudget& RetryPurse::BudgetOf(const ServiceId& service) {
--- a/sapphirebank/fleet/retry_purse.h
+++ b/sapphirebank/fleet/retry_purse.h
@@ -8,20 +8,28 @@
 namespace sapphirebank {
 
 struct RetryPurseSettings {
-  // Retries that each request earns for its service. The fleet may spend 0.2
-  // of the requests of callers. Checks of the configuration earn here as well
-  // but do not count there, and are up to a third of all requests.
-  double per_request = 0.12;
-  // Part of the fleet's fixed retries that all hosts together may have saved.
-  double part_of_slack = 0.6;
-  // Retries that a host starts with: many start again at once after a power
-  // loss, in the window in which they spent what they had.
-  double at_start = 0.3;
+  // Retries that each request earns for its service.
+  double per_request = 0;
+  // Part of the fleet's fixed retries that all purses of a kind together may
+  // have saved.
+  double part_of_slack = 0;
+  // Retries that a purse starts with.
+  double at_start = 0;
 };
 
-// A host's own share of the fleet's retry budget, for each service. The shares
-// of all hosts sum to less than the whole, so that nobody need be asked, also
-// while the network is cut.
+// The fleet may spend 0.2 of the requests of callers. Checks of the
+// configuration earn here as well but do not count there, and are up to a third
+// of all requests. Nobody starts with retries: many start again at once after a
+// power loss, in the window in which they spent what they had.
+//
+// Most retries are kept by the hubs, which pay for all hosts of a zone: the few
+// requests of one host earn too slowly for two failures in a row.
+inline constexpr RetryPurseSettings kHubRetries = {0.1, 0.3, 0};
+inline constexpr RetryPurseSettings kEntryHostRetries = {0.03, 0.15, 0};
+
+// A share of the fleet's retry budget, for each service. All shares sum to less
+// than the whole, so that none of them need be asked for more, also while the
+// network is cut.
 class RetryPurse {
  public:
   // `fleet_slack` are the retries that the whole fleet may make beyond those
@@ -29,8 +37,8 @@
   RetryPurse(RetryPurseSettings settings, double fleet_slack)
       : settings_(settings), fleet_slack_(fleet_slack) {}
 
-  // Sets among how many hosts the slack is shared.
-  void SetHosts(double hosts);
+  // Sets among how many purses of this kind the slack is shared.
+  void SetPurses(double purses);
 
   // Notes a request for `service`.
   void Earn(const ServiceId& service);
@@ -49,7 +57,7 @@
 
   RetryPurseSettings settings_;
   double fleet_slack_;
-  double hosts_ = 1;
+  double purses_ = 1;
   std::map<ServiceId, RetryBudget> budgets_;
 };
 
--- a/sapphirebank/fleet/server_announcement.h
+++ b/sapphirebank/fleet/server_announcement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string_view>
 
 #include "sapphirebank/core/endpoint.h"
 #include "sapphirebank/core/ids.h"
@@ -35,6 +36,19 @@
   kDown,       // It fails: no requests.
 };
 
+// Returns the standing's name in logs.
+constexpr std::string_view ToString(Standing standing) {
+  switch (standing) {
+    case Standing::kUp:
+      return "up";
+    case Standing::kProbation:
+      return "probation";
+    case Standing::kDown:
+      return "down";
+  }
+  return "unknown";
+}
+
 // One backend server as hosts are told of it.
 struct ServerState {
   ServerAnnouncement announcement;
--- a/sapphirebank/fleet/server_board.cc
+++ b/sapphirebank/fleet/server_board.cc
@@ -110,7 +110,15 @@
                         outcomes.errors + outcomes.breaks > 0;
   if (may_fall && !MayLeave(entry)) return;
   if (!entry.evidence.Add(now, outcomes, settings_.evidence)) return;
+  Judge(id, entry);
+}
+
+// Takes over what the evidence says.
+void ServerBoard::Judge(const BackendId& id, Entry& entry) {
   entry.state.standing = entry.evidence.standing();
+  standing_changes_.push_back({id, entry.state.standing,
+                               entry.evidence.successes(),
+                               entry.evidence.failures()});
   Touch(entry);
 }
 
@@ -159,10 +167,7 @@
 void ServerBoard::Tick(Instant now) {
   for (auto& [id, entry] : entries_) {
     if (entry.state.retired) continue;
-    if (entry.evidence.Tick(now, settings_.evidence)) {
-      entry.state.standing = entry.evidence.standing();
-      Touch(entry);
-    }
+    if (entry.evidence.Tick(now, settings_.evidence)) Judge(id, entry);
     const Duration silence = now - entry.heard_at;
     const bool failing = entry.state.standing != Standing::kUp &&
                          now - entry.reached_at > settings_.silent_and_failing;
--- a/sapphirebank/fleet/server_board.h
+++ b/sapphirebank/fleet/server_board.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <utility>
 #include <vector>
 
 #include "sapphirebank/core/ids.h"
@@ -25,6 +26,15 @@
   Duration zone_return_warm_up = std::chrono::seconds(3);
 };
 
+// A judgement of a backend server and what it came from.
+struct StandingChange {
+  BackendId server;
+  Standing standing = Standing::kUp;
+  // Seen of late, decayed.
+  double successes = 0;
+  double failures = 0;
+};
+
 // All backend servers that are known, in one place that sorts out heartbeats
 // which come late, twice, from an earlier life or about an address that others
 // use by now.
@@ -70,7 +80,13 @@
 
   const std::map<BackendId, Entry>& entries() const { return entries_; }
 
+  // Returns the judgements since the last call.
+  std::vector<StandingChange> TakeStandingChanges() {
+    return std::exchange(standing_changes_, {});
+  }
+
  private:
+  void Judge(const BackendId& id, Entry& entry);
   void Touch(Entry& entry) { entry.changed = ++changes_; }
   bool IsOutdated(const ServerAnnouncement& announcement) const;
   void RetireOthersAt(const ServerAnnouncement& announcement);
@@ -80,6 +96,7 @@
   ServerBoardSettings settings_;
   std::map<BackendId, Entry> entries_;
   std::uint64_t changes_ = 0;
+  std::vector<StandingChange> standing_changes_;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/server_chooser.cc
+++ b/sapphirebank/fleet/server_chooser.cc
@@ -26,7 +26,7 @@
     case Standing::kUp:
       return true;
     case Standing::kProbation:
-      return query.repeatable;
+      return query.repeatable && !query.is_retry;
     case Standing::kDown:
       return false;
   }
--- a/sapphirebank/fleet/server_chooser.h
+++ b/sapphirebank/fleet/server_chooser.h
@@ -24,6 +24,8 @@
   const PlannedService* service = nullptr;
   // The request may run more than once.
   bool repeatable = false;
+  // A try after one that reached a server: it takes from the retry budget.
+  bool is_retry = false;
   // Servers that had the request already.
   std::span<const KnownServerPtr> tried;
 };
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -4,6 +4,16 @@
 
 namespace sapphirebank {
 
+namespace {
+
+// Returns whether a failure of the next server does no harm: another one can
+// be tried after it.
+bool MayProbe(const DispatchQuery& query) {
+  return query.repeatable && !query.is_retry;
+}
+
+}  // namespace
+
 ServerDispatcher::Candidates ServerDispatcher::Sort(
     Instant now, const DispatchQuery& query, const ServerBoard& board,
     const std::set<ZoneId>& zones_out) const {
@@ -19,7 +29,7 @@
     const bool is_sound =
         !suspected_until_.contains(id) &&
         (server.standing == Standing::kUp ||
-         (server.standing == Standing::kProbation && query.repeatable));
+         (server.standing == Standing::kProbation && MayProbe(query)));
     if (now < server.cold_until) {
       if (is_near && is_sound) candidates.cold.push_back(&server);
     } else if (!is_sound) {
@@ -41,6 +51,9 @@
   if (service == nullptr) return std::nullopt;
   const Candidates candidates = Sort(now, query, board, zones_out);
   const ServerState* chosen = ChooseCold(now, candidates, query, *service);
+  if (chosen == nullptr) {
+    chosen = BestProven(now, MayProbe(query), candidates.near);
+  }
   if (chosen == nullptr) chosen = LeastLoaded(candidates.near);
   const bool is_full =
       chosen == nullptr ||
@@ -54,7 +67,8 @@
   // What other hubs send to a server of their zone is not known here.
   const bool is_far = chosen->announcement.zone != zone_ || query.zone != zone_;
   const bool is_busy = InWork(*chosen) >= chosen->announcement.slots;
-  assignments_[id] = {server, now + settings_.assignment_life};
+  assignments_[id] = {server, now, now + settings_.assignment_life};
+  proofs_.Assigned(now, server);
   ++in_work_[server];
   return DispatchChoice{server, is_far || is_busy};
 }
@@ -87,6 +101,36 @@
   return found == in_work_.end() ? 0 : found->second;
 }
 
+double ServerDispatcher::LoadOf(const ServerState& server) const {
+  return InWork(server) / std::max<std::uint32_t>(server.announcement.slots, 1);
+}
+
+// Returns the server with a free slot that suits the request best by what was
+// proven, or null when all are full.
+const ServerState* ServerDispatcher::BestProven(
+    Instant now, bool may_probe, const std::vector<const ServerState*>& among) {
+  const ServerState* best = nullptr;
+  double best_cost = 0;
+  std::uint64_t equals = 0;
+  for (const ServerState* server : among) {
+    const double load = LoadOf(*server);
+    if (load >= 1) continue;
+    const BackendId& id = server->announcement.id;
+    const Duration age =
+        may_probe ? -proofs_.IdleTime(now, id) : proofs_.AgeOf(now, id);
+    const double cost =
+        ToSeconds(age) + load * ToSeconds(settings_.full_server);
+    if (best == nullptr || cost < best_cost) {
+      best = server;
+      best_cost = cost;
+      equals = 1;
+    } else if (cost == best_cost && random_.Below(++equals) == 0) {
+      best = server;
+    }
+  }
+  return best;
+}
+
 // Equally loaded servers are chosen among at random.
 const ServerState* ServerDispatcher::LeastLoaded(
     const std::vector<const ServerState*>& among) {
@@ -94,8 +138,7 @@
   double best_load = 0;
   std::uint64_t equals = 0;
   for (const ServerState* server : among) {
-    const double load = InWork(*server) /
-                        std::max<std::uint32_t>(server->announcement.slots, 1);
+    const double load = LoadOf(*server);
     if (best == nullptr || load < best_load) {
       best = server;
       best_load = load;
@@ -107,9 +150,20 @@
   return best;
 }
 
-void ServerDispatcher::End(const AssignmentId& id) {
+void ServerDispatcher::Suspect(Instant now, const BackendId& server) {
+  suspected_until_[server] = now + settings_.suspicion;
+  proofs_.Failed(server);
+}
+
+void ServerDispatcher::End(const AssignmentId& id, AssignmentEnd end) {
   const auto found = assignments_.find(id);
   if (found == assignments_.end()) return;
+  const Assignment& assignment = found->second;
+  if (end == AssignmentEnd::kServed) {
+    proofs_.Served(assignment.since, assignment.server);
+  } else if (end == AssignmentEnd::kFailed) {
+    proofs_.Failed(assignment.server);
+  }
   const auto count = in_work_.find(found->second.server);
   if (--count->second == 0) in_work_.erase(count);
   assignments_.erase(found);
@@ -121,7 +175,7 @@
        next != assignments_.end() && next->first.first == host; ++next) {
     ended.push_back(next->first);
   }
-  for (const AssignmentId& id : ended) End(id);
+  for (const AssignmentId& id : ended) End(id, AssignmentEnd::kUnjudged);
 }
 
 void ServerDispatcher::Tick(Instant now) {
@@ -129,7 +183,8 @@
   for (const auto& [id, assignment] : assignments_) {
     if (now >= assignment.until) over.push_back(id);
   }
-  for (const AssignmentId& id : over) End(id);
+  for (const AssignmentId& id : over) End(id, AssignmentEnd::kUnjudged);
+  proofs_.Tick(now);
   constexpr Duration kForgetWarmUp = std::chrono::seconds(30);
   std::erase_if(warm_ups_, [&](const auto& item) {
     return now - item.second.filled_at > kForgetWarmUp;
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -11,6 +11,7 @@
 #include "sapphirebank/core/random.h"
 #include "sapphirebank/core/time.h"
 #include "sapphirebank/fleet/server_board.h"
+#include "sapphirebank/fleet/server_proofs.h"
 #include "sapphirebank/fleet/traffic_plan.h"
 
 namespace sapphirebank {
@@ -31,6 +32,9 @@
   double warm_up_burst = 2;
   // The same for a zone that has no hub: several others stand in for it.
   double part_as_stand_in = 0.2;
+  ServerProofsSettings proofs;
+  // A full server is as bad as one whose proof is this much older.
+  Duration full_server = std::chrono::milliseconds(150);
 };
 
 // One entry host's request for a server.
@@ -39,6 +43,8 @@
   // Of the host: its servers are near.
   ZoneId zone;
   bool repeatable = false;
+  // A try after one that reached a server: it takes from the retry budget.
+  bool is_retry = false;
   // Servers that had the request or that the host cannot reach.
   std::set<BackendId> excluded;
 };
@@ -51,6 +57,15 @@
   bool is_busy = false;
 };
 
+// What became of an assignment.
+enum class AssignmentEnd {
+  kServed,
+  // The server failed the request or could not be reached.
+  kFailed,
+  // It says nothing about the server.
+  kUnjudged,
+};
+
 // Names each assignment: the host that asked and its number.
 using AssignmentId = std::pair<HostId, std::uint64_t>;
 
@@ -58,11 +73,18 @@
 // work. The hub of a zone counts that exactly, and also stands in for a zone
 // that has lost its hub, whose servers nobody would use otherwise: join the
 // shortest queue (Winston, "Optimality of the Shortest Line Discipline", 1977).
+//
+// Requests that may be repeated go first to the servers that were asked least
+// recently and prove them; requests that must run once go to those that were
+// proven last.
 class ServerDispatcher {
  public:
   ServerDispatcher(ServerDispatcherSettings settings, ZoneId zone,
                    Random random)
-      : settings_(settings), zone_(std::move(zone)), random_(random) {}
+      : settings_(settings),
+        zone_(std::move(zone)),
+        random_(random),
+        proofs_(settings.proofs) {}
 
   // Returns the server for a request, or nothing when the host must choose
   // itself.
@@ -73,12 +95,13 @@
                                        const TrafficPlan& plan);
 
   // The server broke a request off.
-  void Suspect(Instant now, const BackendId& server) {
-    suspected_until_[server] = now + settings_.suspicion;
-  }
+  void Suspect(Instant now, const BackendId& server);
+
+  // The server failed a request, but did not break it off.
+  void Doubt(const BackendId& server) { proofs_.Failed(server); }
 
   // The request has ended.
-  void End(const AssignmentId& id);
+  void End(const AssignmentId& id, AssignmentEnd end);
 
   // The host is gone, and its requests with it.
   void EndAll(const HostId& host);
@@ -89,6 +112,7 @@
  private:
   struct Assignment {
     BackendId server;
+    Instant since;
     Instant until;
   };
   struct WarmUp {
@@ -109,7 +133,10 @@
                                 const DispatchQuery& query,
                                 const PlannedService& service);
   const ServerState* LeastLoaded(const std::vector<const ServerState*>& among);
+  const ServerState* BestProven(Instant now, bool may_probe,
+                                const std::vector<const ServerState*>& among);
   double InWork(const ServerState& server) const;
+  double LoadOf(const ServerState& server) const;
 
   ServerDispatcherSettings settings_;
   ZoneId zone_;
@@ -118,6 +145,7 @@
   std::map<BackendId, int> in_work_;
   std::map<BackendId, WarmUp> warm_ups_;
   std::map<BackendId, Instant> suspected_until_;
+  ServerProofs proofs_;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/server_evidence.h
+++ b/sapphirebank/fleet/server_evidence.h
@@ -54,6 +54,10 @@
 
   Standing standing() const { return standing_; }
 
+  // What was seen of late, decayed: the inputs of the judgement.
+  double successes() const { return successes_; }
+  double failures() const { return failures_; }
+
  private:
   void Decay(Instant now, const EvidenceSettings& settings);
   void GoDown(Instant now, const EvidenceSettings& settings);
--- a/unit_tests/fleet/budgets_test.cc
+++ b/unit_tests/fleet/budgets_test.cc
@@ -16,8 +16,11 @@
   const auto hosts = GENERATE(1, 10, 44, 60);
   constexpr double kSlack = 62;
   std::vector<RetryPurse> purses(static_cast<std::size_t>(hosts),
-                                 RetryPurse(RetryPurseSettings(), kSlack));
-  for (RetryPurse& purse : purses) purse.SetHosts(hosts);
+                                 RetryPurse(kEntryHostRetries, kSlack));
+  for (RetryPurse& purse : purses) purse.SetPurses(hosts);
+  constexpr std::size_t kHubs = 4;
+  std::vector<RetryPurse> hubs(kHubs, RetryPurse(kHubRetries, kSlack));
+  for (RetryPurse& hub : hubs) hub.SetPurses(kHubs);
   // Half as many checks as requests earn retries too. First a quiet time to
   // save, then a window in which everything fails.
   constexpr int kRequests = 2000;
@@ -25,8 +28,10 @@
   for (int round = 0; round < 2; ++round) {
     for (int i = 0; i < kRequests * 3 / 2; ++i) {
       RetryPurse& purse = purses[static_cast<std::size_t>(i % hosts)];
+      RetryPurse& hub = hubs[static_cast<std::size_t>(i) % kHubs];
       purse.Earn(kDesk);
-      if (round == 1 && purse.Spend(kDesk)) ++spent;
+      hub.Earn(kDesk);
+      if (round == 1 && (hub.Spend(kDesk) || purse.Spend(kDesk))) ++spent;
     }
   }
   CHECK(spent <= 0.2 * kRequests + kSlack);
@@ -34,10 +39,10 @@
 }
 
 TEST_CASE("a purse with too little does not pay", "[fleet]") {
-  RetryPurse purse(RetryPurseSettings(), 60);
+  RetryPurse purse(kEntryHostRetries, 60);
   CHECK_FALSE(purse.CanSpend(kDesk));
   CHECK_FALSE(purse.Spend(kDesk));
-  for (int i = 0; i < 8; ++i) purse.Earn(kDesk);
+  for (int i = 0; i < 34; ++i) purse.Earn(kDesk);
   CHECK(purse.CanSpend(kDesk));
   CHECK(purse.Spend(kDesk));
 }
--- a/unit_tests/fleet/fleet_hub_test.cc
+++ b/unit_tests/fleet/fleet_hub_test.cc
@@ -192,5 +192,30 @@
   CHECK(update.plan->version == 1);
 }
 
+TEST_CASE("a hub pays for the retries of all its hosts", "[fleet]") {
+  FleetHubSettings settings;
+  settings.retry_slack = 60;
+  FleetHub hub{settings, 1, {"10.0.0.1:7", ZoneId("kochi")}, Random(1)};
+  FleetRecord record;
+  record.Apply(StorePlan{1, R"({"version":1})"});
+  hub.Lead(kStart);
+  hub.Follow(kStart, record, MakePlan(APlan()));
+  hub.Hear(kStart, AServer("a"), record);
+  DispatchQuery query = {ServiceId("desk"), ZoneId("kochi"), true, false, {}};
+  std::uint64_t number = 1;
+  const auto ask = [&](const std::string& host) {
+    return hub.Assign(kStart, {HostId(host), number++}, query).has_value();
+  };
+  query.is_retry = true;
+  CHECK_FALSE(ask("entry-1"));
+  query.is_retry = false;
+  for (int i = 0; i < 21; ++i) CHECK(ask("entry-" + std::to_string(i)));
+  // One host spends what all of them earned.
+  query.is_retry = true;
+  CHECK(ask("entry-1"));
+  CHECK(ask("entry-1"));
+  CHECK_FALSE(ask("entry-1"));
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/fleet/server_dispatcher_test.cc
+++ b/unit_tests/fleet/server_dispatcher_test.cc
@@ -22,10 +22,11 @@
                               Random(3)};
   std::uint64_t next = 1;
   ZoneId zone{"kochi"};  // Of the asking host.
+  bool is_retry = false;
 
   std::string Assign(Instant now, bool repeatable = false,
                      std::set<BackendId> excluded = {}) {
-    const DispatchQuery query = {ServiceId("desk"), zone, repeatable,
+    const DispatchQuery query = {ServiceId("desk"), zone, repeatable, is_retry,
                                  std::move(excluded)};
     const auto choice = dispatcher.Assign(now, {HostId("entry"), next++}, query,
                                           board, zones_out, *plan);
@@ -42,8 +43,8 @@
   for (int i = 0; i < 6; ++i) ++counts[bench.Assign(kStart)];
   for (const auto& [id, count] : counts) CHECK(count == 2);
   // An end makes room.
-  bench.dispatcher.End({HostId("entry"), 1});
-  bench.dispatcher.End({HostId("entry"), 1});
+  bench.dispatcher.End({HostId("entry"), 1}, AssignmentEnd::kUnjudged);
+  bench.dispatcher.End({HostId("entry"), 1}, AssignmentEnd::kUnjudged);
   const auto first = bench.Assign(kStart);
   CHECK_FALSE(first.empty());
   // A host that is gone ends all it had.
@@ -100,6 +101,64 @@
   CHECK(bench.Assign(kStart + seconds(1)) == "a");
 }
 
+TEST_CASE("what must run once goes where a lookup was just taken", "[fleet]") {
+  Bench bench;
+  for (const char* id : {"a", "b", "c", "d"}) {
+    bench.board.Hear(kStart, AServer(id), bench.record);
+  }
+  const std::string proven = bench.Assign(kStart, true);
+  const Instant later = kStart + milliseconds(100);
+  CHECK(bench.Assign(later) == proven);
+  // The next lookup proves another server.
+  const std::string next = bench.Assign(later, true);
+  CHECK(next != proven);
+  CHECK(bench.Assign(later + milliseconds(100)) == next);
+}
+
+TEST_CASE("a retry goes to a server that was proven", "[fleet]") {
+  Bench bench;
+  bench.board.Hear(kStart, AServer("a"), bench.record);
+  bench.board.Hear(kStart, AServer("b"), bench.record);
+  bench.board.AddOutcomes(kStart, BackendId("a"), {0, 0, 1});
+  bench.board.Tick(kStart + seconds(1));
+  REQUIRE(bench.board.entries().at(BackendId("a")).state.standing ==
+          Standing::kProbation);
+  bench.is_retry = true;
+  CHECK(bench.Assign(kStart + seconds(1), true) == "b");
+  bench.is_retry = false;
+  CHECK(bench.Assign(kStart + seconds(1), true) == "a");
+}
+
+TEST_CASE("servers that fail in turn meet lookups first", "[fleet]") {
+  // 20 servers, of which one at a time breaks everything off for a second.
+  Bench bench;
+  constexpr int kServers = 20;
+  for (int i = 0; i < kServers; ++i) {
+    bench.board.Hear(kStart, AServer("s" + std::to_string(i)), bench.record);
+  }
+  int lost = 0;
+  int once = 0;
+  for (int step = 0; step < 6'000; ++step) {
+    const Instant now = kStart + step * milliseconds(5);
+    const std::string bad = "s" + std::to_string(step / 200 % kServers);
+    const bool repeatable = step % 5 < 2;
+    const AssignmentId id = {HostId("entry"), bench.next};
+    const std::string server = bench.Assign(now, repeatable);
+    REQUIRE_FALSE(server.empty());
+    if (!repeatable) ++once;
+    if (server != bad) {
+      bench.dispatcher.End(id, AssignmentEnd::kServed);
+      continue;
+    }
+    if (!repeatable) ++lost;
+    bench.dispatcher.End(id, AssignmentEnd::kFailed);
+    bench.dispatcher.Suspect(now, BackendId(bad));
+  }
+  // By load alone each of the 30 episodes costs two requests or more.
+  CHECK(lost <= 10);
+  CHECK(once == 3'600);
+}
+
 TEST_CASE("a cold server keeps to its rate in every second", "[fleet]") {
   Bench bench;
   ServerAnnouncement cold = AServer("cold");
