All hubs of a zone share the rate of its cold servers

A zone has three hubs there, and after an outage entry hosts are at any of them; each sent 0.8 of the rate and two requests at once. Ruled out: the hosts' own choice alone (0.6 of the rate for all hosts together). Change: the hubs of a zone together send 1.6 of the rate at most, and one request at once each. Test: 'all hubs of a zone together keep to a cold server's rate', 1 to 3 hubs: 12 requests in a second before, 10.4 allowed (a quarter is left for hosts that choose themselves and hubs of other zones); passes after.

--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -342,6 +342,11 @@
   });
   if (hubs == hubs_) return;
   hubs_ = std::move(hubs);
+  const auto in_zone = [&](const HubHost& hub) {
+    return hub.zone == self_.zone;
+  };
+  dispatcher_.SetHubsOfZone(static_cast<std::size_t>(
+      std::count_if(hubs_.begin(), hubs_.end(), in_zone)));
   ++general_;
 }
 
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -78,8 +78,12 @@
                                                 const Candidates& candidates,
                                                 const DispatchQuery& query,
                                                 const PlannedService& service) {
-  const double part = query.zone == zone_ ? settings_.part_of_warm_up_rate
-                                          : settings_.part_as_stand_in;
+  const double own_part = std::min(
+      settings_.part_of_warm_up_rate,
+      settings_.part_of_several_hubs /
+          static_cast<double>(std::max<std::size_t>(hubs_of_zone_, 1)));
+  const double part =
+      query.zone == zone_ ? own_part : settings_.part_as_stand_in;
   for (const ServerState* server : candidates.cold) {
     const double rate = part * service.warm_up_rate;
     auto [found, is_new] = warm_ups_.try_emplace(server->announcement.id);
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -23,13 +23,15 @@
   // Requests that a near server may have waiting before one of another zone is
   // asked: a short wait costs less than a body that crosses zones.
   double most_waiting = 2;
-  // Part of its warm-up rate that a cold server is sent.
+  // Part of its warm-up rate that a cold server is sent by the hub of its zone,
+  // and by all hubs of a zone that has several: hosts may be at any of them.
   double part_of_warm_up_rate = 0.8;
+  double part_of_several_hubs = 1.6;
   // A server that broke a request off gets no other for this time: the leader's
   // judgement comes within it.
   Duration suspicion = std::chrono::milliseconds(250);
   // Requests that a cold server may be sent at once.
-  double warm_up_burst = 2;
+  double warm_up_burst = 1;
   // The same for a zone that has no hub: several others stand in for it.
   double part_as_stand_in = 0.2;
   ServerProofsSettings proofs;
@@ -94,6 +96,9 @@
                                        const std::set<ZoneId>& zones_out,
                                        const TrafficPlan& plan);
 
+  // Sets how many hubs the zone has, with this one.
+  void SetHubsOfZone(std::size_t hubs) { hubs_of_zone_ = hubs; }
+
   // The server broke a request off.
   void Suspect(Instant now, const BackendId& server);
 
@@ -146,6 +151,7 @@
   std::map<BackendId, WarmUp> warm_ups_;
   std::map<BackendId, Instant> suspected_until_;
   ServerProofs proofs_;
+  std::size_t hubs_of_zone_ = 1;
 };
 
 }  // namespace sapphirebank
--- a/unit_tests/fleet/server_dispatcher_test.cc
+++ b/unit_tests/fleet/server_dispatcher_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 #include <deque>
+#include <memory>
+#include <vector>
 
 #include "unit_tests/fleet/fleet_fixtures.h"
 
@@ -180,6 +182,41 @@
   CHECK(static_cast<double>(most) <= bound);
 }
 
+TEST_CASE("all hubs of a zone together keep to a cold server's rate",
+          "[fleet]") {
+  // The bound of the larger sites, of which hosts that choose themselves and
+  // hubs of other zones need a part.
+  constexpr double kRate = 3.9;
+  constexpr double kBound = kRate * 1.5 + 8;
+  constexpr double kPartOfOthers = 0.25;
+  const auto hub_count = GENERATE(std::size_t{1}, 2, 3);
+  TrafficPlanParts parts = APlan();
+  parts.services[0].warm_up_rate = kRate;
+  std::vector<std::unique_ptr<Bench>> hubs;
+  for (std::size_t i = 0; i < hub_count; ++i) {
+    hubs.push_back(std::make_unique<Bench>());
+    Bench& hub = *hubs.back();
+    hub.plan = MakePlan(parts);
+    hub.dispatcher.SetHubsOfZone(hub_count);
+    ServerAnnouncement cold = AServer("cold");
+    cold.warm_up_left = seconds(30);
+    hub.board.Hear(kStart, cold, hub.record);
+    hub.board.Hear(kStart, AServer("warm"), hub.record);
+  }
+  std::deque<Instant> sent;
+  std::size_t most = 0;
+  for (int i = 0; i < 6000; ++i) {
+    const Instant now = kStart + i * milliseconds(2);
+    Bench& hub = *hubs[static_cast<std::size_t>(i) % hub_count];
+    if (hub.Assign(now) == "cold") sent.push_back(now);
+    hub.dispatcher.EndAll(HostId("entry"));
+    while (!sent.empty() && now - sent.front() >= seconds(1)) sent.pop_front();
+    most = std::max(most, sent.size());
+  }
+  CHECK(most > 0);
+  CHECK(static_cast<double>(most) <= kBound * (1 - kPartOfOthers));
+}
+
 TEST_CASE("assignments whose end is lost are forgotten", "[fleet]") {
   Bench bench;
   bench.board.Hear(kStart, AServer("near", "kochi"), bench.record);
