Processes on the platform serve metrics

Change: MetricsServer serves FleetMetrics on GET /metrics of the address listeners.metrics; entry hosts count answers, refusals by kind and the time added to a request, control hosts servers put to rest and in use; both tell the plan in force and the age of the leader's word. Tests: system test 'processes serve metrics'; a wrong address names its place.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -41,6 +41,10 @@
 // Reports whose answers are waited for; older ones were lost with a leader.
 constexpr std::size_t kMostReportsUp = 64;
 
+// The gauges of metrics are brought up to date this often: collectors ask every
+// few seconds.
+constexpr Duration kMetricsPeriod = std::chrono::seconds(2);
+
 // A plan with thousands of routes takes a few megabytes.
 constexpr std::uint64_t kMaxCallBytes = std::uint64_t{16} << 20U;
 
@@ -84,9 +88,11 @@
   auto host = ControlHost::Create(HostSettings(settings), **files,
                                   MonotonicNow(), RandomSeed());
   if (!host) return tl::unexpected(host.error());
+  auto metrics = MetricsServer::Listen(loop, settings, log);
+  if (!metrics) return tl::unexpected(metrics.error());
   std::unique_ptr<ControlProcess> process(new ControlProcess(
       system, loop, settings, std::move(dialect), std::move(plan_reader),
-      std::move(*files), std::move(*host), log));
+      std::move(*files), std::move(*host), log, std::move(*metrics)));
   if (auto opened = process->Listen(); !opened) {
     return tl::unexpected(opened.error());
   }
@@ -104,12 +110,14 @@
                                const FleetSettings& settings,
                                ControlDialect dialect, PlanReader plan_reader,
                                std::unique_ptr<FileSystem> files,
-                               ControlHost host, LogWriter& log)
+                               ControlHost host, LogWriter& log,
+                               std::unique_ptr<MetricsServer> metrics)
     : settings_(settings),
       self_(FleetHost(settings, settings.control)),
       dialect_(std::move(dialect)),
       plan_reader_(std::move(plan_reader)),
       log_(log),
+      metrics_(std::move(metrics)),
       loop_(loop),
       files_(std::move(files)),
       host_(std::move(host)),
@@ -163,6 +171,7 @@
   host_.Tick(now, WallNow());
   hub_.Tick(now);
   ConnectToOthers(now);
+  UpdateMetrics(now);
   Flush();
 }
 
@@ -203,6 +212,31 @@
                 {"standing", ToString(change.standing)},
                 {"successes", change.successes},
                 {"failures", change.failures}});
+    if (change.standing == Standing::kDown) {
+      metrics_->metrics().CountEjection(change.service);
+    }
+  }
+}
+
+void ControlProcess::UpdateMetrics(Instant now) {
+  if (now < next_metrics_) return;
+  next_metrics_ = now + kMetricsPeriod;
+  FleetMetrics& metrics = metrics_->metrics();
+  if (plan_) metrics.SetConfigurationRevision(plan_->version());
+  metrics.SetFreshnessAge(Age(now));
+  struct Counts {
+    std::size_t in_use = 0;
+    std::size_t ejected = 0;
+  };
+  std::map<ServiceId, Counts> counts;
+  for (const auto& [id, entry] : hub_.board().entries()) {
+    if (entry.state.retired) continue;
+    Counts& of_service = counts[entry.state.announcement.service];
+    const bool is_down = entry.state.standing == Standing::kDown;
+    ++(is_down ? of_service.ejected : of_service.in_use);
+  }
+  for (const auto& [service, of_service] : counts) {
+    metrics.SetBackendServers(service, of_service.in_use, of_service.ejected);
   }
 }
 
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "programs/fleet_host/metrics_server.h"
 #include "sapphirebank/consensus/control_host.h"
 #include "sapphirebank/consensus/file_system.h"
 #include "sapphirebank/core/random.h"
@@ -71,7 +72,8 @@
   ControlProcess(caf::actor_system& system, boost::asio::io_context& loop,
                  const FleetSettings& settings, ControlDialect dialect,
                  PlanReader plan_reader, std::unique_ptr<FileSystem> files,
-                 ControlHost host, LogWriter& log);
+                 ControlHost host, LogWriter& log,
+                 std::unique_ptr<MetricsServer> metrics);
 
   Result<void> Listen();
 
@@ -88,6 +90,7 @@
   void SendUpdate(LinkId link, FleetUpdate update, Instant now);
   void PublishReady(Instant now);
   void LogJudgements();
+  void UpdateMetrics(Instant now);
 
   // control_process_links.cc
   FleetLink::Hooks LinkHooks();
@@ -126,6 +129,7 @@
   ControlDialect dialect_;
   PlanReader plan_reader_;
   LogWriter& log_;
+  std::unique_ptr<MetricsServer> metrics_;
   boost::asio::io_context& loop_;
 
   // Of the decision thread.
@@ -152,6 +156,7 @@
   Instant next_ping_;
   Instant next_push_;
   Instant next_publish_;
+  Instant next_metrics_;
 
   // Reports to the leader without an answer, with the time of sending.
   std::map<std::uint64_t, Instant> reports_up_;
--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -37,9 +37,11 @@
     boost::asio::io_context& loop, const FleetSettings& settings,
     EntryDialect dialect, PlanReader plan_reader,
     std::function<std::vector<Endpoint>()> seeds, LogWriter& log) {
-  std::unique_ptr<EntryProcess> process(
-      new EntryProcess(loop, settings, std::move(dialect),
-                       std::move(plan_reader), std::move(seeds), log));
+  auto metrics = MetricsServer::Listen(loop, settings, log);
+  if (!metrics) return tl::unexpected(metrics.error());
+  std::unique_ptr<EntryProcess> process(new EntryProcess(
+      loop, settings, std::move(dialect), std::move(plan_reader),
+      std::move(seeds), log, std::move(*metrics)));
   if (auto opened = process->Listen(); !opened) {
     return tl::unexpected(opened.error());
   }
@@ -51,10 +53,12 @@
                            const FleetSettings& settings, EntryDialect dialect,
                            PlanReader plan_reader,
                            std::function<std::vector<Endpoint>()> seeds,
-                           LogWriter& log)
+                           LogWriter& log,
+                           std::unique_ptr<MetricsServer> metrics)
     : loop_(loop),
       settings_(settings),
       log_(log),
+      metrics_(std::move(metrics)),
       state_(loop, std::move(plan_reader),
              Part(settings.key_withdrawal, kPartOfKeyWithdrawal),
              settings.retry_slack, settings.zone, RandomSeed(),
@@ -66,7 +70,7 @@
                  [this](std::uint64_t number, AssignmentEnd end) {
                    link_.End(number, end);
                  }}),
-      requests_(loop, state_, std::move(dialect), log),
+      requests_(loop, state_, std::move(dialect), log, metrics_->metrics()),
       timer_(loop),
       link_(loop, settings,
             EntryLink::Hooks{
@@ -82,7 +86,16 @@
                   return state_.view().hubs();
                 },
                 std::move(seeds)},
-            log) {}
+            log) {
+  metrics_->set_refresh([this] { RefreshMetrics(); });
+}
+
+void EntryProcess::RefreshMetrics() {
+  const EntryView& view = state_.view();
+  FleetMetrics& metrics = metrics_->metrics();
+  if (view.plan()) metrics.SetConfigurationRevision(view.plan()->version());
+  metrics.SetFreshnessAge(view.WordAge(MonotonicNow()));
+}
 
 Result<void> EntryProcess::Listen() {
   HttpServerSettings callers;
--- a/programs/fleet_host/entry_process.h
+++ b/programs/fleet_host/entry_process.h
@@ -10,6 +10,7 @@
 #include "programs/fleet_host/entry_link.h"
 #include "programs/fleet_host/entry_requests.h"
 #include "programs/fleet_host/entry_state.h"
+#include "programs/fleet_host/metrics_server.h"
 #include "sapphirebank/fleet/fleet_settings.h"
 #include "sapphirebank/transport/http_server.h"
 
@@ -34,9 +35,11 @@
  private:
   EntryProcess(boost::asio::io_context& loop, const FleetSettings& settings,
                EntryDialect dialect, PlanReader plan_reader,
-               std::function<std::vector<Endpoint>()> seeds, LogWriter& log);
+               std::function<std::vector<Endpoint>()> seeds, LogWriter& log,
+               std::unique_ptr<MetricsServer> metrics);
 
   Result<void> Listen();
+  void RefreshMetrics();
   EntryReport Report(bool first);
   void ReportSoon();
   Result<void> TakeUpdate(std::optional<Instant> asked_at,
@@ -47,6 +50,7 @@
   boost::asio::io_context& loop_;
   FleetSettings settings_;
   LogWriter& log_;
+  std::unique_ptr<MetricsServer> metrics_;
   EntryState state_;
   EntryRequests requests_;
   boost::asio::steady_timer timer_;
--- a/programs/fleet_host/entry_requests.cc
+++ b/programs/fleet_host/entry_requests.cc
@@ -67,13 +67,19 @@
   bool may_have_run = false;
   // The next try takes from the retry budget.
   bool must_pay = false;
+  // Spent at backend servers.
+  Duration at_servers{};
+  // Why the caller got no server's answer, if it got none.
+  std::optional<ErrorKind> refused;
 };
 
 EntryRequests::EntryRequests(asio::io_context& loop, EntryState& state,
-                             EntryDialect dialect, LogWriter& log)
+                             EntryDialect dialect, LogWriter& log,
+                             FleetMetrics& metrics)
     : state_(state),
       dialect_(std::move(dialect)),
       log_(log),
+      metrics_(metrics),
       loop_(loop),
       client_(loop, ClientSettings()) {}
 
@@ -99,6 +105,7 @@
         Refuse(work, admitted.error().kind, std::min(retry_after, kComeBack));
   }
   LogEnd(work, answer);
+  CountEnd(work);
   co_return answer;
 }
 
@@ -274,6 +281,7 @@
   ++server->in_flight;
   ExchangeResult result = co_await client_.Exchange(std::move(exchange), watch);
   --server->in_flight;
+  work.at_servers += MonotonicNow() - now;
   timer.cancel();
   work.request.watch->set_on_hang_up(nullptr);
   if (auto* failure = std::get_if<AttemptFailure>(&result.outcome)) {
@@ -357,12 +365,26 @@
   return end;
 }
 
-HttpAnswer EntryRequests::Refuse(const Work& work, ErrorKind kind,
+HttpAnswer EntryRequests::Refuse(Work& work, ErrorKind kind,
                                  Duration retry_after) {
+  work.refused = kind;
   const Error error(kind, std::string(AnswerFor(kind).title));
   return dialect_.refusal(error, work.terms.id, retry_after);
 }
 
+// Requests that found no route are counted under no service.
+void EntryRequests::CountEnd(const Work& work) {
+  const ServiceId service =
+      work.service != nullptr ? work.service->id : ServiceId();
+  if (work.refused) {
+    metrics_.CountRefusal(service, *work.refused);
+    return;
+  }
+  metrics_.CountAnswer(service);
+  metrics_.ObserveAddedLatency(service,
+                               MonotonicNow() - work.arrived - work.at_servers);
+}
+
 void EntryRequests::LogEnd(const Work& work, const HttpAnswer& answer) {
   const Instant now = MonotonicNow();
   const LogLevel level =
--- a/programs/fleet_host/entry_requests.h
+++ b/programs/fleet_host/entry_requests.h
@@ -9,6 +9,7 @@
 
 #include "programs/fleet_host/entry_dialect.h"
 #include "programs/fleet_host/entry_state.h"
+#include "sapphirebank/telemetry/fleet_metrics.h"
 #include "sapphirebank/telemetry/log_writer.h"
 #include "sapphirebank/transport/http_client.h"
 
@@ -19,7 +20,7 @@
 class EntryRequests {
  public:
   EntryRequests(boost::asio::io_context& loop, EntryState& state,
-                EntryDialect dialect, LogWriter& log);
+                EntryDialect dialect, LogWriter& log, FleetMetrics& metrics);
 
   // Returns how many bytes the request's body may have. Fails with
   // kNoConfiguration before a plan is in force.
@@ -65,12 +66,14 @@
                                  boost::asio::steady_timer& timer,
                                  const std::shared_ptr<CallerWatch>& watch);
   bool MayRetry(Work& work, const TryEnd& end, Instant now);
-  HttpAnswer Refuse(const Work& work, ErrorKind kind, Duration retry_after);
+  HttpAnswer Refuse(Work& work, ErrorKind kind, Duration retry_after);
   void LogEnd(const Work& work, const HttpAnswer& answer);
+  void CountEnd(const Work& work);
 
   EntryState& state_;
   EntryDialect dialect_;
   LogWriter& log_;
+  FleetMetrics& metrics_;
   boost::asio::io_context& loop_;
   HttpClient client_;
   bool leaving_ = false;
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -61,6 +61,11 @@
   // have been withdrawn without this host knowing for too long.
   bool IsCurrent(Instant now) const { return now < current_until_; }
 
+  // Returns how old the leader's word is.
+  Duration WordAge(Instant now) const {
+    return now - (current_until_ - key_permission_);
+  }
+
   // Returns the servers of a service.
   const std::vector<KnownServerPtr>& ServersOf(const ServiceId& service) const;
 
--- a/sapphirebank/fleet/fleet_settings.cc
+++ b/sapphirebank/fleet/fleet_settings.cc
@@ -41,6 +41,9 @@
   ReadEndpoint(reader, "readiness", settings.readiness, of_entry);
   ReadEndpoint(reader, "control", settings.control, of_control);
   ReadEndpoint(reader, "directory", settings.directory, of_control);
+  Endpoint metrics;
+  ReadEndpoint(reader, "metrics", metrics, Presence::kOptional);
+  if (metrics.port != 0) settings.metrics = metrics;
   ReadPort(reader, "fleet_port", settings.fleet_port);
 }
 
--- a/sapphirebank/fleet/fleet_settings.h
+++ b/sapphirebank/fleet/fleet_settings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,6 +32,8 @@
   // addresses.
   Endpoint control;
   Endpoint directory;
+  // Where metrics are served, if anywhere.
+  std::optional<Endpoint> metrics;
   // Where the processes of the fleet talk to each other; the same port on all
   // hosts.
   std::uint16_t fleet_port = 0;
--- a/sapphirebank/fleet/server_board.cc
+++ b/sapphirebank/fleet/server_board.cc
@@ -121,8 +121,8 @@
 // Takes over what the evidence says.
 void ServerBoard::Judge(const BackendId& id, Entry& entry) {
   entry.state.standing = entry.evidence.standing();
-  standing_changes_.push_back({id, entry.state.standing,
-                               entry.evidence.successes(),
+  standing_changes_.push_back({id, entry.state.announcement.service,
+                               entry.state.standing, entry.evidence.successes(),
                                entry.evidence.failures()});
   Touch(entry);
 }
--- a/sapphirebank/fleet/server_board.h
+++ b/sapphirebank/fleet/server_board.h
@@ -29,6 +29,7 @@
 // A judgement of a backend server and what it came from.
 struct StandingChange {
   BackendId server;
+  ServiceId service;
   Standing standing = Standing::kUp;
   // Seen of late, decayed.
   double successes = 0;
--- a/system_tests/platform/path_test.cc
+++ b/system_tests/platform/path_test.cc
@@ -91,6 +91,27 @@
         [&] { return fleet.Send(0, "GET", "/lookup/1")->status == 200; });
 }
 
+TEST_CASE("processes serve metrics", "[platform]") {
+  PlatformFleet fleet;
+  REQUIRE(fleet.Call("config.put", fleet.Plan(5).dump()) == 200);
+  fleet.AwaitService();
+  for (int i = 0; i < 5; ++i) fleet.Send(0, "GET", "/lookup/1");
+  fleet.Send(0, "GET", "/lookup/1", "wrong");
+  const std::string of_entry =
+      PlatformFleet::Metrics(PlatformFleet::EntryIp(0));
+  CHECK_THAT(of_entry, Catch::Contains("sapphirebank_requests_total"));
+  CHECK_THAT(of_entry, Catch::Contains("outcome=\"answered\""));
+  CHECK_THAT(of_entry, Catch::Contains("key_unknown"));
+  CHECK_THAT(of_entry, Catch::Contains("sapphirebank_added_latency_seconds"));
+  CHECK_THAT(of_entry, Catch::Contains("sapphirebank_configuration_revision"));
+  // No key is in a label.
+  CHECK(of_entry.find("key-1") == std::string::npos);
+  Await("backend servers in the metrics of a control host", [] {
+    return PlatformFleet::Metrics(PlatformFleet::ControlIp(0))
+               .find("sapphirebank_backend_servers{") != std::string::npos;
+  });
+}
+
 TEST_CASE("an answer that is there is delivered when a retry finds nothing",
           "[platform]") {
   PlatformFleet fleet;
--- a/system_tests/platform/platform_fleet.h
+++ b/system_tests/platform/platform_fleet.h
@@ -20,6 +20,7 @@
 
 inline constexpr int kCallerPort = 18405;
 inline constexpr int kReadinessPort = 18406;
+inline constexpr int kMetricsPort = 18464;
 inline constexpr int kDirectoryPort = 18404;
 inline constexpr int kFleetPort = 17660;
 
@@ -68,6 +69,8 @@
         fmt::format("{}:{}", ControlIp(i), kControlPort);
     settings["listeners"]["directory"] =
         fmt::format("{}:{}", ControlIp(i), kDirectoryPort);
+    settings["listeners"]["metrics"] =
+        fmt::format("{}:{}", ControlIp(i), kMetricsPort);
     settings["found_group"] = is_first;
     settings["data_folder"] = DataFolder(i);
     controls_[i] = Start(fmt::format("core-{}", i), settings);
@@ -79,6 +82,8 @@
         fmt::format("{}:{}", EntryIp(i), kCallerPort);
     settings["listeners"]["readiness"] =
         fmt::format("{}:{}", EntryIp(i), kReadinessPort);
+    settings["listeners"]["metrics"] =
+        fmt::format("{}:{}", EntryIp(i), kMetricsPort);
     entries_[i] = Start(fmt::format("front-{}", i), settings);
   }
 
@@ -155,6 +160,13 @@
     }
   }
 
+  // Returns the metrics of the host at `ip`.
+  static std::string Metrics(const std::string& ip) {
+    httplib::Client client(ip, kMetricsPort);
+    const auto answer = client.Get("/metrics");
+    return answer ? answer->body : "";
+  }
+
   bool IsReady(int entry) const {
     httplib::Client client(EntryIp(entry), kReadinessPort);
     const auto answer = client.Get("/api/ready");
--- a/unit_tests/fleet/fleet_settings_test.cc
+++ b/unit_tests/fleet/fleet_settings_test.cc
@@ -29,6 +29,7 @@
   REQUIRE(settings);
   CHECK(settings->role == FleetRole::kEntry);
   CHECK(settings->callers == Endpoint{"10.0.0.5", 80});
+  CHECK_FALSE(settings->metrics);
   CHECK(settings->seeds.size() == 2);
   CHECK(settings->FleetEndpoint(settings->seeds[1]) ==
         Endpoint{"10.0.0.2", 7000});
@@ -46,6 +47,8 @@
       {[](json& s) { s.erase("zone"); }, {"s.json", "/zone"}},
       {[](json& s) { s["listeners"]["callers"] = "here"; },
        {"/listeners/callers", "here"}},
+      {[](json& s) { s["listeners"]["metrics"] = "9464"; },
+       {"/listeners/metrics", "9464"}},
       {[](json& s) { s["listeners"].erase("readiness"); },
        {"/listeners/readiness"}},
       {[](json& s) { s["listeners"]["fleet_port"] = 70'000; },
