--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -323,8 +323,7 @@
   if (!plan_) return std::nullopt;
   if (!query.is_retry) retries_.Earn(query.service);
   if (query.is_retry && !retries_.CanSpend(query.service)) return std::nullopt;
-  const auto choice =
-      dispatcher_.Assign(now, id, query, board_, zones_out_, *plan_);
+  auto choice = dispatcher_.Assign(now, id, query, board_, zones_out_, *plan_);
   if (choice && query.is_retry) retries_.Spend(query.service);
   return choice;
 }
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -109,49 +109,48 @@
   return InWork(server) / std::max<std::uint32_t>(server.announcement.slots, 1);
 }
 
-// Returns the server with a free slot that suits the request best by what was
-// proven, or null when all are full.
-const ServerState* ServerDispatcher::BestProven(
-    Instant now, bool may_probe, const std::vector<const ServerState*>& among) {
+// Returns the server with the lowest cost, one at random among equals; those
+// without a cost are left out.
+template <typename Cost>
+const ServerState* ServerDispatcher::Cheapest(
+    const std::vector<const ServerState*>& among, const Cost& cost_of) {
   const ServerState* best = nullptr;
   double best_cost = 0;
   std::uint64_t equals = 0;
   for (const ServerState* server : among) {
-    const double load = LoadOf(*server);
-    if (load >= 1) continue;
-    const BackendId& id = server->announcement.id;
-    const Duration age =
-        may_probe ? -proofs_.IdleTime(now, id) : proofs_.AgeOf(now, id);
-    const double cost =
-        ToSeconds(age) + load * ToSeconds(settings_.full_server);
-    if (best == nullptr || cost < best_cost) {
+    const std::optional<double> cost = cost_of(*server);
+    if (!cost) continue;
+    if (best == nullptr || *cost < best_cost) {
       best = server;
-      best_cost = cost;
+      best_cost = *cost;
       equals = 1;
-    } else if (cost == best_cost && random_.Below(++equals) == 0) {
+    } else if (*cost == best_cost && random_.Below(++equals) == 0) {
       best = server;
     }
   }
   return best;
 }
 
-// Equally loaded servers are chosen among at random.
+// Returns the server with a free slot that suits the request best by what was
+// proven, or null when all are full.
+const ServerState* ServerDispatcher::BestProven(
+    Instant now, bool may_probe, const std::vector<const ServerState*>& among) {
+  return Cheapest(
+      among, [&](const ServerState& server) -> std::optional<double> {
+        const double load = LoadOf(server);
+        if (load >= 1) return std::nullopt;
+        const BackendId& id = server.announcement.id;
+        const Duration age =
+            may_probe ? -proofs_.IdleTime(now, id) : proofs_.AgeOf(now, id);
+        return ToSeconds(age) + load * ToSeconds(settings_.full_server);
+      });
+}
+
 const ServerState* ServerDispatcher::LeastLoaded(
     const std::vector<const ServerState*>& among) {
-  const ServerState* best = nullptr;
-  double best_load = 0;
-  std::uint64_t equals = 0;
-  for (const ServerState* server : among) {
-    const double load = LoadOf(*server);
-    if (best == nullptr || load < best_load) {
-      best = server;
-      best_load = load;
-      equals = 1;
-    } else if (load == best_load && random_.Below(++equals) == 0) {
-      best = server;
-    }
-  }
-  return best;
+  return Cheapest(among, [&](const ServerState& server) {
+    return std::optional(LoadOf(server));
+  });
 }
 
 void ServerDispatcher::Suspect(Instant now, const BackendId& server) {
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -137,6 +137,9 @@
   const ServerState* ChooseCold(Instant now, const Candidates& candidates,
                                 const DispatchQuery& query,
                                 const PlannedService& service);
+  template <typename Cost>
+  const ServerState* Cheapest(const std::vector<const ServerState*>& among,
+                              const Cost& cost_of);
   const ServerState* LeastLoaded(const std::vector<const ServerState*>& among);
   const ServerState* BestProven(Instant now, bool may_probe,
                                 const std::vector<const ServerState*>& among);
