Answers without end fail after a bounded number of bytes

Cause: the parser's read-ahead buffer had no limit, so a chunk header or a trailer that never ends grew it until the memory limit ended the process; informational answers were skipped without a count; the body of an answer to another request was read without a limit. Ruled out: heads and header lines without end, which the head limit bounded already. Change: the buffer holds 128 KiB, eight informational answers may precede an answer, and a stray body is read up to what is buffered of any answer. Conclusion: a server that sends bytes without end costs its own request only.

--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -32,6 +32,13 @@
 // A faulty server that sends each answer twice leaves one.
 constexpr int kMaxStrayAnswers = 2;
 
+// Informational answers (1xx) that may precede an answer.
+constexpr int kMaxInformationalAnswers = 8;
+
+// Bytes of an answer that are read ahead of its parser. A head, a chunk header
+// or a trailer section beyond it is not read to its end.
+constexpr std::size_t kMaxUnparsedBytes = 2 * std::size_t{kMaxAnswerHeadBytes};
+
 // A server may answer and close before it has read the whole body. After a
 // failed write the client waits this long for such an answer.
 constexpr Duration kEarlyAnswerTime = std::chrono::milliseconds(50);
@@ -48,7 +55,7 @@
   explicit Connection(asio::io_context& loop) : stream(loop) {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxUnparsedBytes};
   SteadyTime idle_since;
   // Keep-alive time that the server stated; zero if it stated none.
   Duration server_idle_time{};
@@ -283,7 +290,9 @@
 
   auto parser = std::make_unique<Parser>();
   int strays = 0;
+  int informational = 0;
   bool is_stray = false;
+  bool is_informational = false;
   do {
     parser = std::make_unique<Parser>();
     parser->header_limit(kMaxAnswerHeadBytes);
@@ -292,15 +301,20 @@
     co_await http::async_read_header(connection->stream, connection->buffer,
                                      *parser, CaptureError(error));
     if (error) co_return Failure(AttemptStage::kSent, error, reused);
-    is_stray = parser->get().result_int() >= 200 && exchange.matches_request &&
+    is_informational = parser->get().result_int() < 200;
+    if (is_informational && ++informational > kMaxInformationalAnswers) {
+      co_return Failure(AttemptStage::kSent, error, reused);
+    }
+    is_stray = !is_informational && exchange.matches_request &&
                !exchange.matches_request(AnswerOf(parser->get()).fields);
     if (!is_stray) continue;
+    parser->body_limit(exchange.max_buffered_bytes);
     co_await http::async_read(connection->stream, connection->buffer, *parser,
                               CaptureError(error));
     if (error || ++strays > kMaxStrayAnswers) {
       co_return Failure(AttemptStage::kSent, error, reused);
     }
-  } while (is_stray || parser->get().result_int() < 200);
+  } while (is_stray || is_informational);
 
   const bool too_long = BodyKnownTooLong(*parser, exchange.max_buffered_bytes);
   while (!too_long && !parser->is_done() &&
--- a/unit_tests/transport/http_client_test.cc
+++ b/unit_tests/transport/http_client_test.cc
@@ -206,5 +206,67 @@
   CHECK(received_bytes == 60);
 }
 
+// A server that sends bytes which never become an answer, until the client
+// closes the connection.
+TEST_CASE("an answer without end fails after a bounded number of bytes",
+          "[transport]") {
+  struct Row {
+    const char* name;
+    std::string start;
+    std::string repeated;
+  };
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string stray = ok + "X-Id: other\r\n";
+  const std::string piece(4096, 'x');
+  const Row row = GENERATE_COPY(values<Row>({
+      {"no line", "", piece},
+      {"status line", "HTTP/1.1 200 ", piece},
+      {"field name", ok, piece},
+      {"field value", ok + "A: ", piece},
+      {"fields", ok, "A: " + std::string(60, 'b') + "\r\n"},
+      {"informational answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+      {"chunk size", chunked, std::string(4096, '0')},
+      {"chunk extension", chunked + "1;", piece},
+      {"trailer", chunked + "0\r\nA: ", piece},
+      {"body of another answer", stray + "\r\n", piece},
+      {"chunks of another answer", stray + "Transfer-Encoding: chunked\r\n\r\n",
+       "1000\r\n" + piece + "\r\n"},
+  }));
+  CAPTURE(row.name);
+  std::atomic<std::size_t> sent = 0;
+  std::atomic<bool> ended = false;
+  ScriptedServer server([&](tcp::socket& socket, int) {
+    if (!ScriptedServer::ReadRequest(socket)) return;
+    ScriptedServer::Write(socket, row.start);
+    boost::system::error_code error;
+    while (!error) {
+      sent += asio::write(socket, asio::buffer(row.repeated), error);
+    }
+    ended = true;
+  });
+  LoopThread loop;
+  HttpClient client(loop.loop(), HttpClientSettings());
+  HttpExchange exchange;
+  exchange.to = server.endpoint();
+  exchange.method = "GET";
+  exchange.target = "/";
+  exchange.answer_timeout = std::chrono::seconds(20);
+  exchange.matches_request = [](const HeaderFields& fields) {
+    return FieldValue(fields, "x-id") != "other";
+  };
+  const auto started = std::chrono::steady_clock::now();
+  const ExchangeResult result = loop.Run(client.Exchange(exchange, nullptr));
+  const auto* failure = std::get_if<AttemptFailure>(&result.outcome);
+  REQUIRE(failure != nullptr);
+  CHECK(failure->stage == AttemptStage::kSent);
+  CHECK_FALSE(failure->timed_out);
+  CHECK(std::chrono::steady_clock::now() - started < std::chrono::seconds(10));
+  while (!ended) std::this_thread::sleep_for(milliseconds(1));
+  // What the client reads, at most a buffered answer, and what the sockets
+  // hold.
+  CHECK(sent < (std::size_t{16} << 20U));
+}
+
 }  // namespace
 }  // namespace sapphirebank
