A caller that leaves is noticed with pipelined requests unread

Cause: the watch on a caller's connection ended with the first readable byte, so a caller that had sent its next request ahead was not noticed when it left, and what it had sent ran. Ruled out: watching for errors only; a close without a reset shows as a read of nothing. Change: while a request is handled the next ones are read ahead, up to 8 KiB a connection, and the close behind them is seen; after it nothing more of that connection runs. The buffer of a connection is bounded, so a chunk header without end is refused. Conclusion: holds without TLS; under TLS the watch still ends with the first byte.

--- a/sapphirebank/transport/http_guards.h
+++ b/sapphirebank/transport/http_guards.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <cerrno>
 #include <cstddef>
@@ -17,38 +18,74 @@
 
 namespace sapphirebank {
 
+// Bytes of pipelined requests that are read from a caller while one of its
+// requests is handled. A caller that sends more is not noticed when it leaves.
+inline constexpr std::size_t kMaxReadAheadBytes = std::size_t{8} << 10U;
+
 // While in scope, watches a caller's socket and reports to `watch` when the
-// caller closes the connection.
+// caller closes the connection. Bytes that arrive before that are the caller's
+// next, pipelined requests and are appended to `read_ahead`. Without one, as
+// under TLS, the watch ends with the first of them.
 class HangUpWatch {
  public:
   HangUpWatch(boost::asio::ip::tcp::socket& socket,
-              std::shared_ptr<CallerWatch> watch)
-      : socket_(socket), active_(std::make_shared<bool>(true)) {
-    socket_.async_wait(
-        boost::asio::ip::tcp::socket::wait_read,
-        [&socket, active = active_,
-         watch = std::move(watch)](boost::system::error_code error) {
-          if (error || !*active) return;
-          char byte = 0;
-          const auto got =
-              ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-          // Readable bytes are the caller's next, pipelined request.
-          const bool nothing_yet =
-              got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-          if (got <= 0 && !nothing_yet) watch->HangUp();
-        });
+              std::shared_ptr<CallerWatch> watch,
+              boost::beast::flat_buffer* read_ahead)
+      : state_(std::make_shared<State>(
+            State{&socket, std::move(watch), read_ahead})) {
+    Wait(state_);
   }
   ~HangUpWatch() {
-    *active_ = false;
+    boost::asio::ip::tcp::socket& socket =
+        *std::exchange(state_->socket, nullptr);
     boost::system::error_code ignored;
-    socket_.cancel(ignored);
+    socket.cancel(ignored);
   }
   HangUpWatch(const HangUpWatch&) = delete;
   HangUpWatch& operator=(const HangUpWatch&) = delete;
 
  private:
-  boost::asio::ip::tcp::socket& socket_;
-  std::shared_ptr<bool> active_;
+  struct State {
+    boost::asio::ip::tcp::socket*
+        socket;  // Null once the watch is out of scope.
+    std::shared_ptr<CallerWatch> watch;
+    boost::beast::flat_buffer* read_ahead;
+  };
+
+  static void Wait(const std::shared_ptr<State>& state) {
+    state->socket->async_wait(boost::asio::ip::tcp::socket::wait_read,
+                              [state](boost::system::error_code error) {
+                                if (error || state->socket == nullptr) return;
+                                if (ReadAvailable(*state)) Wait(state);
+                              });
+  }
+
+  // Reads what has arrived. Returns whether to go on watching.
+  static bool ReadAvailable(State& state) {
+    const int socket = state.socket->native_handle();
+    while (true) {
+      char peeked = 0;
+      void* to = &peeked;
+      std::size_t room = 1;
+      if (state.read_ahead != nullptr) {
+        if (state.read_ahead->size() >= kMaxReadAheadBytes) return false;
+        room = kMaxReadAheadBytes - state.read_ahead->size();
+        to = state.read_ahead->prepare(room).data();
+      }
+      const int flags =
+          MSG_DONTWAIT | (state.read_ahead == nullptr ? MSG_PEEK : 0);
+      const auto got = ::recv(socket, to, room, flags);
+      if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return true;
+      if (got <= 0) {
+        state.watch->HangUp();
+        return false;
+      }
+      if (state.read_ahead == nullptr) return false;
+      state.read_ahead->commit(static_cast<std::size_t>(got));
+    }
+  }
+
+  std::shared_ptr<State> state_;
 };
 
 // Cancels the reads of a stream after a time. The stream stays open, so that
--- a/sapphirebank/transport/http_server.cc
+++ b/sapphirebank/transport/http_server.cc
@@ -194,6 +194,8 @@
     beast::flat_buffer buffer;
     bool open = true;
     while (open) {
+      // Bounds what is read ahead of the parser, such as a chunk extension.
+      buffer.max_size(settings_.max_head_bytes + kReadSize);
       if (!co_await AwaitFirstByte(stream, buffer)) co_return;
       const ScopedCount counted(active_requests_);
       open = co_await ServeRequest(stream, buffer, address);
@@ -287,9 +289,12 @@
     if (!read) co_return co_await Refuse(stream, read.error());
     request.body = std::move(parser.get().body());
 
-    HttpAnswer answer = co_await Handle(stream, std::move(request));
-    const bool keep =
-        parser.keep_alive() && !answer.close && !keep_alive_disabled_;
+    request.watch = std::make_shared<CallerWatch>();
+    const std::shared_ptr<CallerWatch> watch = request.watch;
+    HttpAnswer answer = co_await Handle(stream, buffer, std::move(request));
+    // What a caller that has left sent behind this request is not run.
+    const bool keep = parser.keep_alive() && !answer.close &&
+                      !keep_alive_disabled_ && !watch->hung_up();
     const bool head_only = parser.get().method() == http::verb::head;
     co_return co_await Write(stream, std::move(answer), keep, head_only);
   }
@@ -349,11 +354,13 @@
   }
 
   template <typename Stream>
-  asio::awaitable<HttpAnswer> Handle(Stream& stream, HttpRequest request) {
+  asio::awaitable<HttpAnswer> Handle(Stream& stream, beast::flat_buffer& buffer,
+                                     HttpRequest request) {
     auto& tcp_layer = TcpLayer(stream);
     tcp_layer.expires_never();
-    request.watch = std::make_shared<CallerWatch>();
-    const HangUpWatch hang_up(tcp_layer.socket(), request.watch);
+    constexpr bool kIsPlain = std::is_same_v<Stream, PlainStream>;
+    const HangUpWatch hang_up(tcp_layer.socket(), request.watch,
+                              kIsPlain ? &buffer : nullptr);
     std::string failure;
     try {
       co_return co_await hooks_.handle(std::move(request));
--- a/unit_tests/transport/http_server_test.cc
+++ b/unit_tests/transport/http_server_test.cc
@@ -1,5 +1,8 @@
 #include "sapphirebank/transport/http_server.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
 
 #include "unit_tests/transport/loop_thread.h"
@@ -157,5 +160,77 @@
   CHECK(connection.ReadAll().find("GET /x []") != std::string::npos);
 }
 
+TEST_CASE(
+    "a chunk header without end is refused after a bounded number of bytes",
+    "[transport]") {
+  EchoServer server;
+  RawConnection caller(server.port());
+  caller.Send(
+      "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+  caller.Send("1;" + std::string(64 << 10, 'x'));
+  const std::string answer = caller.ReadAll();
+  CHECK(answer.find("HTTP/1.1 400") == 0);
+  CHECK(server.handled() == 0);
+}
+
+// A server whose requests run until their caller leaves.
+class WaitingServer {
+ public:
+  WaitingServer() {
+    HttpServer::Hooks hooks;
+    hooks.accept_head = [](const HttpRequestHead&) -> Result<std::uint64_t> {
+      return kBodyLimit;
+    };
+    hooks.handle = [this](HttpRequest request) {
+      return Wait(std::move(request));
+    };
+    server_.emplace(
+        *HttpServer::Listen(loop_.loop(), HttpServerSettings(), hooks));
+  }
+
+  std::uint16_t port() const { return server_->port(); }
+  int handled() const { return handled_; }
+  int left() const { return left_; }
+
+ private:
+  asio::awaitable<HttpAnswer> Wait(HttpRequest request) {
+    ++handled_;
+    asio::steady_timer timer(loop_.loop(), std::chrono::seconds(20));
+    request.watch->set_on_hang_up([&timer] { timer.cancel(); });
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    request.watch->set_on_hang_up(nullptr);
+    if (request.watch->hung_up()) ++left_;
+    co_return HttpAnswer();
+  }
+
+  std::atomic<int> handled_ = 0;
+  std::atomic<int> left_ = 0;
+  LoopThread loop_;
+  std::optional<HttpServer> server_;
+};
+
+TEST_CASE("a caller that leaves is noticed with pipelined requests unread",
+          "[transport]") {
+  WaitingServer server;
+  {
+    RawConnection caller(server.port());
+    const std::string get = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    caller.Send(get + get);
+    while (server.handled() == 0) std::this_thread::yield();
+    caller.Send(get);
+  }
+  const auto deadline =
+      std::chrono::steady_clock::now() + std::chrono::seconds(10);
+  while (server.left() == 0 && std::chrono::steady_clock::now() < deadline) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  CHECK(server.left() == 1);
+  // What was behind the first request never runs.
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(server.handled() == 1);
+}
+
 }  // namespace
 }  // namespace sapphirebank
