A resend waits while the first request with its key runs

Cause: an entry host answers its caller before the control hosts have stored the outcome of the claim, so a resend that follows at once was refused with idempotency_running. Ruled out: waiting for the stored outcome before each answer, which adds a quorum's write to all requests with a key and does not help a caller that lost its connection. Change: a claim that finds the key running is repeated for up to 500 ms. Measured: not run yet; the system test is added with it.

--- a/sapphirebank/transport/request_proxy.cc
+++ b/sapphirebank/transport/request_proxy.cc
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -23,6 +25,10 @@
 
 constexpr std::string_view kIdempotencyField = "idempotency-key";
 constexpr std::size_t kMaxIdempotencyKeyBytes = 255;
+// Time for which a claim is repeated while another request holds the key: far
+// above that of storing an outcome, and short beside callers' deadlines.
+constexpr Duration kMaxClaimWait = std::chrono::milliseconds(500);
+constexpr Duration kFirstClaimDelay = std::chrono::milliseconds(10);
 constexpr int kServiceUnavailable = 503;   // Sent by servers that shed load.
 constexpr int kClientClosedRequest = 499;  // Logged when the caller hung up.
 
@@ -222,8 +228,7 @@
   claim.key = {proxied.workspace, proxied.idempotency_key};
   claim.fingerprint = proxied.digest;
   claim.holder = {proxied.id, settings_.host, settings_.incarnation};
-  const auto found = co_await AwaitCallback<Result<ClaimResult>>(
-      loop_, [&](auto callback) { hooks_.claim(claim, callback); });
+  const auto found = co_await AcquireClaim(proxied, claim);
   if (!found) {
     // The claim may be granted after this failure. Completing it as not run
     // releases the key, so that a resend by the caller can run.
@@ -249,6 +254,29 @@
   co_return result;
 }
 
+// Claims the key. While an earlier request with it runs, the claim is repeated
+// for a while: the answer of that request may have reached its caller before
+// the control hosts have stored it.
+asio::awaitable<Result<ClaimResult>> RequestProxy::AcquireClaim(
+    const ProxiedRequest& proxied, const Claim& claim) {
+  const Instant give_up =
+      std::min(proxied.deadline, hooks_.now() + kMaxClaimWait);
+  Duration delay = kFirstClaimDelay;
+  while (true) {
+    auto found = co_await AwaitCallback<Result<ClaimResult>>(
+        loop_, [&](auto callback) { hooks_.claim(claim, callback); });
+    const bool is_running = found && found->state == ClaimState::kRunning;
+    if (!is_running || proxied.hung_up() || hooks_.now() + delay >= give_up) {
+      co_return found;
+    }
+    asio::steady_timer timer(loop_, delay);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    delay *= 2;
+  }
+}
+
 CompleteClaim RequestProxy::ClaimCompletion(
     const Claim& claim, const Result<HttpAnswer>& result) const {
   CompleteClaim completion;
--- a/sapphirebank/transport/request_proxy.h
+++ b/sapphirebank/transport/request_proxy.h
@@ -94,6 +94,8 @@
   Result<RouteTable::Match> Authorize(const RouteTable& table,
                                       const HttpRequestHead& head) const;
   boost::asio::awaitable<HttpAnswer> Serve(ProxiedRequest& proxied);
+  boost::asio::awaitable<Result<ClaimResult>> AcquireClaim(
+      const ProxiedRequest& proxied, const Claim& claim);
   boost::asio::awaitable<Result<HttpAnswer>> RunWithClaim(
       ProxiedRequest& proxied);
   CompleteClaim ClaimCompletion(const Claim& claim,
--- a/system_tests/path_test.cc
+++ b/system_tests/path_test.cc
@@ -76,6 +76,29 @@
   CHECK(fleet.EffectCount("fee-1") == 1);
 }
 
+TEST_CASE("a resend gets the answer of the request that still runs",
+          "[system]") {
+  Fleet fleet({.control_hosts = 3, .entry_hosts = 2, .zones = 1});
+  fleet.WaitUntilServing();
+  fleet.SetServerBehavior(0, 0, {{"work_ms", 200}});
+  const auto headers =
+      CallerHeaders({{"Idempotency-Key", "fee-9"}, {"x-effect", "fee-9"}});
+  httplib::Result first;
+  std::thread caller([&] {
+    first = fleet.SendRequest(0, "POST", "/permits/fee", headers, "12");
+  });
+  WaitUntil("the request is executed",
+            [&] { return fleet.EffectCount("fee-9") == 1; });
+  const auto second =
+      fleet.SendRequest(1, "POST", "/permits/fee", headers, "12");
+  caller.join();
+  REQUIRE(first);
+  REQUIRE(second);
+  CHECK(second->status == 200);
+  CHECK(second->body == first->body);
+  CHECK(fleet.EffectCount("fee-9") == 1);
+}
+
 TEST_CASE("a request whose entry host crashed is not executed again",
           "[system]") {
   Fleet fleet({.control_hosts = 1, .entry_hosts = 2, .zones = 1});
