--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -141,7 +141,7 @@
       return;
     } else if (type == "end") {
       hub_.EndAssignment(
-          {from, message.at("n").get<std::uint64_t>()},
+          peer.heard_at, {from, message.at("n").get<std::uint64_t>()},
           ReadEnum(message.at("end"), AssignmentOutcome::kInconclusive));
       return;
     } else if (type == "report") {
@@ -223,6 +223,11 @@
   query.zone = ZoneId(message.at("z").get<std::string>());
   query.repeatable = message.at("r").get<bool>();
   query.is_retry = message.at("again").get<bool>();
+  query.latency_objective = ReadDuration(message.at("o"));
+  query.time_left = ReadDuration(message.at("d"));
+  if (const auto workspace = message.find("w"); workspace != message.end()) {
+    query.workspace = WorkspaceId(workspace->get<std::string>());
+  }
   for (const auto& id : message.at("x")) {
     query.excluded.insert(BackendId(id.get<std::string>()));
   }
@@ -232,7 +237,8 @@
   links_.Send(link, {{"t", "use"},
                      {"n", number},
                      {"id", choice.server.value()},
-                     {"busy", choice.is_busy}});
+                     {"busy", choice.is_busy},
+                     {"token", choice.has_token}});
 }
 
 void ControlProcess::OnCallDone(const json& message) {
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -205,13 +205,17 @@
   if (!hub_answered_) return false;
   json names = json::array();
   for (const BackendId& id : query.excluded) names.push_back(id.value());
-  links_.Send(*link_, {{"t", "ask"},
-                       {"n", number},
-                       {"s", query.service.value()},
-                       {"z", settings_.zone.value()},
-                       {"r", query.repeatable},
-                       {"again", query.is_retry},
-                       {"x", std::move(names)}});
+  json message = {{"t", "ask"},
+                  {"n", number},
+                  {"s", query.service.value()},
+                  {"z", settings_.zone.value()},
+                  {"r", query.repeatable},
+                  {"again", query.is_retry},
+                  {"o", query.latency_objective.count()},
+                  {"d", query.time_left.count()},
+                  {"x", std::move(names)}};
+  if (!query.workspace.empty()) message["w"] = query.workspace.value();
+  links_.Send(*link_, message);
   return true;
 }
 
@@ -225,9 +229,10 @@
   try {
     const std::string type = message.at("t").get<std::string>();
     if (type == "use") {
-      hooks_.server_assigned(message.at("n").get<std::uint64_t>(),
-                             {BackendId(message.at("id").get<std::string>()),
-                              message.at("busy").get<bool>()});
+      hooks_.server_assigned(
+          message.at("n").get<std::uint64_t>(),
+          {BackendId(message.at("id").get<std::string>()),
+           message.at("busy").get<bool>(), message.at("token").get<bool>()});
     } else if (type == "update") {
       ApplyUpdate(message.at("u").get<FleetUpdate>());
     }
--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <utility>
 
 #include "programs/fleet_host/entry_request_context.h"
@@ -17,9 +19,11 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(200);
 
 // An attempt of an idempotent request is abandoned after this fraction of the
-// latency objective if the server is not busy and another attempt is permitted.
-// 99 % of requests are answered within a third of the objective.
+// latency objective if another attempt is permitted: 99 % of requests are
+// answered within a third of it. A request at a busy server may be in its
+// queue, so it is left there until the objective has passed.
 constexpr double kAttemptTimeoutFraction = 0.6;
+constexpr double kBusyAttemptTimeoutFraction = 1.0;
 
 // Answers up to this size in bytes are buffered in full before they are
 // passed on; longer ones are streamed.
@@ -29,23 +33,47 @@
 
 }  // namespace
 
-// Abandons an attempt whose server does not answer in time, unless the host has
+// Replaces an attempt whose server does not answer in time, unless the host has
 // begun to drain by then.
 std::shared_ptr<void> EntryRequestHandler::StartAttemptTimer(
-    const RequestContext& context, asio::steady_timer& timer,
-    const std::shared_ptr<CallerWatch>& watch) {
+    RequestContext& context, asio::steady_timer& timer,
+    const std::shared_ptr<CallerWatch>& watch, bool is_busy) {
   // The timer handler may already be queued when the attempt ends and `context`
   // is destroyed; it checks the guard for that.
   auto guard = std::make_shared<char>();
-  timer.expires_after(FromSeconds(ToSeconds(context.route->latency_objective) *
-                                  kAttemptTimeoutFraction));
+  const double fraction =
+      is_busy ? kBusyAttemptTimeoutFraction : kAttemptTimeoutFraction;
+  timer.expires_after(
+      FromSeconds(ToSeconds(context.route->latency_objective) * fraction));
   timer.async_wait([this, &context, watch, lives = std::weak_ptr(guard)](
                        boost::system::error_code error) {
-    if (!error && !lives.expired() && TryAbandon(context)) watch->HangUp();
+    if (error || lives.expired() || !MayAbandon(context)) return;
+    asio::co_spawn(loop_, ReplaceAttempt(context, watch, lives),
+                   asio::detached);
   });
   return guard;
 }
 
+asio::awaitable<void> EntryRequestHandler::ReplaceAttempt(
+    RequestContext& context, std::shared_ptr<CallerWatch> watch,
+    std::weak_ptr<void> attempt) {
+  if (attempt.expired()) co_return;
+  // The request may end while the hub is asked.
+  const std::shared_ptr<const TrafficPlan> plan = context.plan;
+  const std::vector<KnownServerPtr> tried = context.tried;
+  ServerQuery query = MakeQuery(context);
+  query.tried = tried;
+  query.is_retry = true;
+  const EntryState::Choice choice = co_await state_.Choose(query);
+  if (attempt.expired() || watch->hung_up()) {
+    state_.EndAssignment(choice, AssignmentOutcome::kInconclusive);
+    co_return;
+  }
+  if (!choice.server) co_return;
+  context.next_choice = choice;
+  watch->HangUp();
+}
+
 asio::awaitable<EntryRequestHandler::AttemptResult>
 EntryRequestHandler::RunAttempt(RequestContext& context,
                                 EntryState::Choice choice) {
@@ -85,7 +113,7 @@
   if (context.route->idempotent) {
     watch = std::make_shared<CallerWatch>();
     context.request.watch->set_on_hang_up([watch] { watch->HangUp(); });
-    if (!choice.is_busy) guard = StartAttemptTimer(context, timer, watch);
+    guard = StartAttemptTimer(context, timer, watch, choice.is_busy);
   }
   ++server->in_flight;
   ExchangeResult result = co_await client_.Exchange(std::move(exchange), watch);
@@ -94,10 +122,13 @@
   timer.cancel();
   context.request.watch->set_on_hang_up(nullptr);
   if (auto* failure = std::get_if<AttemptFailure>(&result.outcome)) {
+    guard.reset();
     const bool abandoned =
-        watch && watch->hung_up() && !context.request.watch->hung_up();
+        context.next_choice.has_value() && !context.request.watch->hung_up();
     failure->timed_out = failure->timed_out || abandoned;
-    AttemptResult attempt = ClassifyFailure(context, *server, *failure);
+    const bool blames_server = !(abandoned && choice.is_busy);
+    AttemptResult attempt =
+        ClassifyFailure(context, *server, *failure, blames_server);
     attempt.is_retry_charged = abandoned;
     co_return attempt;
   }
@@ -106,8 +137,8 @@
 }
 
 EntryRequestHandler::AttemptResult EntryRequestHandler::ClassifyFailure(
-    RequestContext& context, KnownServer& server,
-    const AttemptFailure& failure) {
+    RequestContext& context, KnownServer& server, const AttemptFailure& failure,
+    bool blames_server) {
   AttemptResult attempt;
   const Instant now = MonotonicNow();
   if (failure.stage == AttemptStage::kNotConnected) {
@@ -124,16 +155,16 @@
   attempt.failure = failure.timed_out ? ErrorKind::kBackendTimeout
                                       : ErrorKind::kBackendBroken;
   attempt.may_retry = context.route->idempotent;
-  if (context.request.watch->hung_up()) return attempt;
+  if (context.request.watch->hung_up() || !blames_server) return attempt;
   attempt.assignment_outcome = AssignmentOutcome::kFailed;
   const bool is_fault = !failure.timed_out || now < context.deadline;
   if (is_fault) {
     client_.CloseIdleConnections(server.state.announcement.endpoint);
     state_.RecordBrokenAttempt(now, server, context.fingerprint,
                                !failure.timed_out);
-  } else {
-    state_.RecordServerError(server);
   }
+  // An attempt that ran into the request's deadline tells of the time at which
+  // it was sent; the hub has seen it overdue since.
   return attempt;
 }
 
--- a/programs/fleet_host/entry_request_context.h
+++ b/programs/fleet_host/entry_request_context.h
@@ -27,6 +27,10 @@
   int attempts_received = 0;
   // A backend server may have run the request.
   bool may_have_run = false;
+  // A token of the workspace's rate must be taken before the first attempt.
+  bool needs_token = false;
+  // Server of the next attempt, chosen before the last one was abandoned.
+  std::optional<EntryState::Choice> next_choice;
   // The next attempt is charged to the retry budget.
   bool charge_retry_budget = false;
   // Time spent in exchanges with backend servers.
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -55,15 +55,15 @@
   RequestContext context;
   context.arrival_time = MonotonicNow();
   context.request = std::move(request);
-  Result<void> admitted = Admit(context);
-  if (admitted) admitted = co_await AcquireRateToken(context);
+  const Result<void> admitted = Admit(context);
   HttpAnswer answer;
   if (admitted) {
+    context.needs_token = context.workspace != nullptr &&
+                          context.workspace->rate > 0 &&
+                          !state_.TryTakeToken(context.workspace->id);
     answer = co_await Forward(context);
   } else {
-    const Duration retry_after = AnswerFor(admitted.error().kind).retry_after;
-    answer = Refuse(context, admitted.error().kind,
-                    std::min(retry_after, kMaxRetryAfter));
+    answer = RefuseNotRun(context, admitted.error().kind);
   }
   LogRequest(context, answer);
   RecordMetrics(context);
@@ -112,9 +112,6 @@
 
 asio::awaitable<Result<void>> EntryRequestHandler::AcquireRateToken(
     RequestContext& context) {
-  if (context.workspace == nullptr || context.workspace->rate <= 0) {
-    co_return Result<void>();
-  }
   const Duration wait = context.route->latency_objective / kTokenWaitDivisor;
   const TokenOutcome token =
       co_await state_.TakeToken(context.workspace->id, wait);
@@ -157,18 +154,18 @@
                                           : ErrorKind::kQueueTimeout;
       break;
     }
-    ServerQuery query;
-    query.service = context.service;
-    query.repeatable = context.route->idempotent;
-    query.is_retry = context.charge_retry_budget;
-    query.tried = context.tried;
-    const EntryState::Choice choice = co_await state_.Choose(query);
-    if (!choice.server) break;
-    last = co_await RunAttempt(context, choice);
-    state_.EndAssignment(choice, last.assignment_outcome);
+    const Result<EntryState::Choice> choice = co_await ChooseServer(context);
+    if (!choice) co_return RefuseNotRun(context, choice.error().kind);
+    if (!choice->server) break;
+    last = co_await RunAttempt(context, *choice);
+    state_.EndAssignment(*choice, last.assignment_outcome);
     if (last.answer) fallback = std::exchange(last.answer, std::nullopt);
     if (!MayRetry(context, last, MonotonicNow())) break;
   }
+  if (context.next_choice) {
+    state_.EndAssignment(*context.next_choice,
+                         AssignmentOutcome::kInconclusive);
+  }
   if (fallback) co_return std::move(*fallback);
   ErrorKind kind = last.failure;
   const bool claims_not_run = AnswerFor(kind).execution == Execution::kNotRun;
@@ -178,6 +175,36 @@
   co_return Refuse(context, kind, retry_after);
 }
 
+ServerQuery EntryRequestHandler::MakeQuery(
+    const RequestContext& context) const {
+  ServerQuery query;
+  query.service = context.service;
+  query.repeatable = context.route->idempotent;
+  query.is_retry = context.charge_retry_budget;
+  query.tried = context.tried;
+  query.latency_objective = context.route->latency_objective;
+  query.deadline = context.deadline;
+  return query;
+}
+
+asio::awaitable<Result<EntryState::Choice>> EntryRequestHandler::ChooseServer(
+    RequestContext& context) {
+  if (context.next_choice) {
+    co_return *std::exchange(context.next_choice, std::nullopt);
+  }
+  ServerQuery query = MakeQuery(context);
+  if (context.needs_token) query.workspace = context.workspace->id;
+  EntryState::Choice choice = co_await state_.Choose(query);
+  if (!context.needs_token) co_return choice;
+  context.needs_token = false;
+  if (choice.has_token) co_return choice;
+  const Result<void> token = co_await AcquireRateToken(context);
+  if (!token) co_return tl::unexpected(token.error());
+  query.workspace = WorkspaceId();
+  choice = co_await state_.Choose(query);
+  co_return choice;
+}
+
 bool EntryRequestHandler::MayRetry(RequestContext& context,
                                    const AttemptResult& last, Instant now) {
   if (!last.may_retry || context.deadline - now < kMinTimeToRetry) return false;
@@ -189,13 +216,19 @@
   return true;
 }
 
-// Returns whether to abandon a slow attempt for a retry on another server. If
-// so, the retry has been charged to the budget.
-bool EntryRequestHandler::TryAbandon(const RequestContext& context) {
+// Returns whether a slow attempt may be abandoned for a retry on another
+// server.
+bool EntryRequestHandler::MayAbandon(const RequestContext& context) const {
   const bool is_last =
       context.attempts_received + 1 >= context.route->max_tries;
-  return context.route->idempotent && !is_last && !draining_ &&
-         state_.retries().TryAcquire(context.service->id);
+  return context.route->idempotent && !is_last && !draining_;
+}
+
+// Refuses a request of which no server has received anything.
+HttpAnswer EntryRequestHandler::RefuseNotRun(RequestContext& context,
+                                             ErrorKind kind) {
+  const Duration retry_after = AnswerFor(kind).retry_after;
+  return Refuse(context, kind, std::min(retry_after, kMaxRetryAfter));
 }
 
 HttpAnswer EntryRequestHandler::Refuse(RequestContext& context, ErrorKind kind,
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -59,21 +59,35 @@
   boost::asio::awaitable<HttpAnswer> Forward(RequestContext& context);
   boost::asio::awaitable<AttemptResult> RunAttempt(RequestContext& context,
                                                    EntryState::Choice choice);
+  // `blames_server` tells whether a failure is due to the server: a request
+  // that was abandoned in its queue is not.
   AttemptResult ClassifyFailure(RequestContext& context, KnownServer& server,
-                                const AttemptFailure& failure);
+                                const AttemptFailure& failure,
+                                bool blames_server);
   AttemptResult ClassifyAnswer(RequestContext& context, KnownServer& server,
                                HttpAnswer answer);
   const PlannedService* ChooseService(const RequestContext& context);
-  bool TryAbandon(const RequestContext& context);
-  // Abandons the attempt by way of `watch` when its server does not answer in
-  // time. The caller keeps the returned object alive during the attempt.
+  ServerQuery MakeQuery(const RequestContext& context) const;
+  // Returns the server for the next attempt, with a rate token if the request
+  // still needs one. Fails when the workspace's rate is exceeded.
+  boost::asio::awaitable<Result<EntryState::Choice>> ChooseServer(
+      RequestContext& context);
+  bool MayAbandon(const RequestContext& context) const;
+  // Replaces the attempt when its server does not answer in time. The caller
+  // keeps the returned object alive during the attempt.
   std::shared_ptr<void> StartAttemptTimer(
-      const RequestContext& context, boost::asio::steady_timer& timer,
-      const std::shared_ptr<CallerWatch>& watch);
+      RequestContext& context, boost::asio::steady_timer& timer,
+      const std::shared_ptr<CallerWatch>& watch, bool is_busy);
+  // Chooses another server for the request and abandons the attempt by way of
+  // `watch`, unless no retry is available. `attempt` expires with the attempt.
+  boost::asio::awaitable<void> ReplaceAttempt(
+      RequestContext& context, std::shared_ptr<CallerWatch> watch,
+      std::weak_ptr<void> attempt);
   bool MayRetry(RequestContext& context, const AttemptResult& last,
                 Instant now);
   HttpAnswer Refuse(RequestContext& context, ErrorKind kind,
                     Duration retry_after);
+  HttpAnswer RefuseNotRun(RequestContext& context, ErrorKind kind);
   void LogRequest(const RequestContext& context, const HttpAnswer& answer);
   void RecordMetrics(const RequestContext& context);
 
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -65,6 +65,9 @@
   hub_query.service = query.service->id;
   hub_query.repeatable = query.repeatable;
   hub_query.is_retry = query.is_retry;
+  hub_query.workspace = query.workspace;
+  hub_query.latency_objective = query.latency_objective;
+  hub_query.time_left = std::max(query.deadline - now, Duration::zero());
   for (const KnownServerPtr& server : query.tried) {
     hub_query.excluded.insert(server->state.announcement.id);
   }
@@ -83,6 +86,7 @@
     co_await waiter->timer.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     pending_assignments_.erase(number);
+    choice.has_token = waiter->choice.has_token;
     choice.server = view_.Find(waiter->choice.server);
     if (choice.server) {
       choice.assignment = number;
@@ -90,7 +94,9 @@
       co_return choice;
     }
     hooks_.end_assignment(number, AssignmentOutcome::kInconclusive);
+    query.may_use_cold = !waiter->answered;
   }
+  if (!query.workspace.empty() && !choice.has_token) co_return choice;
   if (query.is_retry && !retries_.TryAcquire(query.service->id))
     co_return choice;
   choice.server = chooser_.Choose(MonotonicNow(), view_, query);
@@ -102,6 +108,7 @@
   const auto found = pending_assignments_.find(assignment);
   if (found == pending_assignments_.end()) return;
   found->second->choice = choice;
+  found->second->answered = true;
   found->second->timer.cancel();
 }
 
@@ -110,16 +117,21 @@
   if (choice.assignment != 0) hooks_.end_assignment(choice.assignment, outcome);
 }
 
-boost::asio::awaitable<TokenOutcome> EntryState::TakeToken(
-    WorkspaceId workspace, Duration wait) {
+bool EntryState::TryTakeToken(const WorkspaceId& workspace) {
   RateAccount& account = accounts_[workspace];
   const Instant now = MonotonicNow();
-  const std::uint32_t prefetch =
+  account.to_request +=
       account.stock.PrefetchCount(now, account.requested + account.to_request);
-  const bool taken = account.stock.TryTake(now);
-  account.to_request += prefetch + (taken ? 0 : 1);
   if (account.to_request > 0) hooks_.report_now();
-  if (taken) co_return TokenOutcome::kGranted;
+  return account.stock.TryTake(now);
+}
+
+boost::asio::awaitable<TokenOutcome> EntryState::TakeToken(
+    WorkspaceId workspace, Duration wait) {
+  RateAccount& account = accounts_[workspace];
+  if (account.stock.TryTake(MonotonicNow())) co_return TokenOutcome::kGranted;
+  ++account.to_request;
+  hooks_.report_now();
   auto waiter = std::make_shared<Waiter>(loop_);
   waiter->timer.expires_after(wait);
   account.waiters.push_back(waiter);
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -45,6 +45,10 @@
   Result<void> Apply(Instant now, std::optional<Instant> asked_at,
                      const FleetUpdate& update);
 
+  // Takes a rate token of a workspace that this host holds, and requests more
+  // in advance as its requests need.
+  bool TryTakeToken(const WorkspaceId& workspace);
+
   // Takes a rate token of a workspace, waiting at most `wait` for the leader to
   // grant one.
   boost::asio::awaitable<TokenOutcome> TakeToken(WorkspaceId workspace,
@@ -80,10 +84,13 @@
     std::uint64_t assignment = 0;
     // Other requests wait at the server, or may do so.
     bool is_busy = true;
+    // The hub took the rate token that the query asked for.
+    bool has_token = false;
   };
 
   // Returns the server that the hub assigns, or one that this host chooses when
-  // the hub does not answer in time. Returns no server for a retry that neither
+  // the hub does not answer in time. A query for a rate token that the hub does
+  // not grant returns no server. Returns no server for a retry that neither
   // retry budget, the hub's nor this host's, permits.
   boost::asio::awaitable<Choice> Choose(ServerQuery query);
 
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -10,6 +10,10 @@
 // Time constant of the request rate estimate.
 constexpr double kRateSmoothingSeconds = 1.5;
 
+// A rate estimate that started from zero is within 5 % after three time
+// constants. An earlier one would let entry hosts overload cold servers.
+constexpr Duration kRateSettlingTime = std::chrono::milliseconds(4500);
+
 }  // namespace
 
 FleetHub::FleetHub(FleetHubSettings settings, std::uint64_t id,
@@ -26,6 +30,11 @@
 void FleetHub::BecomeLeader(Instant now) {
   is_leader_ = true;
   registry_.ResetHealth();
+  UpdateZoneHubCount();
+  // Rates of the previous leader are continued; without any, the estimate
+  // starts from zero.
+  request_rates_at_ = now;
+  rates_settled_at_ = request_rates_.empty() ? now + kRateSettlingTime : now;
   // The previous leader granted from the same share, so the buckets start anew.
   leader_buckets_ = WorkspaceTokenBuckets();
   if (plan_) leader_buckets_.Configure(now, *plan_, kLeaderBucketShare);
@@ -104,7 +113,7 @@
     if (outcomes.hard_failures > 0) {
       dispatcher_.RecordHardFailure(now, server);
     } else if (outcomes.errors > 0) {
-      dispatcher_.RecordError(server);
+      dispatcher_.RecordError(now, server);
     }
   }
   if (is_leader_) {
@@ -148,15 +157,29 @@
   pending.settled += grant.settled;
 }
 
+// Takes tokens for an entry host of this hub without asking the leader.
+std::uint32_t FleetHub::TakeLocalTokens(Instant now,
+                                        const WorkspaceId& workspace,
+                                        std::uint32_t wanted) {
+  std::uint32_t granted = hub_buckets_.TakeTokens(now, workspace, wanted);
+  if (is_leader_) {
+    granted += leader_buckets_.TakeTokens(now, workspace, wanted - granted);
+  }
+  return granted;
+}
+
 // Grants tokens from this hub's share of the rates; the rest is requested from
 // the leader.
 void FleetHub::GrantTokens(Instant now, const HostId& host, bool is_relay,
                            const WorkspaceId& workspace, std::uint32_t wanted) {
   std::uint32_t granted = 0;
-  if (!is_relay) granted = hub_buckets_.TakeTokens(now, workspace, wanted);
+  if (!is_relay) {
+    granted = TakeLocalTokens(now, workspace, wanted);
+  } else if (is_leader_) {
+    granted = leader_buckets_.TakeTokens(now, workspace, wanted);
+  }
   const std::uint32_t missing = wanted - granted;
   if (is_leader_) {
-    granted += leader_buckets_.TakeTokens(now, workspace, missing);
     QueueGrant(host, workspace, {granted, wanted});
     return;
   }
@@ -199,7 +222,9 @@
   update.registry_id = id_;
   update.registry_changes = registry_.changes();
   update.full_registry = reporter.registry_changes_sent == 0;
+  const bool is_behind = reporter.registry_changes_sent < registry_.changes();
   for (const auto& [id, entry] : registry_.entries()) {
+    if (!is_behind) break;
     if (entry.change_number <= reporter.registry_changes_sent) continue;
     if (update.full_registry && entry.state.retired) continue;
     ServerUpdate server_update;
@@ -219,7 +244,9 @@
     reporter.shared_state_sent = shared_state_version_;
     update.shared_state = true;
     update.zones_out = record.zones_out();
-    update.request_rates = request_rates_;
+    if (!is_leader_ || now >= rates_settled_at_) {
+      update.request_rates = request_rates_;
+    }
     update.quarantined = quarantined_;
     update.entry_hosts = TotalEntryHosts();
     update.hubs = hubs_;
@@ -330,11 +357,17 @@
                                                const AssignmentId& id,
                                                const DispatchQuery& query) {
   if (!plan_) return std::nullopt;
+  const bool has_token =
+      !query.workspace.empty() && TakeLocalTokens(now, query.workspace, 1) == 1;
+  if (!query.workspace.empty() && !has_token) return DispatchChoice();
   if (!query.is_retry) retries_.CountRequest(query.service);
   if (query.is_retry && !retries_.CanRetry(query.service)) return std::nullopt;
   auto choice =
       dispatcher_.Assign(now, id, query, registry_, zones_out_, *plan_);
   if (choice && query.is_retry) retries_.TryAcquire(query.service);
+  if (!choice && !has_token) return std::nullopt;
+  if (!choice) choice.emplace();
+  choice->has_token = has_token;
   return choice;
 }
 
@@ -351,14 +384,16 @@
   });
   if (hubs == hubs_) return;
   hubs_ = std::move(hubs);
-  const auto in_zone = [&](const HubHost& hub) {
-    return hub.zone == self_.zone;
-  };
-  dispatcher_.SetZoneHubCount(static_cast<std::size_t>(
-      std::count_if(hubs_.begin(), hubs_.end(), in_zone)));
+  UpdateZoneHubCount();
   ++shared_state_version_;
 }
 
+void FleetHub::UpdateZoneHubCount() {
+  dispatcher_.SetZoneHubCount(static_cast<std::size_t>(std::count_if(
+      hubs_.begin(), hubs_.end(),
+      [&](const HubHost& hub) { return hub.zone == self_.zone; })));
+}
+
 void FleetHub::InheritReadyHosts(Instant now,
                                  const std::vector<ReadyHost>& ready) {
   for (const ReadyHost& host : ready)
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -87,11 +87,13 @@
   void ApplyLeaderUpdate(Instant now, const FleetUpdate& update);
 
   // Assigns a request of an entry host to a server; a retry only within the
-  // retry budget.
+  // retry budget. Takes a rate token first if the query names a workspace, and
+  // assigns no server without one.
   std::optional<DispatchChoice> Assign(Instant now, const AssignmentId& id,
                                        const DispatchQuery& query);
-  void EndAssignment(const AssignmentId& id, AssignmentOutcome end) {
-    dispatcher_.EndAssignment(id, end);
+  void EndAssignment(Instant now, const AssignmentId& id,
+                     AssignmentOutcome end) {
+    dispatcher_.EndAssignment(now, id, end);
   }
 
   // Removes a host whose link ended. It is no longer advertised to callers.
@@ -152,6 +154,8 @@
   void AggregateReport(Instant now, const EntryReport& report);
   void GrantTokens(Instant now, const HostId& host, bool is_relay,
                    const WorkspaceId& workspace, std::uint32_t wanted);
+  std::uint32_t TakeLocalTokens(Instant now, const WorkspaceId& workspace,
+                                std::uint32_t wanted);
   void QueueGrant(const HostId& host, const WorkspaceId& workspace,
                   TokenGrant grant);
   void DistributeGrant(const WorkspaceId& workspace, TokenGrant grant);
@@ -159,6 +163,7 @@
   std::uint32_t TotalEntryHosts() const;
   std::uint32_t LocalEntryHosts() const;
   void UpdateShares(Instant now);
+  void UpdateZoneHubCount();
 
   FleetHubSettings settings_;
   std::uint64_t id_;
@@ -182,6 +187,7 @@
   // Requests per second, smoothed over about 1.5 s.
   std::map<ServiceId, double> request_rates_;
   Instant request_rates_at_;
+  Instant rates_settled_at_;  // Authority only: from then on they are sent.
   std::vector<RequestFingerprint> quarantined_;
   std::uint32_t total_entry_hosts_ = 1;
   // Version of the state that all updates share.
--- a/sapphirebank/fleet/server_chooser.cc
+++ b/sapphirebank/fleet/server_chooser.cc
@@ -39,7 +39,9 @@
 
 KnownServerPtr ServerChooser::Choose(Instant now, const EntryView& view,
                                      const ServerQuery& query) {
-  if (KnownServerPtr cold = ChooseCold(now, view, query)) return cold;
+  if (query.may_use_cold) {
+    if (KnownServerPtr cold = ChooseCold(now, view, query)) return cold;
+  }
   std::vector<KnownServerPtr> same_zone;
   std::vector<KnownServerPtr> other_zones;
   std::vector<KnownServerPtr> unhealthy;
@@ -61,10 +63,13 @@
 }
 
 // Sends each cold server its fraction of the total request rate, so that all
-// hosts together stay within its warm-up rate without coordination.
+// hosts together stay within its warm-up rate without coordination. While the
+// total is unknown, as after a restart of the whole fleet, it gets none.
 KnownServerPtr ServerChooser::ChooseCold(Instant now, const EntryView& view,
                                          const ServerQuery& query) {
-  const double total_rate = std::max(view.RequestRate(query.service->id), 1.0);
+  const double known_rate = view.RequestRate(query.service->id);
+  if (known_rate <= 0) return nullptr;
+  const double total_rate = std::max(known_rate, 1.0);
   const double fraction = settings_.warm_up_rate_fraction *
                           query.service->warm_up_rate / total_rate;
   double sample = random_.Unit();
--- a/sapphirebank/fleet/server_chooser.h
+++ b/sapphirebank/fleet/server_chooser.h
@@ -29,6 +29,14 @@
   bool is_retry = false;
   // Servers already tried for the request.
   std::span<const KnownServerPtr> tried;
+  // Cold servers may be used. Not after the hub, which knows what others send
+  // to them, has declined.
+  bool may_use_cold = true;
+  // Workspace for which the hub is to take a rate token; empty for none.
+  WorkspaceId workspace;
+  // Latency objective of the route, and the deadline of the request.
+  Duration latency_objective{};
+  Instant deadline;
 };
 
 // Chooses the backend server for an attempt: the less loaded of two random
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -13,34 +13,92 @@
 
 }  // namespace
 
-ServerDispatcher::Candidates ServerDispatcher::ClassifyServers(
-    Instant now, const DispatchQuery& query, const ServerRegistry& registry,
-    const std::set<ZoneId>& zones_out) const {
-  Candidates candidates;
+// Rebuilds the index of servers in use after a change. A request then looks at
+// the servers of one service and mostly of one zone, not at all of the fleet.
+void ServerDispatcher::RefreshIndex(Instant now,
+                                    const ServerRegistry& registry) {
+  if (indexed_change_ == registry.urgent_changes()) return;
+  indexed_change_ = registry.urgent_changes();
+  index_.clear();
   for (const auto& [id, entry] : registry.entries()) {
-    const ServerState& server = entry.state;
-    const ServerAnnouncement& announcement = server.announcement;
-    if (server.retired || announcement.service != query.service ||
-        zones_out.contains(announcement.zone) || query.excluded.contains(id)) {
-      continue;
-    }
-    const bool is_same_zone = announcement.zone == query.zone;
+    if (entry.state.retired) continue;
+    const ServerAnnouncement& announcement = entry.state.announcement;
+    index_[announcement.service][announcement.zone].push_back(&entry.state);
+    liveness_.Track(now, id);
+  }
+}
+
+void ServerDispatcher::Classify(Instant now, const DispatchQuery& query,
+                                const Servers& servers,
+                                Candidates& candidates) const {
+  for (const ServerState* server : servers) {
+    const BackendId& id = server->announcement.id;
+    if (query.excluded.contains(id)) continue;
     const bool is_healthy =
         !suspected_until_.contains(id) &&
-        (server.health == ServerHealth::kUp ||
-         (server.health == ServerHealth::kProbation && MayProbe(query)));
-    if (now < server.cold_until) {
-      if (is_same_zone && is_healthy) candidates.cold.push_back(&server);
-    } else if (!is_healthy) {
-      candidates.unhealthy.push_back(&server);
-    } else {
-      (is_same_zone ? candidates.same_zone : candidates.other_zones)
-          .push_back(&server);
+        (server->health == ServerHealth::kUp ||
+         (server->health == ServerHealth::kProbation && MayProbe(query)));
+    if (now < server->cold_until) {
+      if (is_healthy) candidates.cold.push_back(server);
+      continue;
     }
+    const Candidate candidate = {server, liveness_.StatusOf(now, id)};
+    (!is_healthy                   ? candidates.unhealthy
+     : candidate.status.is_overdue ? candidates.overdue
+                                   : candidates.healthy)
+        .push_back(candidate);
+  }
+}
+
+ServerDispatcher::Candidates ServerDispatcher::ClassifyZone(
+    Instant now, const DispatchQuery& query) const {
+  Candidates candidates;
+  const auto service = index_.find(query.service);
+  if (service == index_.end()) return candidates;
+  const auto zone = service->second.find(query.zone);
+  if (zone == service->second.end()) return candidates;
+  Classify(now, query, zone->second, candidates);
+  return candidates;
+}
+
+ServerDispatcher::Candidates ServerDispatcher::ClassifyOtherZones(
+    Instant now, const DispatchQuery& query,
+    const std::set<ZoneId>& zones_out) const {
+  Candidates candidates;
+  const auto service = index_.find(query.service);
+  if (service == index_.end()) return candidates;
+  for (const auto& [zone, servers] : service->second) {
+    if (zone == query.zone || zones_out.contains(zone)) continue;
+    Classify(now, query, servers, candidates);
   }
   return candidates;
 }
 
+bool ServerDispatcher::IsFull(const Candidate& candidate) const {
+  return candidate.status.in_flight >=
+         candidate.server->announcement.slots + settings_.max_queued;
+}
+
+// Returns the best server that is not cold when none of the zone's healthy ones
+// has a free slot, or null without any. Where every server is overdue, the
+// cause is load, and the zone's own are as good as others.
+const ServerDispatcher::Candidate* ServerDispatcher::ChooseWarm(
+    const DispatchQuery& query, const Candidates& same_zone,
+    const Candidates& other_zones) {
+  const Candidate* best = LeastLoaded(same_zone.healthy);
+  if (best != nullptr && !IsFull(*best)) return best;
+  const Candidate* other = BestByLiveness(MayProbe(query), other_zones.healthy);
+  if (other != nullptr) return other;
+  const Candidate* overdue = LeastLoaded(same_zone.overdue);
+  if (overdue != nullptr && !IsFull(*overdue)) return overdue;
+  for (const auto* servers :
+       {&other_zones.healthy, &same_zone.healthy, &same_zone.overdue,
+        &other_zones.overdue, &same_zone.unhealthy, &other_zones.unhealthy}) {
+    if (best = LeastLoaded(*servers); best != nullptr) return best;
+  }
+  return nullptr;
+}
+
 std::optional<DispatchChoice> ServerDispatcher::Assign(
     Instant now, const AssignmentId& id, const DispatchQuery& query,
     const ServerRegistry& registry, const std::set<ZoneId>& zones_out,
@@ -49,44 +107,65 @@
                 [&](const auto& item) { return item.second <= now; });
   const PlannedService* service = plan.FindService(query.service);
   if (service == nullptr) return std::nullopt;
-  const Candidates candidates =
-      ClassifyServers(now, query, registry, zones_out);
-  const ServerState* chosen = ChooseCold(now, candidates, query, *service);
+  RefreshIndex(now, registry);
+  Candidates same_zone;
+  if (!zones_out.contains(query.zone)) same_zone = ClassifyZone(now, query);
+  const ServerState* chosen = ChooseCold(now, same_zone.cold, query, *service);
   if (chosen == nullptr) {
-    chosen = BestByLiveness(now, MayProbe(query), candidates.same_zone);
-  }
-  if (chosen == nullptr) chosen = LeastLoaded(candidates.same_zone);
-  const bool is_full =
-      chosen == nullptr ||
-      InFlight(*chosen) >= chosen->announcement.slots + settings_.max_queued;
-  if (is_full && !candidates.other_zones.empty()) {
-    chosen = LeastLoaded(candidates.other_zones);
+    const Candidate* candidate =
+        BestByLiveness(MayProbe(query), same_zone.healthy);
+    if (candidate == nullptr) {
+      const Candidates other_zones = ClassifyOtherZones(now, query, zones_out);
+      candidate = ChooseWarm(query, same_zone, other_zones);
+      if (candidate != nullptr) chosen = candidate->server;
+    } else {
+      chosen = candidate->server;
+    }
   }
-  if (chosen == nullptr) chosen = LeastLoaded(candidates.unhealthy);
   if (chosen == nullptr) return std::nullopt;
   const BackendId server = chosen->announcement.id;
   // Requests sent by other hubs to servers of their zone are not counted here.
   const bool load_is_partial =
       chosen->announcement.zone != zone_ || query.zone != zone_;
-  const bool is_busy = InFlight(*chosen) >= chosen->announcement.slots;
-  assignments_[id] = {server, now, now + settings_.assignment_timeout};
-  liveness_.RecordAssignment(now, server);
-  ++in_flight_[server];
+  const int in_flight = liveness_.StatusOf(now, server).in_flight;
+  const bool is_busy =
+      static_cast<std::uint32_t>(in_flight) >= chosen->announcement.slots;
+  const PendingAssignment pending = {
+      now, now + OverdueAge(query, *chosen, in_flight)};
+  assignments_[id] = {server,
+                      pending,
+                      now + query.time_left + settings_.end_report_slack,
+                      {query.service, query.latency_objective}};
+  liveness_.RecordAssignment(server, pending);
   return DispatchChoice{server, load_is_partial || is_busy};
 }
 
+// Returns the age from which a request to the server is overdue. Each full set
+// of slots ahead of it takes as long again.
+Duration ServerDispatcher::OverdueAge(const DispatchQuery& query,
+                                      const ServerState& server,
+                                      int in_flight) const {
+  const auto known = durations_.find({query.service, query.latency_objective});
+  const std::optional<Duration> learned =
+      known == durations_.end() ? std::nullopt : known->second.OverdueAge();
+  const Duration age = learned.value_or(FromSeconds(
+      ToSeconds(query.latency_objective) * settings_.initial_overdue_fraction));
+  const int slots = std::max(static_cast<int>(server.announcement.slots), 1);
+  return age * (1 + in_flight / slots);
+}
+
 // Prefers cold servers while their warm-up rate allows it.
 const ServerState* ServerDispatcher::ChooseCold(Instant now,
-                                                const Candidates& candidates,
+                                                const Servers& servers,
                                                 const DispatchQuery& query,
                                                 const PlannedService& service) {
-  const double hub_fraction = std::min(
-      settings_.warm_up_rate_fraction,
-      settings_.multi_hub_rate_fraction /
-          static_cast<double>(std::max<std::size_t>(zone_hub_count_, 1)));
-  const double fraction =
-      query.zone == zone_ ? hub_fraction : settings_.stand_in_rate_fraction;
-  for (const ServerState* server : candidates.cold) {
+  double fraction = settings_.stand_in_rate_fraction;
+  if (query.zone == zone_ && zone_hub_count_ > 0) {
+    fraction = std::min(settings_.warm_up_rate_fraction,
+                        settings_.multi_hub_rate_fraction /
+                            static_cast<double>(zone_hub_count_));
+  }
+  for (const ServerState* server : servers) {
     const double rate = fraction * service.warm_up_rate;
     auto [found, is_new] = warm_ups_.try_emplace(server->announcement.id);
     WarmUp& warm_up = found->second;
@@ -102,33 +181,23 @@
   return nullptr;
 }
 
-double ServerDispatcher::InFlight(const ServerState& server) const {
-  const auto found = in_flight_.find(server.announcement.id);
-  return found == in_flight_.end() ? 0 : found->second;
-}
-
-double ServerDispatcher::LoadOf(const ServerState& server) const {
-  return InFlight(server) /
-         std::max<std::uint32_t>(server.announcement.slots, 1);
-}
-
 // Returns the server with the lowest cost, with ties broken at random; servers
 // without a cost are skipped.
 template <typename Cost>
-const ServerState* ServerDispatcher::LowestCost(
-    const std::vector<const ServerState*>& servers, const Cost& cost_of) {
-  const ServerState* best = nullptr;
+const ServerDispatcher::Candidate* ServerDispatcher::LowestCost(
+    const std::vector<Candidate>& servers, const Cost& cost_of) {
+  const Candidate* best = nullptr;
   double best_cost = 0;
   std::uint64_t tied = 0;
-  for (const ServerState* server : servers) {
-    const std::optional<double> cost = cost_of(*server);
+  for (const Candidate& server : servers) {
+    const std::optional<double> cost = cost_of(server);
     if (!cost) continue;
     if (best == nullptr || *cost < best_cost) {
-      best = server;
+      best = &server;
       best_cost = *cost;
       tied = 1;
     } else if (*cost == best_cost && random_.Below(++tied) == 0) {
-      best = server;
+      best = &server;
     }
   }
   return best;
@@ -136,44 +205,42 @@
 
 // Returns the server with a free slot that suits the request best by liveness
 // and load, or null when all are full.
-const ServerState* ServerDispatcher::BestByLiveness(
-    Instant now, bool may_probe,
-    const std::vector<const ServerState*>& servers) {
+const ServerDispatcher::Candidate* ServerDispatcher::BestByLiveness(
+    bool may_probe, const std::vector<Candidate>& servers) {
   return LowestCost(
-      servers, [&](const ServerState& server) -> std::optional<double> {
-        const double load = LoadOf(server);
+      servers, [&](const Candidate& server) -> std::optional<double> {
+        const double load = server.load();
         if (load >= 1) return std::nullopt;
-        const BackendId& id = server.announcement.id;
-        const Duration age = may_probe ? -liveness_.IdleTime(now, id)
-                                       : liveness_.ConfirmationAge(now, id);
+        const bool is_idle = server.status.idle_time >= settings_.max_idle_time;
+        const Duration age = may_probe || is_idle
+                                 ? -server.status.idle_time
+                                 : server.status.confirmation_age;
         return ToSeconds(age) + load * ToSeconds(settings_.full_server_penalty);
       });
 }
 
-const ServerState* ServerDispatcher::LeastLoaded(
-    const std::vector<const ServerState*>& servers) {
-  return LowestCost(servers, [&](const ServerState& server) {
-    return std::optional(LoadOf(server));
+const ServerDispatcher::Candidate* ServerDispatcher::LeastLoaded(
+    const std::vector<Candidate>& servers) {
+  return LowestCost(servers, [&](const Candidate& server) {
+    return std::optional(server.load());
   });
 }
 
 void ServerDispatcher::RecordHardFailure(Instant now, const BackendId& server) {
   suspected_until_[server] = now + settings_.suspicion_time;
-  liveness_.RecordFailure(server);
+  liveness_.RecordFailure(now, server);
 }
 
-void ServerDispatcher::EndAssignment(const AssignmentId& id,
+void ServerDispatcher::EndAssignment(Instant now, const AssignmentId& id,
                                      AssignmentOutcome outcome) {
   const auto found = assignments_.find(id);
   if (found == assignments_.end()) return;
   const Assignment& assignment = found->second;
+  liveness_.RecordEnd(now, assignment.server, assignment.pending, outcome);
   if (outcome == AssignmentOutcome::kServed) {
-    liveness_.RecordSuccess(assignment.assigned_at, assignment.server);
-  } else if (outcome == AssignmentOutcome::kFailed) {
-    liveness_.RecordFailure(assignment.server);
+    durations_[assignment.request_class].Record(now -
+                                                assignment.pending.assigned_at);
   }
-  const auto count = in_flight_.find(found->second.server);
-  if (--count->second == 0) in_flight_.erase(count);
   assignments_.erase(found);
 }
 
@@ -183,8 +250,14 @@
        next != assignments_.end() && next->first.first == host; ++next) {
     ended.push_back(next->first);
   }
-  for (const AssignmentId& id : ended)
-    EndAssignment(id, AssignmentOutcome::kInconclusive);
+  for (const AssignmentId& id : ended) DiscardAssignment(id);
+}
+
+// Removes an assignment whose outcome will not be known.
+void ServerDispatcher::DiscardAssignment(const AssignmentId& id) {
+  const auto found = assignments_.find(id);
+  liveness_.Discard(found->second.server, found->second.pending);
+  assignments_.erase(found);
 }
 
 void ServerDispatcher::Tick(Instant now) {
@@ -192,8 +265,7 @@
   for (const auto& [id, assignment] : assignments_) {
     if (now >= assignment.expires_at) expired.push_back(id);
   }
-  for (const AssignmentId& id : expired)
-    EndAssignment(id, AssignmentOutcome::kInconclusive);
+  for (const AssignmentId& id : expired) DiscardAssignment(id);
   liveness_.Tick(now);
   constexpr Duration kWarmUpRetention = std::chrono::seconds(30);
   std::erase_if(warm_ups_, [&](const auto& item) {
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -10,6 +11,7 @@
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/random.h"
 #include "sapphirebank/core/time.h"
+#include "sapphirebank/fleet/attempt_duration_estimator.h"
 #include "sapphirebank/fleet/server_liveness_tracker.h"
 #include "sapphirebank/fleet/server_registry.h"
 #include "sapphirebank/fleet/traffic_plan.h"
@@ -17,9 +19,12 @@
 namespace sapphirebank {
 
 struct ServerDispatcherSettings {
-  // Assignments whose end is not reported expire after this time, which is
-  // longer than almost all requests run.
-  Duration assignment_timeout = std::chrono::seconds(4);
+  // Assignments whose end is not reported expire this long after the request's
+  // deadline.
+  Duration end_report_slack = std::chrono::milliseconds(500);
+  // Age, as a fraction of the latency objective, from which an attempt is
+  // overdue before the first one has been served.
+  double initial_overdue_fraction = 0.6;
   // Requests that may queue at a server of the same zone before another zone is
   // used: a short wait costs less than sending a body across zones.
   double max_queued = 2;
@@ -34,9 +39,13 @@
   // Token bucket capacity for requests to a cold server.
   double warm_up_burst = 1;
   // Fraction of the warm-up rate for servers of a zone without a hub, which
-  // several other hubs cover.
+  // several other hubs cover, and for a hub that has just started.
   double stand_in_rate_fraction = 0.2;
   ServerLivenessSettings liveness;
+  // A healthy server without a request for this time gets the next one,
+  // whatever its kind: no more of the servers may idle than the floor of
+  // healthy capacity in use allows, which is judged over 2 s.
+  Duration max_idle_time = std::chrono::milliseconds(1500);
   // A fully loaded server costs as much as one whose last confirmation is this
   // much older.
   Duration full_server_penalty = std::chrono::milliseconds(150);
@@ -53,6 +62,13 @@
   bool is_retry = false;
   // Servers already tried, or that the host cannot reach.
   std::set<BackendId> excluded;
+  // Latency objective of the route. Requests of a service that have the same
+  // one are taken to need the same work.
+  Duration latency_objective = std::chrono::seconds(1);
+  // Time left until the request's deadline.
+  Duration time_left = std::chrono::seconds(4);
+  // Workspace from whose rate a token is taken first; empty for none.
+  WorkspaceId workspace;
 };
 
 // The server assigned to a request.
@@ -61,15 +77,8 @@
   // Requests are or may be queued at the server, so a late answer says
   // nothing about its health.
   bool is_busy = false;
-};
-
-// Result of an assigned request.
-enum class AssignmentOutcome {
-  kServed,
-  // The server failed the request or could not be reached.
-  kFailed,
-  // The result says nothing about the server's health.
-  kInconclusive,
+  // A rate token was taken, if the query asked for one.
+  bool has_token = false;
 };
 
 // Identifies an assignment by the entry host and the host's number for it.
@@ -82,7 +91,8 @@
 //
 // Repeatable requests go first to the servers that have been idle longest and
 // thereby confirm their liveness; requests that must run once go to the most
-// recently confirmed servers.
+// recently confirmed servers. Servers with an overdue request get neither while
+// others have room.
 class ServerDispatcher {
  public:
   ServerDispatcher(ServerDispatcherSettings settings, ZoneId zone,
@@ -100,17 +110,21 @@
                                        const std::set<ZoneId>& zones_out,
                                        const TrafficPlan& plan);
 
-  // Sets the number of hubs in the zone, including this one.
+  // Sets the number of hubs in the zone, including this one. Until then cold
+  // servers get the fraction of a hub of another zone.
   void SetZoneHubCount(std::size_t hubs) { zone_hub_count_ = hubs; }
 
   // Reports a hard failure of the server.
   void RecordHardFailure(Instant now, const BackendId& server);
 
   // Reports an error status of the server.
-  void RecordError(const BackendId& server) { liveness_.RecordFailure(server); }
+  void RecordError(Instant now, const BackendId& server) {
+    liveness_.RecordFailure(now, server);
+  }
 
   // Ends an assignment.
-  void EndAssignment(const AssignmentId& id, AssignmentOutcome outcome);
+  void EndAssignment(Instant now, const AssignmentId& id,
+                     AssignmentOutcome outcome);
 
   // Ends all assignments of a host that disconnected.
   void EndAssignmentsOf(const HostId& host);
@@ -119,48 +133,72 @@
   void Tick(Instant now);
 
  private:
+  // Requests that take about the same time: service and latency objective.
+  using RequestClass = std::pair<ServiceId, Duration>;
+  using Servers = std::vector<const ServerState*>;
+
   struct Assignment {
     BackendId server;
-    Instant assigned_at;
+    PendingAssignment pending;
     Instant expires_at;
+    RequestClass request_class;
   };
   struct WarmUp {
     double tokens = 0;
     Instant filled_at;
   };
+  struct Candidate {
+    const ServerState* server = nullptr;
+    ServerLivenessTracker::Status status;
+
+    double load() const {
+      return static_cast<double>(status.in_flight) /
+             std::max<std::uint32_t>(server->announcement.slots, 1);
+    }
+  };
+  // Servers of one set of zones by what is known of them.
   struct Candidates {
-    std::vector<const ServerState*> same_zone;
-    std::vector<const ServerState*> other_zones;
-    std::vector<const ServerState*> cold;
-    std::vector<const ServerState*> unhealthy;
+    std::vector<Candidate> healthy;
+    std::vector<Candidate> overdue;
+    std::vector<Candidate> unhealthy;
+    Servers cold;
   };
 
-  Candidates ClassifyServers(Instant now, const DispatchQuery& query,
-                             const ServerRegistry& registry,
-                             const std::set<ZoneId>& zones_out) const;
-  const ServerState* ChooseCold(Instant now, const Candidates& candidates,
+  void RefreshIndex(Instant now, const ServerRegistry& registry);
+  void Classify(Instant now, const DispatchQuery& query, const Servers& servers,
+                Candidates& candidates) const;
+  Candidates ClassifyZone(Instant now, const DispatchQuery& query) const;
+  Candidates ClassifyOtherZones(Instant now, const DispatchQuery& query,
+                                const std::set<ZoneId>& zones_out) const;
+  const Candidate* ChooseWarm(const DispatchQuery& query,
+                              const Candidates& same_zone,
+                              const Candidates& other_zones);
+  const ServerState* ChooseCold(Instant now, const Servers& servers,
                                 const DispatchQuery& query,
                                 const PlannedService& service);
   template <typename Cost>
-  const ServerState* LowestCost(const std::vector<const ServerState*>& servers,
-                                const Cost& cost_of);
-  const ServerState* LeastLoaded(
-      const std::vector<const ServerState*>& servers);
-  const ServerState* BestByLiveness(
-      Instant now, bool may_probe,
-      const std::vector<const ServerState*>& servers);
-  double InFlight(const ServerState& server) const;
-  double LoadOf(const ServerState& server) const;
+  const Candidate* LowestCost(const std::vector<Candidate>& servers,
+                              const Cost& cost_of);
+  const Candidate* LeastLoaded(const std::vector<Candidate>& servers);
+  const Candidate* BestByLiveness(bool may_probe,
+                                  const std::vector<Candidate>& servers);
+  void DiscardAssignment(const AssignmentId& id);
+  bool IsFull(const Candidate& candidate) const;
+  Duration OverdueAge(const DispatchQuery& query, const ServerState& server,
+                      int in_flight) const;
 
   ServerDispatcherSettings settings_;
   ZoneId zone_;
   Random random_;
   std::map<AssignmentId, Assignment> assignments_;
-  std::map<BackendId, int> in_flight_;
   std::map<BackendId, WarmUp> warm_ups_;
   std::map<BackendId, Instant> suspected_until_;
   ServerLivenessTracker liveness_;
-  std::size_t zone_hub_count_ = 1;
+  std::map<RequestClass, AttemptDurationEstimator> durations_;
+  std::size_t zone_hub_count_ = 0;
+  // Servers in use by service and zone, as of a change of the registry.
+  std::map<ServiceId, std::map<ZoneId, Servers>> index_;
+  std::uint64_t indexed_change_ = 0;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/workspace_token_buckets.h
+++ b/sapphirebank/fleet/workspace_token_buckets.h
@@ -27,7 +27,13 @@
   // Minimum capacity in tokens, however small the burst.
   double min_capacity = 1;
 };
-inline constexpr TokenBucketShare kLeaderBucketShare = {0.45, 0.35};
+
+// Minimum capacity of the leader's buckets in tokens, taken from the allowance
+// of 20 requests as that of the hubs below: a small workspace's requests come
+// several at once and at any host.
+inline constexpr double kMinLeaderCapacity = 8;
+inline constexpr TokenBucketShare kLeaderBucketShare = {0.45, 0.35,
+                                                        kMinLeaderCapacity};
 inline constexpr TokenBucketShare kAllHubsBucketShare = {0.6, 0.45};
 
 // Minimum capacity of all hubs together in tokens, taken from the allowance of
--- a/unit_tests/fleet/entry_view_test.cc
+++ b/unit_tests/fleet/entry_view_test.cc
@@ -120,11 +120,15 @@
   EntryView view{ReadTestPlan, kKeyValidity};
   ServerChooser chooser{ServerChooserSettings(), ZoneId("kochi"), Random(5)};
 
+  double request_rate = 100;
+
   void SetServers(std::vector<ServerUpdate> servers) {
     FleetUpdate update = MakeUpdate(1, 1);
     update.servers = std::move(servers);
     update.shared_state = true;
-    update.request_rates[ServiceId("desk")] = 100;
+    if (request_rate > 0) {
+      update.request_rates[ServiceId("desk")] = request_rate;
+    }
     REQUIRE(view.Apply(kStart, kStart, update));
   }
   std::string Choose(bool repeatable = false) {
@@ -166,5 +170,15 @@
   CHECK(cold < kRequests * 6 / 100);
 }
 
+TEST_CASE("without a hub a cold server gets nothing while the rate is unknown",
+          "[fleet]") {
+  ChooserFixture fixture;
+  fixture.request_rate = 0;
+  fixture.SetServers(
+      {{MakeServer("warm"), ServerHealth::kUp, {}, false},
+       {MakeServer("cold"), ServerHealth::kUp, seconds(3), false}});
+  for (int i = 0; i < 1'000; ++i) CHECK(fixture.Choose() == "warm");
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/fleet/fleet_hub_test.cc
+++ b/unit_tests/fleet/fleet_hub_test.cc
@@ -214,7 +214,10 @@
   hub.BecomeLeader(kStart);
   hub.ApplyRecord(kStart, record, MakePlan(MakePlanParts()));
   hub.ApplyHeartbeat(kStart, MakeServer("a"), record);
-  DispatchQuery query = {ServiceId("desk"), ZoneId("kochi"), true, false, {}};
+  DispatchQuery query;
+  query.service = ServiceId("desk");
+  query.zone = ZoneId("kochi");
+  query.repeatable = true;
   std::uint64_t number = 1;
   const auto ask = [&](const std::string& host) {
     return hub.Assign(kStart, {HostId(host), number++}, query).has_value();
@@ -275,5 +278,38 @@
         2);
 }
 
+TEST_CASE("a leader without inherited rates sends none until they have settled",
+          "[fleet]") {
+  LeaderAndRelay hubs;
+  const ServiceId desk("desk");
+  // Sends a report with one request each 20 ms and returns the rate that the
+  // updates tell, if any.
+  const auto run = [&](Duration length) {
+    double told = 0;
+    for (const Instant end = hubs.now + length; hubs.now < end;
+         hubs.now += milliseconds(20)) {
+      EntryReport report = hubs.MakeReport();
+      report.requests[desk] = 1;
+      hubs.leader.Tick(hubs.now);
+      const FleetUpdate update = hubs.leader.HandleReport(
+          hubs.now, kEntry, false, report, hubs.record);
+      const auto found = update.request_rates.find(desk);
+      if (found != update.request_rates.end()) told = found->second;
+    }
+    return told;
+  };
+  CHECK(run(seconds(4)) == 0);
+  const double settled = run(seconds(3));
+  CHECK(settled > 45);
+  CHECK(settled < 55);
+  // A relay that takes over continues the rates it was sent.
+  hubs.Sync();
+  hubs.relay.BecomeLeader(hubs.now);
+  hubs.relay.Tick(hubs.now);
+  const FleetUpdate update = hubs.relay.HandleReport(
+      hubs.now, kEntry, false, hubs.MakeReport(), hubs.record);
+  CHECK(update.request_rates.at(desk) > 45);
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/fleet/server_dispatcher_test.cc
+++ b/unit_tests/fleet/server_dispatcher_test.cc
@@ -28,8 +28,12 @@
 
   std::string Assign(Instant now, bool repeatable = false,
                      std::set<BackendId> excluded = {}) {
-    const DispatchQuery query = {ServiceId("desk"), zone, repeatable, is_retry,
-                                 std::move(excluded)};
+    DispatchQuery query;
+    query.service = ServiceId("desk");
+    query.zone = zone;
+    query.repeatable = repeatable;
+    query.is_retry = is_retry;
+    query.excluded = std::move(excluded);
     const auto choice = dispatcher.Assign(now, {HostId("entry"), next++}, query,
                                           registry, zones_out, *plan);
     return choice ? choice->server.value() : "";
@@ -46,9 +50,9 @@
   for (int i = 0; i < 6; ++i) ++counts[fixture.Assign(kStart)];
   for (const auto& [id, count] : counts) CHECK(count == 2);
   // Ending an assignment frees its slot; ending it twice has no effect.
-  fixture.dispatcher.EndAssignment({HostId("entry"), 1},
+  fixture.dispatcher.EndAssignment(kStart, {HostId("entry"), 1},
                                    AssignmentOutcome::kInconclusive);
-  fixture.dispatcher.EndAssignment({HostId("entry"), 1},
+  fixture.dispatcher.EndAssignment(kStart, {HostId("entry"), 1},
                                    AssignmentOutcome::kInconclusive);
   const auto first = fixture.Assign(kStart);
   CHECK_FALSE(first.empty());
@@ -163,11 +167,11 @@
     REQUIRE_FALSE(server.empty());
     if (!repeatable) ++once;
     if (server != bad) {
-      fixture.dispatcher.EndAssignment(id, AssignmentOutcome::kServed);
+      fixture.dispatcher.EndAssignment(now, id, AssignmentOutcome::kServed);
       continue;
     }
     if (!repeatable) ++lost;
-    fixture.dispatcher.EndAssignment(id, AssignmentOutcome::kFailed);
+    fixture.dispatcher.EndAssignment(now, id, AssignmentOutcome::kFailed);
     fixture.dispatcher.RecordHardFailure(now, BackendId(bad));
   }
   // Choosing by load alone loses two or more requests in each of the 30
@@ -241,10 +245,58 @@
   fixture.registry.ApplyHeartbeat(kStart, MakeServer("far", "fann"),
                                   fixture.record);
   for (int i = 0; i < 5; ++i) fixture.Assign(kStart);
-  fixture.dispatcher.Tick(kStart +
-                          ServerDispatcherSettings().assignment_timeout);
+  fixture.dispatcher.Tick(kStart + DispatchQuery().time_left +
+                          ServerDispatcherSettings().end_report_slack);
   CHECK(fixture.Assign(kStart) == "near");
 }
 
+// Floor of healthy capacity in use: what must run once prefers servers that
+// were confirmed last, which would leave the others without any request.
+TEST_CASE("requests that must run once leave no healthy server unused for 2 s",
+          "[fleet]") {
+  DispatcherFixture fixture;
+  constexpr int kServers = 30;
+  for (int i = 0; i < kServers; ++i) {
+    ServerAnnouncement server = MakeServer("s" + std::to_string(i));
+    server.endpoint.port = static_cast<std::uint16_t>(1000 + i);
+    server.slots = 4;
+    fixture.registry.ApplyHeartbeat(kStart, server, fixture.record);
+  }
+  std::map<std::string, Instant> last;
+  std::deque<std::pair<Instant, AssignmentId>> running;
+  for (int step = 0; step < 2'000; ++step) {
+    const Instant now = kStart + step * milliseconds(8);
+    while (!running.empty() && running.front().first <= now) {
+      fixture.dispatcher.EndAssignment(now, running.front().second,
+                                       AssignmentOutcome::kServed);
+      running.pop_front();
+    }
+    const AssignmentId id = {HostId("entry"), fixture.next};
+    last[fixture.Assign(now)] = now;
+    running.emplace_back(now + milliseconds(250), id);
+    if (now - kStart < seconds(2)) continue;
+    REQUIRE(last.size() == kServers);
+    for (const auto& [server, at] : last) REQUIRE(now - at <= seconds(2));
+  }
+}
+
+TEST_CASE("a server with an overdue request is avoided while others have room",
+          "[fleet]") {
+  DispatcherFixture fixture;
+  fixture.registry.ApplyHeartbeat(kStart, MakeServer("a"), fixture.record);
+  fixture.registry.ApplyHeartbeat(kStart, MakeServer("b"), fixture.record);
+  const std::string hanging = fixture.Assign(kStart);
+  // The first request is overdue after 0.6 of the objective of a second.
+  const Instant later = kStart + milliseconds(650);
+  for (int i = 0; i < 4; ++i) {
+    const AssignmentId id = {HostId("entry"), fixture.next};
+    CHECK(fixture.Assign(later + i * milliseconds(10)) != hanging);
+    fixture.dispatcher.EndAssignment(later + i * milliseconds(10), id,
+                                     AssignmentOutcome::kServed);
+  }
+  // It is tried again after about the length of an episode.
+  CHECK(fixture.Assign(later + seconds(2)) == hanging);
+}
+
 }  // namespace
 }  // namespace sapphirebank
