The leader's work no longer grows with hosts times messages

Cause: with each message that a control host handled it listed all ready entry hosts and looked for grants for each host; relays sent their whole list of ready hosts with every report, and the leader sent the whole list to all control hosts twice a second; each plain heartbeat was compared with the endpoints of all servers. Ruled out: the replicated log, whose messages do not grow with the entry hosts. Change: the leader collects the ready hosts ten times a second; lists are sent when they change, each second by relays, each two seconds by the leader, and to a control host that connects; grants are looked for when some were added; a heartbeat without a change skips the comparison.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -31,9 +31,10 @@
 // Minimum time between two pushed updates, so that changes are batched.
 constexpr Duration kPushPeriod = std::chrono::milliseconds(40);
 
-// Maximum time between two messages to followers on which entry hosts are
-// ready.
-constexpr Duration kPublishPeriod = std::chrono::milliseconds(500);
+// Period with which the leader collects which entry hosts are ready, and the
+// maximum time between two messages on that to followers.
+constexpr Duration kReadyCheckPeriod = std::chrono::milliseconds(100);
+constexpr Duration kPublishPeriod = std::chrono::milliseconds(2000);
 
 // Maximum time between two reports of a relay to the leader; urgent content is
 // reported at once.
@@ -318,6 +319,7 @@
 void ControlProcess::PushUpdates(Instant now) {
   const FleetRecord& record = host_.state().fleet();
   const bool is_due = now >= next_push_;
+  if (!hub_.TakePendingGrantsFlag() && !is_due) return;
   bool pushed = false;
   for (const auto& [link, peer] : peers_) {
     if (peer.is_control && !is_leader_) continue;
@@ -349,12 +351,14 @@
 }
 
 void ControlProcess::PublishReady(Instant now) {
-  if (is_leader_) {
+  if (is_leader_ && now >= next_ready_check_) {
+    next_ready_check_ = now + kReadyCheckPeriod;
     std::vector<ReadyHost> ready = hub_.ReadyHosts(now);
-    if (ready == ready_hosts_ && now < next_publish_) return;
-    next_publish_ = now + kPublishPeriod;
-    ready_hosts_ = std::move(ready);
-    SendToControl({{"t", "ready"}, {"list", ready_hosts_}});
+    if (ready != ready_hosts_ || now >= next_publish_) {
+      next_publish_ = now + kPublishPeriod;
+      ready_hosts_ = std::move(ready);
+      SendToControl({{"t", "ready"}, {"list", ready_hosts_}});
+    }
   }
   if (*std::atomic_load(&published_hosts_) == ready_hosts_) return;
   std::atomic_store(
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -99,7 +99,7 @@
   void OnDown(LinkId link, const std::string& reason);
   void OnMessage(LinkId link, const HostId& from,
                  const nlohmann::json& message);
-  void OnControlHello(Peer& peer, const nlohmann::json& message);
+  void OnControlHello(LinkId link, Peer& peer, const nlohmann::json& message);
   void OnReport(LinkId link, const HostId& from, const nlohmann::json& message);
   void OnUpdate(const HostId& from, const nlohmann::json& message);
   void OnServerRequest(LinkId link, const HostId& from,
@@ -159,6 +159,7 @@
   Instant next_connect_;
   Instant next_ping_;
   Instant next_push_;
+  Instant next_ready_check_;
   Instant next_publish_;
   Instant next_metrics_;
 
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -149,7 +149,7 @@
     } else if (type == "update") {
       OnUpdate(from, message);
     } else if (type == "control") {
-      OnControlHello(peer, message);
+      OnControlHello(link, peer, message);
     } else if (type == "call") {
       OnPeerCall(link, message);
     } else if (type == "done") {
@@ -166,11 +166,13 @@
   }
 }
 
-void ControlProcess::OnControlHello(Peer& peer, const json& message) {
+void ControlProcess::OnControlHello(LinkId link, Peer& peer,
+                                    const json& message) {
   peer.is_control = true;
   peer.zone = ZoneId(message.at("zone").get<std::string>());
   host_.AddHost(peer.host);
   UpdateHubList();
+  if (is_leader_) links_.Send(link, {{"t", "ready"}, {"list", ready_hosts_}});
 }
 
 void ControlProcess::UpdateHubList() {
--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -139,7 +139,8 @@
 EntryReport EntryProcess::BuildReport(bool first) {
   EntryReport report;
   if (IsReady()) {
-    report.ready_hosts.push_back({ToString(settings_.callers), settings_.zone});
+    report.ready_hosts->push_back(
+        {ToString(settings_.callers), settings_.zone});
   }
   state_.FillReport(report, first);
   return report;
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -87,7 +87,11 @@
     ApplyHeartbeat(now, server, record);
   }
   Reporter& reporter = reporters_[id];
-  reporter.ready_hosts = report.ready_hosts;
+  if (report.ready_hosts) {
+    reporter.ready_hosts = *report.ready_hosts;
+    for (const ReadyHost& host : reporter.ready_hosts)
+      inherited_ready_.erase(host.address);
+  }
   reporter.entry_hosts = report.entry_hosts;
   reporter.is_relay = is_relay;
   reporter.last_report_at = now;
@@ -96,8 +100,6 @@
   reporter.registry_changes_sent =
       has_registry ? report.known_registry_changes : 0;
   if (!has_registry) reporter.shared_state_sent = 0;
-  for (const ReadyHost& host : report.ready_hosts)
-    inherited_ready_.erase(host.address);
   AggregateReport(now, report);
   for (const auto& [workspace, wanted] : report.wanted_tokens) {
     GrantTokens(now, id, is_relay, workspace, wanted);
@@ -152,6 +154,7 @@
                           TokenGrant grant) {
   const auto reporter = reporters_.find(host);
   if (reporter == reporters_.end()) return;
+  has_pending_grants_ = true;
   TokenGrant& pending = reporter->second.pending_grants[workspace];
   pending.tokens += grant.tokens;
   pending.settled += grant.settled;
@@ -294,7 +297,15 @@
 EntryReport FleetHub::BuildLeaderReport(Instant now, bool first) {
   must_report_to_leader_ = false;
   EntryReport report = std::exchange(pending_report_, {});
-  report.ready_hosts = ReadyHosts(now);
+  std::vector<ReadyHost> ready = ReadyHosts(now);
+  const bool is_due = now >= next_ready_hosts_at_;
+  if (first || is_due || ready != reported_ready_hosts_) {
+    next_ready_hosts_at_ = now + settings_.ready_hosts_period;
+    reported_ready_hosts_ = std::move(ready);
+    report.ready_hosts = reported_ready_hosts_;
+  } else {
+    report.ready_hosts.reset();
+  }
   report.entry_hosts = 0;
   for (const auto& [id, reporter] : reporters_) {
     report.entry_hosts += reporter.entry_hosts;
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "sapphirebank/core/ids.h"
@@ -33,6 +34,10 @@
   // callers: four reports, and well below the 6 s after which advertising it
   // would violate the limit.
   Duration entry_report_timeout = std::chrono::milliseconds(2500);
+  // Period with which a relay repeats its list of ready hosts to the leader,
+  // which loses it when the link between them is replaced. Well below
+  // entry_report_timeout.
+  Duration ready_hosts_period = std::chrono::milliseconds(1000);
   // Period of updates of request rates and of the number of hosts.
   Duration shared_state_period = std::chrono::milliseconds(1000);
 };
@@ -73,6 +78,12 @@
   // Returns whether `host` lacks changes.
   bool HasPendingUpdate(const HostId& host) const;
 
+  // Returns whether token grants may be pending for any host, once for each
+  // time that some are added.
+  bool TakePendingGrantsFlag() {
+    return std::exchange(has_pending_grants_, false);
+  }
+
   // Returns whether token grants for `host` are pending.
   bool HasPendingGrants(const HostId& host) const;
 
@@ -200,6 +211,11 @@
   std::uint64_t leader_registry_id_ = 0;
   std::uint64_t leader_registry_changes_ = 0;
   bool must_report_to_leader_ = false;
+  // Ready hosts as last sent to the leader, and when they are sent again.
+  std::vector<ReadyHost> reported_ready_hosts_;
+  Instant next_ready_hosts_at_;
+
+  bool has_pending_grants_ = false;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -109,7 +109,7 @@
          {"id", report.registry_id},
          {"b", report.known_registry_changes},
          {"p", report.known_plan_version}};
-  if (!report.ready_hosts.empty()) out["ready"] = report.ready_hosts;
+  if (report.ready_hosts) out["ready"] = *report.ready_hosts;
   if (report.entry_hosts != 1) out["hosts"] = report.entry_hosts;
   for (const auto& [id, outcomes] : report.outcomes) {
     out["outcomes"][id.value()] = {outcomes.successes, outcomes.errors,
@@ -129,7 +129,10 @@
   in.at("id").get_to(report.registry_id);
   in.at("b").get_to(report.known_registry_changes);
   in.at("p").get_to(report.known_plan_version);
-  ReadOptional(in, "ready", report.ready_hosts);
+  report.ready_hosts.reset();
+  if (const auto found = in.find("ready"); found != in.end()) {
+    report.ready_hosts = found->get<std::vector<ReadyHost>>();
+  }
   ReadOptional(in, "hosts", report.entry_hosts);
   if (const auto found = in.find("outcomes"); found != in.end()) {
     for (const auto& [id, outcomes] : found->items()) {
--- a/sapphirebank/fleet/fleet_messages.h
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -42,8 +42,8 @@
   // Increases with each report of one link; the update that answers it repeats
   // it.
   std::uint64_t number = 0;
-  // Hosts that accept callers.
-  std::vector<ReadyHost> ready_hosts;
+  // Hosts that accept callers; nothing if they are those of the report before.
+  std::optional<std::vector<ReadyHost>> ready_hosts = std::vector<ReadyHost>();
   // Number of entry hosts that this report covers.
   std::uint32_t entry_hosts = 1;
   // Id of the registry whose changes were applied, and the last change applied.
--- a/sapphirebank/fleet/server_registry.cc
+++ b/sapphirebank/fleet/server_registry.cc
@@ -13,6 +13,12 @@
         announcement.sequence <= last.sequence) {
       return true;
     }
+    // A later incarnation at the endpoint would have retired this one.
+    if (announcement.incarnation == last.incarnation &&
+        announcement.endpoint == last.endpoint &&
+        !known->second.state.retired) {
+      return false;
+    }
   }
   // A later incarnation of another server uses the endpoint.
   return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
--- a/unit_tests/fleet/fleet_hub_test.cc
+++ b/unit_tests/fleet/fleet_hub_test.cc
@@ -54,7 +54,7 @@
   EntryReport MakeReport() {
     EntryReport report;
     report.number = number++;
-    report.ready_hosts.push_back({"10.0.1.1:80", ZoneId("fann")});
+    report.ready_hosts->push_back({"10.0.1.1:80", ZoneId("fann")});
     report.registry_id = 2;
     return report;
   }
@@ -148,14 +148,14 @@
   hubs.relay.HandleReport(hubs.now, kEntry, false, hubs.MakeReport(),
                           hubs.record);
   EntryReport own = hubs.MakeReport();
-  own.ready_hosts = {{"10.0.1.2:80", ZoneId("kochi")}};
+  own.ready_hosts = {{{"10.0.1.2:80", ZoneId("kochi")}}};
   hubs.leader.HandleReport(hubs.now, HostId("entry-2"), false, own,
                            hubs.record);
   hubs.Sync();
   CHECK(hubs.leader.ReadyHosts(hubs.now).size() == 2);
   // A host that no longer reports itself ready is dropped at once, a silent one
   // after the timeout.
-  own.ready_hosts.clear();
+  own.ready_hosts->clear();
   hubs.leader.HandleReport(hubs.now, HostId("entry-2"), false, own,
                            hubs.record);
   CHECK(hubs.leader.ReadyHosts(hubs.now).size() == 1);
