Several hubs of a large zone divide its entry hosts and servers

Cause: all entry hosts of a zone used the first of its control hosts as their hub, so at 441 machines 6 of 19 control hosts carried the requests of 422 entry hosts and ran out of their share of a processor while the others idled. Ruled out: splitting hosts alone; hubs that send to the same servers do not know their load. Change: hosts and servers belong to one of the zone's hubs by rendezvous hashing, as many hubs as one for 32 hosts require; a hub sends to its own servers first.

--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "sapphirebank/fleet/hub_assignment.h"
 #include "sapphirebank/transport/process_clock.h"
 
 namespace sapphirebank {
@@ -33,7 +34,7 @@
 // A hub that failed is avoided for this time.
 constexpr Duration kHubBackoff = std::chrono::seconds(2);
 
-// A host that is not connected to the first hub of its zone retries that one
+// A host that is not connected to the hub that it belongs to retries that one
 // with this period.
 constexpr Duration kHubSwitchPeriod = std::chrono::seconds(3);
 
@@ -95,39 +96,49 @@
   ScheduleTick(hub_answered_ ? kConnectedTick : kSearchTick);
 }
 
-// Returns whether to switch to the first available hub of this zone from a
-// different one.
+bool EntryLink::IsBackedOff(const std::string& address, Instant now) const {
+  const auto backoff = backoff_until_.find(address);
+  return backoff != backoff_until_.end() && backoff->second > now;
+}
+
+// Returns the hub of this zone that this host belongs to, of those that did not
+// fail recently; empty without any.
+std::string EntryLink::AssignedHubAddress(Instant now) const {
+  std::vector<HubHost> available = hooks_.hubs();
+  std::erase_if(available, [&](const HubHost& hub) {
+    return hub.zone == settings_.zone && IsBackedOff(hub.address, now);
+  });
+  return AssignedHub(
+      ActiveHubs(available, settings_.zone, hooks_.entry_hosts()),
+      settings_.host.value());
+}
+
+// Returns whether to switch from a different hub to the assigned one.
 bool EntryLink::ShouldSwitchHub(Instant now) const {
   if (!hub_answered_ || now < next_switch_) return false;
-  for (const HubHost& hub : hooks_.hubs()) {
-    if (hub.zone != settings_.zone) continue;
-    const auto backoff = backoff_until_.find(hub.address);
-    if (backoff != backoff_until_.end() && backoff->second > now) continue;
-    return hub.address != hub_address_;
-  }
-  return false;
+  const std::string assigned = AssignedHubAddress(now);
+  return !assigned.empty() && assigned != hub_address_;
 }
 
-// Returns the hosts to connect to: the hubs of this zone in the order that all
-// hosts receive, so that they choose the same one; without any, the other hubs
-// and seeds; and without these, the hosts that failed recently. ConnectNext()
-// takes the first hub of this zone, but a random one of the others.
+// Returns the hosts to connect to: the assigned hub and the others of this
+// zone; without any, the other hubs and seeds; and without these, the hosts
+// that failed recently. ConnectNext() takes the first hub of this zone, but a
+// random one of the others.
 std::vector<std::string> EntryLink::Candidates() const {
   const Instant now = MonotonicNow();
   std::vector<std::string> same_zone;
   std::vector<std::string> others;
   std::vector<std::string> backed_off;
   const auto add = [&](const std::string& address, bool is_same_zone) {
-    const auto backoff = backoff_until_.find(address);
-    const bool is_backed_off =
-        backoff != backoff_until_.end() && backoff->second > now;
-    (is_backed_off  ? backed_off
-     : is_same_zone ? same_zone
-                    : others)
+    (IsBackedOff(address, now) ? backed_off
+     : is_same_zone            ? same_zone
+                               : others)
         .push_back(address);
   };
+  const std::string assigned = AssignedHubAddress(now);
+  if (!assigned.empty()) same_zone.push_back(assigned);
   for (const HubHost& hub : hooks_.hubs()) {
-    add(hub.address, hub.zone == settings_.zone);
+    if (hub.address != assigned) add(hub.address, hub.zone == settings_.zone);
   }
   for (const Endpoint& seed : hooks_.seeds()) {
     const std::string address = ToString(settings_.FleetEndpoint(seed));
--- a/programs/fleet_host/entry_link.h
+++ b/programs/fleet_host/entry_link.h
@@ -40,6 +40,8 @@
         server_assigned;
     // Returns the hubs listed in the latest update.
     std::function<const std::vector<HubHost>&()> hubs;
+    // Returns the number of entry hosts of all zones.
+    std::function<std::uint32_t()> entry_hosts;
     // Returns the seeds currently in the settings.
     std::function<std::vector<Endpoint>()> seeds;
   };
@@ -74,6 +76,8 @@
   void CloseLink(std::string_view cause);
   void SendReport(bool first);
   void ApplyUpdate(const FleetUpdate& update);
+  bool IsBackedOff(const std::string& address, Instant now) const;
+  std::string AssignedHubAddress(Instant now) const;
   bool ShouldSwitchHub(Instant now) const;
   std::vector<std::string> Candidates() const;
 
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "sapphirebank/fleet/hub_assignment.h"
+
 namespace sapphirebank {
 namespace {
 
@@ -30,14 +32,15 @@
 void FleetHub::BecomeLeader(Instant now) {
   is_leader_ = true;
   registry_.ResetHealth();
-  UpdateZoneHubCount();
+  UpdateZoneHubs();
   // Rates of the previous leader are continued; without any, the estimate
   // starts from zero.
   request_rates_at_ = now;
   rates_settled_at_ = request_rates_.empty() ? now + kRateSettlingTime : now;
   // The previous leader granted from the same share, so the buckets start anew.
   leader_buckets_ = WorkspaceTokenBuckets();
-  if (plan_) leader_buckets_.Configure(now, *plan_, kLeaderBucketShare);
+  if (plan_)
+    leader_buckets_.Configure(now, *plan_, LeaderBucketShare(hubs_.size()));
   token_orders_.clear();
   pending_report_ = EntryReport();
   must_report_to_leader_ = false;
@@ -56,7 +59,7 @@
   if (plan && (!plan_ || plan->version() > plan_->version())) {
     plan_ = plan;
     plans_.Add(plan->version(), record.document());
-    leader_buckets_.Configure(now, *plan, kLeaderBucketShare);
+    leader_buckets_.Configure(now, *plan, LeaderBucketShare(hubs_.size()));
     UpdateShares(now);
   }
   if (zones_out_ == record.zones_out()) return;
@@ -276,6 +279,7 @@
 // Sets this hub's share of the rates to its fraction of the entry hosts.
 void FleetHub::UpdateShares(Instant now) {
   if (!plan_) return;
+  if (hubs_.size() > 1) UpdateZoneHubs();
   const std::uint32_t all = std::max(TotalEntryHosts(), LocalEntryHosts());
   entry_host_fraction_ =
       static_cast<double>(LocalEntryHosts()) / std::max(all, 1U);
@@ -341,6 +345,7 @@
     request_rates_ = update.request_rates;
     quarantined_ = update.quarantined;
     total_entry_hosts_ = update.entry_hosts;
+    UpdateZoneHubs();
     ++shared_state_version_;
   }
   for (const auto& [workspace, grant] : update.granted) {
@@ -395,14 +400,13 @@
   });
   if (hubs == hubs_) return;
   hubs_ = std::move(hubs);
-  UpdateZoneHubCount();
+  UpdateZoneHubs();
   ++shared_state_version_;
 }
 
-void FleetHub::UpdateZoneHubCount() {
-  dispatcher_.SetZoneHubCount(static_cast<std::size_t>(std::count_if(
-      hubs_.begin(), hubs_.end(),
-      [&](const HubHost& hub) { return hub.zone == self_.zone; })));
+void FleetHub::UpdateZoneHubs() {
+  dispatcher_.SetZoneHubs(ActiveHubs(hubs_, self_.zone, TotalEntryHosts()),
+                          self_.address);
 }
 
 void FleetHub::InheritReadyHosts(Instant now,
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -174,7 +174,7 @@
   std::uint32_t TotalEntryHosts() const;
   std::uint32_t LocalEntryHosts() const;
   void UpdateShares(Instant now);
-  void UpdateZoneHubCount();
+  void UpdateZoneHubs();
 
   FleetHubSettings settings_;
   std::uint64_t id_;
--- /dev/null
+++ b/sapphirebank/fleet/hub_assignment.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sapphirebank/core/ids.h"
+#include "sapphirebank/fleet/fleet_messages.h"
+
+namespace sapphirebank {
+
+// Maximum number of entry hosts of a zone for which one hub is used. Several
+// hubs divide a zone's entry hosts and backend servers among them, which costs
+// some accuracy: a hub does not count what others send to its servers.
+inline constexpr std::uint32_t kMaxEntryHostsPerHub = 32;
+
+// Returns the addresses of the hubs among which the entry hosts and backend
+// servers of `zone` are divided: as many of the zone's first ones in `hubs` as
+// `entry_hosts`, the number in all zones, require. Every host computes the
+// same.
+std::vector<std::string> ActiveHubs(std::span<const HubHost> hubs,
+                                    const ZoneId& zone,
+                                    std::uint32_t entry_hosts);
+
+// Returns which of `hubs` an entry host or backend server belongs to, by
+// rendezvous hashing (Thaler and Ravishankar, 1998): when one is lost, only its
+// members move. Returns an empty address without any hub.
+std::string AssignedHub(std::span<const std::string> hubs,
+                        std::string_view member);
+
+}  // namespace sapphirebank
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -1,6 +1,9 @@
 #include "sapphirebank/fleet/server_dispatcher.h"
 
 #include <algorithm>
+#include <utility>
+
+#include "sapphirebank/fleet/hub_assignment.h"
 
 namespace sapphirebank {
 
@@ -13,6 +16,16 @@
 
 }  // namespace
 
+ServerDispatcher::Candidates& ServerDispatcher::Candidates::operator+=(
+    const Candidates& more) {
+  healthy.insert(healthy.end(), more.healthy.begin(), more.healthy.end());
+  overdue.insert(overdue.end(), more.overdue.begin(), more.overdue.end());
+  unhealthy.insert(unhealthy.end(), more.unhealthy.begin(),
+                   more.unhealthy.end());
+  cold.insert(cold.end(), more.cold.begin(), more.cold.end());
+  return *this;
+}
+
 // Rebuilds the index of servers in use after a change. A request then looks at
 // the servers of one service and mostly of one zone, not at all of the fleet.
 void ServerDispatcher::RefreshIndex(Instant now,
@@ -23,11 +36,27 @@
   for (const auto& [id, entry] : registry.entries()) {
     if (entry.state.retired) continue;
     const ServerAnnouncement& announcement = entry.state.announcement;
-    index_[announcement.service][announcement.zone].push_back(&entry.state);
+    ServiceServers& servers = index_[announcement.service];
+    (IsOwn(announcement) ? servers.own : servers.others[announcement.zone])
+        .push_back(&entry.state);
     liveness_.Track(now, id);
   }
 }
 
+bool ServerDispatcher::IsOwn(const ServerAnnouncement& server) const {
+  return server.zone == zone_ &&
+         (zone_hubs_.empty() ||
+          AssignedHub(zone_hubs_, server.id.value()) == self_);
+}
+
+void ServerDispatcher::SetZoneHubs(std::vector<std::string> hubs,
+                                   std::string self) {
+  if (hubs == zone_hubs_) return;
+  zone_hubs_ = std::move(hubs);
+  self_ = std::move(self);
+  indexed_change_ = 0;
+}
+
 void ServerDispatcher::Classify(Instant now, const DispatchQuery& query,
                                 const Servers& servers,
                                 Candidates& candidates) const {
@@ -50,13 +79,26 @@
   }
 }
 
-ServerDispatcher::Candidates ServerDispatcher::ClassifyZone(
+// Classifies the servers that only this hub sends requests to. For entry hosts
+// of another zone that have lost their hub, these are all servers of that zone.
+ServerDispatcher::Candidates ServerDispatcher::ClassifyOwn(
+    Instant now, const DispatchQuery& query) const {
+  if (query.zone != zone_) return ClassifyRestOfZone(now, query);
+  Candidates candidates;
+  const auto service = index_.find(query.service);
+  if (service == index_.end()) return candidates;
+  Classify(now, query, service->second.own, candidates);
+  return candidates;
+}
+
+// Classifies the servers of the query's zone that belong to other hubs.
+ServerDispatcher::Candidates ServerDispatcher::ClassifyRestOfZone(
     Instant now, const DispatchQuery& query) const {
   Candidates candidates;
   const auto service = index_.find(query.service);
   if (service == index_.end()) return candidates;
-  const auto zone = service->second.find(query.zone);
-  if (zone == service->second.end()) return candidates;
+  const auto zone = service->second.others.find(query.zone);
+  if (zone == service->second.others.end()) return candidates;
   Classify(now, query, zone->second, candidates);
   return candidates;
 }
@@ -67,7 +109,10 @@
   Candidates candidates;
   const auto service = index_.find(query.service);
   if (service == index_.end()) return candidates;
-  for (const auto& [zone, servers] : service->second) {
+  if (query.zone != zone_ && !zones_out.contains(zone_)) {
+    Classify(now, query, service->second.own, candidates);
+  }
+  for (const auto& [zone, servers] : service->second.others) {
     if (zone == query.zone || zones_out.contains(zone)) continue;
     Classify(now, query, servers, candidates);
   }
@@ -108,25 +153,28 @@
   const PlannedService* service = plan.FindService(query.service);
   if (service == nullptr) return std::nullopt;
   RefreshIndex(now, registry);
+  const bool zone_is_out = zones_out.contains(query.zone);
   Candidates same_zone;
-  if (!zones_out.contains(query.zone)) same_zone = ClassifyZone(now, query);
+  if (!zone_is_out) same_zone = ClassifyOwn(now, query);
   const ServerState* chosen = ChooseCold(now, same_zone.cold, query, *service);
   if (chosen == nullptr) {
-    const Candidate* candidate =
-        BestByLiveness(MayProbe(query), same_zone.healthy);
-    if (candidate == nullptr) {
-      const Candidates other_zones = ClassifyOtherZones(now, query, zones_out);
-      candidate = ChooseWarm(query, same_zone, other_zones);
-      if (candidate != nullptr) chosen = candidate->server;
-    } else {
-      chosen = candidate->server;
-    }
+    const Candidate* best = BestByLiveness(MayProbe(query), same_zone.healthy);
+    if (best != nullptr) chosen = best->server;
+  }
+  if (chosen == nullptr && !zone_is_out && query.zone == zone_) {
+    same_zone += ClassifyRestOfZone(now, query);
+    const Candidate* best = BestByLiveness(MayProbe(query), same_zone.healthy);
+    if (best != nullptr) chosen = best->server;
+  }
+  if (chosen == nullptr) {
+    const Candidates other_zones = ClassifyOtherZones(now, query, zones_out);
+    const Candidate* best = ChooseWarm(query, same_zone, other_zones);
+    if (best != nullptr) chosen = best->server;
   }
   if (chosen == nullptr) return std::nullopt;
   const BackendId server = chosen->announcement.id;
-  // Requests sent by other hubs to servers of their zone are not counted here.
-  const bool load_is_partial =
-      chosen->announcement.zone != zone_ || query.zone != zone_;
+  // Requests that other hubs send to their servers are not counted here.
+  const bool load_is_partial = !IsOwn(chosen->announcement);
   const int in_flight = liveness_.StatusOf(now, server).in_flight;
   const bool is_busy =
       static_cast<std::uint32_t>(in_flight) >= chosen->announcement.slots;
@@ -159,12 +207,9 @@
                                                 const Servers& servers,
                                                 const DispatchQuery& query,
                                                 const PlannedService& service) {
-  double fraction = settings_.stand_in_rate_fraction;
-  if (query.zone == zone_ && zone_hub_count_ > 0) {
-    fraction = std::min(settings_.warm_up_rate_fraction,
-                        settings_.multi_hub_rate_fraction /
-                            static_cast<double>(zone_hub_count_));
-  }
+  const bool are_own = query.zone == zone_ && !zone_hubs_.empty();
+  const double fraction = are_own ? settings_.warm_up_rate_fraction
+                                  : settings_.stand_in_rate_fraction;
   for (const ServerState* server : servers) {
     const double rate = fraction * service.warm_up_rate;
     auto [found, is_new] = warm_ups_.try_emplace(server->announcement.id);
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -28,11 +28,8 @@
   // Requests that may queue at a server of the same zone before another zone is
   // used: a short wait costs less than sending a body across zones.
   double max_queued = 2;
-  // Fraction of a cold server's warm-up rate that the hub of its zone sends;
-  // and the fraction that all hubs of a zone send together if it has several,
-  // as entry hosts may be connected to any of them.
+  // Fraction of a cold server's warm-up rate that its own hub sends.
   double warm_up_rate_fraction = 0.8;
-  double multi_hub_rate_fraction = 1.6;
   // A server with a hard failure gets no requests for this time; the leader's
   // health decision arrives within it.
   Duration suspicion_time = std::chrono::milliseconds(250);
@@ -85,9 +82,11 @@
 using AssignmentId = std::pair<HostId, std::uint64_t>;
 
 // Assigns requests to the servers of the entry host's zone by join the shortest
-// queue (Winston, "Optimality of the Shortest Line Discipline", 1977). The hub
-// of a zone has exact counts of the requests in flight. It also covers zones
-// that have lost their hub, whose servers would otherwise be unused.
+// queue (Winston, "Optimality of the Shortest Line Discipline", 1977). The hubs
+// of a zone divide its servers among them; a hub has exact counts of the
+// requests in flight at its own and prefers these while one has a free slot. It
+// also covers zones that have lost their hub, whose servers would otherwise be
+// unused.
 //
 // Repeatable requests go first to the servers that have been idle longest and
 // thereby confirm their liveness; requests that must run once go to the most
@@ -110,9 +109,10 @@
                                        const std::set<ZoneId>& zones_out,
                                        const TrafficPlan& plan);
 
-  // Sets the number of hubs in the zone, including this one. Until then cold
-  // servers get the fraction of a hub of another zone.
-  void SetZoneHubCount(std::size_t hubs) { zone_hub_count_ = hubs; }
+  // Sets the hubs that divide the zone's servers among them, and the address of
+  // this one. Until then cold servers get the fraction of a hub of another
+  // zone.
+  void SetZoneHubs(std::vector<std::string> hubs, std::string self);
 
   // Reports a hard failure of the server.
   void RecordHardFailure(Instant now, const BackendId& server);
@@ -162,14 +162,18 @@
     std::vector<Candidate> overdue;
     std::vector<Candidate> unhealthy;
     Servers cold;
+
+    Candidates& operator+=(const Candidates& more);
   };
 
   void RefreshIndex(Instant now, const ServerRegistry& registry);
   void Classify(Instant now, const DispatchQuery& query, const Servers& servers,
                 Candidates& candidates) const;
-  Candidates ClassifyZone(Instant now, const DispatchQuery& query) const;
+  Candidates ClassifyOwn(Instant now, const DispatchQuery& query) const;
   Candidates ClassifyOtherZones(Instant now, const DispatchQuery& query,
                                 const std::set<ZoneId>& zones_out) const;
+  bool IsOwn(const ServerAnnouncement& server) const;
+  Candidates ClassifyRestOfZone(Instant now, const DispatchQuery& query) const;
   const Candidate* ChooseWarm(const DispatchQuery& query,
                               const Candidates& same_zone,
                               const Candidates& other_zones);
@@ -195,9 +199,15 @@
   std::map<BackendId, Instant> suspected_until_;
   ServerLivenessTracker liveness_;
   std::map<RequestClass, AttemptDurationEstimator> durations_;
-  std::size_t zone_hub_count_ = 0;
-  // Servers in use by service and zone, as of a change of the registry.
-  std::map<ServiceId, std::map<ZoneId, Servers>> index_;
+  std::vector<std::string> zone_hubs_;
+  std::string self_;
+  // Servers in use by service, as of a change of the registry: those of this
+  // hub, and the others by zone.
+  struct ServiceServers {
+    Servers own;
+    std::map<ZoneId, Servers> others;
+  };
+  std::map<ServiceId, ServiceServers> index_;
   std::uint64_t indexed_change_ = 0;
 };
 
--- a/sapphirebank/fleet/workspace_token_buckets.h
+++ b/sapphirebank/fleet/workspace_token_buckets.h
@@ -28,12 +28,19 @@
   double min_capacity = 1;
 };
 
-// Minimum capacity of the leader's buckets in tokens, taken from the allowance
-// of 20 requests as that of the hubs below: a small workspace's requests come
-// several at once and at any host.
+// Minimum capacity of the leader's buckets in tokens with few hubs, taken from
+// the allowance of 20 requests as that of the hubs below: a small workspace's
+// requests come several at once and at any host. Each of many hubs needs one.
 inline constexpr double kMinLeaderCapacity = 8;
-inline constexpr TokenBucketShare kLeaderBucketShare = {0.45, 0.35,
-                                                        kMinLeaderCapacity};
+inline constexpr double kMinTotalCapacity = 16;
+
+// Returns the share of the leader's buckets beside those of `hubs` hubs.
+constexpr TokenBucketShare LeaderBucketShare(std::size_t hubs) {
+  return {0.45, 0.35,
+          std::clamp(kMinTotalCapacity - static_cast<double>(hubs), 1.0,
+                     kMinLeaderCapacity)};
+}
+
 inline constexpr TokenBucketShare kAllHubsBucketShare = {0.6, 0.45};
 
 // Minimum capacity of all hubs together in tokens, taken from the allowance of
--- a/unit_tests/fleet/fleet_hub_test.cc
+++ b/unit_tests/fleet/fleet_hub_test.cc
@@ -140,7 +140,7 @@
       hubs.relay.HandleReport(hubs.now, kRelay, true, report, hubs.record);
   CHECK(update.granted.at(kNorth).settled == 1000);
   CHECK(update.granted.at(kNorth).tokens <=
-        100 * kLeaderBucketShare.burst_fraction / 3);
+        100 * LeaderBucketShare(4).burst_fraction / 3);
 }
 
 TEST_CASE("ready hosts of all hubs are advertised to callers", "[fleet]") {
--- a/unit_tests/fleet/server_dispatcher_test.cc
+++ b/unit_tests/fleet/server_dispatcher_test.cc
@@ -214,11 +214,15 @@
   TrafficPlanParts parts = MakePlanParts();
   parts.services[0].warm_up_rate = kRate;
   std::vector<std::unique_ptr<DispatcherFixture>> hubs;
+  std::vector<std::string> addresses;
+  for (std::size_t i = 0; i < hub_count; ++i) {
+    addresses.push_back("10.0.0." + std::to_string(i) + ":7");
+  }
   for (std::size_t i = 0; i < hub_count; ++i) {
     hubs.push_back(std::make_unique<DispatcherFixture>());
     DispatcherFixture& hub = *hubs.back();
     hub.plan = MakePlan(parts);
-    hub.dispatcher.SetZoneHubCount(hub_count);
+    hub.dispatcher.SetZoneHubs(addresses, addresses[i]);
     ServerAnnouncement cold = MakeServer("cold");
     cold.warm_up_left = seconds(30);
     hub.registry.ApplyHeartbeat(kStart, cold, hub.record);
--- a/unit_tests/fleet/workspace_tokens_test.cc
+++ b/unit_tests/fleet/workspace_tokens_test.cc
@@ -29,7 +29,7 @@
   const auto plan = MakePlan(MakePlanParts(1, rate, rate));
   std::vector<WorkspaceTokenBuckets> hubs(hub_count);
   WorkspaceTokenBuckets leaders;
-  leaders.Configure(kStart, *plan, kLeaderBucketShare);
+  leaders.Configure(kStart, *plan, LeaderBucketShare(4));
   for (WorkspaceTokenBuckets& hub : hubs) {
     hub.Configure(kStart, *plan,
                   HubBucketShare(1.0 / static_cast<double>(hub_count)));
@@ -54,7 +54,7 @@
   }
   // Unspent tokens at entry hosts add to this.
   const double in_hand =
-      kLeaderBucketShare.rate_fraction * rate * ToSeconds(kGrantLifetime);
+      LeaderBucketShare(4).rate_fraction * rate * ToSeconds(kGrantLifetime);
   CHECK(static_cast<double>(most) + in_hand <= MaxRequestsInWindow(rate, rate));
   CHECK(static_cast<double>(total) >= rate * 30);
 }
