--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -141,7 +141,7 @@
       return;
     } else if (type == "end") {
       hub_.EndAssignment(
-          {from, message.at("n").get<std::uint64_t>()},
+          peer.heard_at, {from, message.at("n").get<std::uint64_t>()},
           ReadEnum(message.at("end"), AssignmentOutcome::kInconclusive));
       return;
     } else if (type == "report") {
@@ -149,7 +149,7 @@
     } else if (type == "update") {
       OnUpdate(from, message);
     } else if (type == "control") {
-      OnControlHello(peer, message);
+      OnControlHello(link, peer, message);
     } else if (type == "call") {
       OnPeerCall(link, message);
     } else if (type == "done") {
@@ -166,11 +166,13 @@
   }
 }
 
-void ControlProcess::OnControlHello(Peer& peer, const json& message) {
+void ControlProcess::OnControlHello(LinkId link, Peer& peer,
+                                    const json& message) {
   peer.is_control = true;
   peer.zone = ZoneId(message.at("zone").get<std::string>());
   host_.AddHost(peer.host);
   UpdateHubList();
+  if (is_leader_) links_.Send(link, {{"t", "ready"}, {"list", ready_hosts_}});
 }
 
 void ControlProcess::UpdateHubList() {
@@ -223,6 +225,11 @@
   query.zone = ZoneId(message.at("z").get<std::string>());
   query.repeatable = message.at("r").get<bool>();
   query.is_retry = message.at("again").get<bool>();
+  query.latency_objective = ReadDuration(message.at("o"));
+  query.time_left = ReadDuration(message.at("d"));
+  if (const auto workspace = message.find("w"); workspace != message.end()) {
+    query.workspace = WorkspaceId(workspace->get<std::string>());
+  }
   for (const auto& id : message.at("x")) {
     query.excluded.insert(BackendId(id.get<std::string>()));
   }
@@ -232,7 +239,8 @@
   links_.Send(link, {{"t", "use"},
                      {"n", number},
                      {"id", choice.server.value()},
-                     {"busy", choice.is_busy}});
+                     {"busy", choice.is_busy},
+                     {"token", choice.has_token}});
 }
 
 void ControlProcess::OnCallDone(const json& message) {
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -4,12 +4,18 @@
 #include <cmath>
 #include <utility>
 
+#include "sapphirebank/fleet/hub_assignment.h"
+
 namespace sapphirebank {
 namespace {
 
 // Time constant of the request rate estimate.
 constexpr double kRateSmoothingSeconds = 1.5;
 
+// A rate estimate that started from zero is within 5 % after three time
+// constants. An earlier one would let entry hosts overload cold servers.
+constexpr Duration kRateSettlingTime = std::chrono::milliseconds(4500);
+
 }  // namespace
 
 FleetHub::FleetHub(FleetHubSettings settings, std::uint64_t id,
@@ -26,9 +32,15 @@
 void FleetHub::BecomeLeader(Instant now) {
   is_leader_ = true;
   registry_.ResetHealth();
+  UpdateZoneHubs();
+  // Rates of the previous leader are continued; without any, the estimate
+  // starts from zero.
+  request_rates_at_ = now;
+  rates_settled_at_ = request_rates_.empty() ? now + kRateSettlingTime : now;
   // The previous leader granted from the same share, so the buckets start anew.
   leader_buckets_ = WorkspaceTokenBuckets();
-  if (plan_) leader_buckets_.Configure(now, *plan_, kLeaderBucketShare);
+  if (plan_)
+    leader_buckets_.Configure(now, *plan_, LeaderBucketShare(hubs_.size()));
   token_orders_.clear();
   pending_report_ = EntryReport();
   must_report_to_leader_ = false;
@@ -47,7 +59,7 @@
   if (plan && (!plan_ || plan->version() > plan_->version())) {
     plan_ = plan;
     plans_.Add(plan->version(), record.document());
-    leader_buckets_.Configure(now, *plan, kLeaderBucketShare);
+    leader_buckets_.Configure(now, *plan, LeaderBucketShare(hubs_.size()));
     UpdateShares(now);
   }
   if (zones_out_ == record.zones_out()) return;
@@ -78,7 +90,11 @@
     ApplyHeartbeat(now, server, record);
   }
   Reporter& reporter = reporters_[id];
-  reporter.ready_hosts = report.ready_hosts;
+  if (report.ready_hosts) {
+    reporter.ready_hosts = *report.ready_hosts;
+    for (const ReadyHost& host : reporter.ready_hosts)
+      inherited_ready_.erase(host.address);
+  }
   reporter.entry_hosts = report.entry_hosts;
   reporter.is_relay = is_relay;
   reporter.last_report_at = now;
@@ -87,8 +103,6 @@
   reporter.registry_changes_sent =
       has_registry ? report.known_registry_changes : 0;
   if (!has_registry) reporter.shared_state_sent = 0;
-  for (const ReadyHost& host : report.ready_hosts)
-    inherited_ready_.erase(host.address);
   AggregateReport(now, report);
   for (const auto& [workspace, wanted] : report.wanted_tokens) {
     GrantTokens(now, id, is_relay, workspace, wanted);
@@ -104,7 +118,7 @@
     if (outcomes.hard_failures > 0) {
       dispatcher_.RecordHardFailure(now, server);
     } else if (outcomes.errors > 0) {
-      dispatcher_.RecordError(server);
+      dispatcher_.RecordError(now, server);
     }
   }
   if (is_leader_) {
@@ -143,20 +157,35 @@
                           TokenGrant grant) {
   const auto reporter = reporters_.find(host);
   if (reporter == reporters_.end()) return;
+  has_pending_grants_ = true;
   TokenGrant& pending = reporter->second.pending_grants[workspace];
   pending.tokens += grant.tokens;
   pending.settled += grant.settled;
 }
 
+// Takes tokens for an entry host of this hub without asking the leader.
+std::uint32_t FleetHub::TakeLocalTokens(Instant now,
+                                        const WorkspaceId& workspace,
+                                        std::uint32_t wanted) {
+  std::uint32_t granted = hub_buckets_.TakeTokens(now, workspace, wanted);
+  if (is_leader_) {
+    granted += leader_buckets_.TakeTokens(now, workspace, wanted - granted);
+  }
+  return granted;
+}
+
 // Grants tokens from this hub's share of the rates; the rest is requested from
 // the leader.
 void FleetHub::GrantTokens(Instant now, const HostId& host, bool is_relay,
                            const WorkspaceId& workspace, std::uint32_t wanted) {
   std::uint32_t granted = 0;
-  if (!is_relay) granted = hub_buckets_.TakeTokens(now, workspace, wanted);
+  if (!is_relay) {
+    granted = TakeLocalTokens(now, workspace, wanted);
+  } else if (is_leader_) {
+    granted = leader_buckets_.TakeTokens(now, workspace, wanted);
+  }
   const std::uint32_t missing = wanted - granted;
   if (is_leader_) {
-    granted += leader_buckets_.TakeTokens(now, workspace, missing);
     QueueGrant(host, workspace, {granted, wanted});
     return;
   }
@@ -199,7 +228,9 @@
   update.registry_id = id_;
   update.registry_changes = registry_.changes();
   update.full_registry = reporter.registry_changes_sent == 0;
+  const bool is_behind = reporter.registry_changes_sent < registry_.changes();
   for (const auto& [id, entry] : registry_.entries()) {
+    if (!is_behind) break;
     if (entry.change_number <= reporter.registry_changes_sent) continue;
     if (update.full_registry && entry.state.retired) continue;
     ServerUpdate server_update;
@@ -219,7 +250,9 @@
     reporter.shared_state_sent = shared_state_version_;
     update.shared_state = true;
     update.zones_out = record.zones_out();
-    update.request_rates = request_rates_;
+    if (!is_leader_ || now >= rates_settled_at_) {
+      update.request_rates = request_rates_;
+    }
     update.quarantined = quarantined_;
     update.entry_hosts = TotalEntryHosts();
     update.hubs = hubs_;
@@ -246,6 +279,7 @@
 // Sets this hub's share of the rates to its fraction of the entry hosts.
 void FleetHub::UpdateShares(Instant now) {
   if (!plan_) return;
+  if (hubs_.size() > 1) UpdateZoneHubs();
   const std::uint32_t all = std::max(TotalEntryHosts(), LocalEntryHosts());
   entry_host_fraction_ =
       static_cast<double>(LocalEntryHosts()) / std::max(all, 1U);
@@ -267,7 +301,15 @@
 EntryReport FleetHub::BuildLeaderReport(Instant now, bool first) {
   must_report_to_leader_ = false;
   EntryReport report = std::exchange(pending_report_, {});
-  report.ready_hosts = ReadyHosts(now);
+  std::vector<ReadyHost> ready = ReadyHosts(now);
+  const bool is_due = now >= next_ready_hosts_at_;
+  if (first || is_due || ready != reported_ready_hosts_) {
+    next_ready_hosts_at_ = now + settings_.ready_hosts_period;
+    reported_ready_hosts_ = std::move(ready);
+    report.ready_hosts = reported_ready_hosts_;
+  } else {
+    report.ready_hosts.reset();
+  }
   report.entry_hosts = 0;
   for (const auto& [id, reporter] : reporters_) {
     report.entry_hosts += reporter.entry_hosts;
@@ -303,6 +345,7 @@
     request_rates_ = update.request_rates;
     quarantined_ = update.quarantined;
     total_entry_hosts_ = update.entry_hosts;
+    UpdateZoneHubs();
     ++shared_state_version_;
   }
   for (const auto& [workspace, grant] : update.granted) {
@@ -330,11 +373,17 @@
                                                const AssignmentId& id,
                                                const DispatchQuery& query) {
   if (!plan_) return std::nullopt;
+  const bool has_token =
+      !query.workspace.empty() && TakeLocalTokens(now, query.workspace, 1) == 1;
+  if (!query.workspace.empty() && !has_token) return DispatchChoice();
   if (!query.is_retry) retries_.CountRequest(query.service);
   if (query.is_retry && !retries_.CanRetry(query.service)) return std::nullopt;
   auto choice =
       dispatcher_.Assign(now, id, query, registry_, zones_out_, *plan_);
   if (choice && query.is_retry) retries_.TryAcquire(query.service);
+  if (!choice && !has_token) return std::nullopt;
+  if (!choice) choice.emplace();
+  choice->has_token = has_token;
   return choice;
 }
 
@@ -351,14 +400,15 @@
   });
   if (hubs == hubs_) return;
   hubs_ = std::move(hubs);
-  const auto in_zone = [&](const HubHost& hub) {
-    return hub.zone == self_.zone;
-  };
-  dispatcher_.SetZoneHubCount(static_cast<std::size_t>(
-      std::count_if(hubs_.begin(), hubs_.end(), in_zone)));
+  UpdateZoneHubs();
   ++shared_state_version_;
 }
 
+void FleetHub::UpdateZoneHubs() {
+  dispatcher_.SetZoneHubs(ActiveHubs(hubs_, self_.zone, TotalEntryHosts()),
+                          self_.address);
+}
+
 void FleetHub::InheritReadyHosts(Instant now,
                                  const std::vector<ReadyHost>& ready) {
   for (const ReadyHost& host : ready)
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "sapphirebank/core/ids.h"
@@ -33,6 +34,10 @@
   // callers: four reports, and well below the 6 s after which advertising it
   // would violate the limit.
   Duration entry_report_timeout = std::chrono::milliseconds(2500);
+  // Period with which a relay repeats its list of ready hosts to the leader,
+  // which loses it when the link between them is replaced. Well below
+  // entry_report_timeout.
+  Duration ready_hosts_period = std::chrono::milliseconds(1000);
   // Period of updates of request rates and of the number of hosts.
   Duration shared_state_period = std::chrono::milliseconds(1000);
 };
@@ -73,6 +78,12 @@
   // Returns whether `host` lacks changes.
   bool HasPendingUpdate(const HostId& host) const;
 
+  // Returns whether token grants may be pending for any host, once for each
+  // time that some are added.
+  bool TakePendingGrantsFlag() {
+    return std::exchange(has_pending_grants_, false);
+  }
+
   // Returns whether token grants for `host` are pending.
   bool HasPendingGrants(const HostId& host) const;
 
@@ -87,11 +98,13 @@
   void ApplyLeaderUpdate(Instant now, const FleetUpdate& update);
 
   // Assigns a request of an entry host to a server; a retry only within the
-  // retry budget.
+  // retry budget. Takes a rate token first if the query names a workspace, and
+  // assigns no server without one.
   std::optional<DispatchChoice> Assign(Instant now, const AssignmentId& id,
                                        const DispatchQuery& query);
-  void EndAssignment(const AssignmentId& id, AssignmentOutcome end) {
-    dispatcher_.EndAssignment(id, end);
+  void EndAssignment(Instant now, const AssignmentId& id,
+                     AssignmentOutcome end) {
+    dispatcher_.EndAssignment(now, id, end);
   }
 
   // Removes a host whose link ended. It is no longer advertised to callers.
@@ -152,6 +165,8 @@
   void AggregateReport(Instant now, const EntryReport& report);
   void GrantTokens(Instant now, const HostId& host, bool is_relay,
                    const WorkspaceId& workspace, std::uint32_t wanted);
+  std::uint32_t TakeLocalTokens(Instant now, const WorkspaceId& workspace,
+                                std::uint32_t wanted);
   void QueueGrant(const HostId& host, const WorkspaceId& workspace,
                   TokenGrant grant);
   void DistributeGrant(const WorkspaceId& workspace, TokenGrant grant);
@@ -159,6 +174,7 @@
   std::uint32_t TotalEntryHosts() const;
   std::uint32_t LocalEntryHosts() const;
   void UpdateShares(Instant now);
+  void UpdateZoneHubs();
 
   FleetHubSettings settings_;
   std::uint64_t id_;
@@ -182,6 +198,7 @@
   // Requests per second, smoothed over about 1.5 s.
   std::map<ServiceId, double> request_rates_;
   Instant request_rates_at_;
+  Instant rates_settled_at_;  // Authority only: from then on they are sent.
   std::vector<RequestFingerprint> quarantined_;
   std::uint32_t total_entry_hosts_ = 1;
   // Version of the state that all updates share.
@@ -194,6 +211,11 @@
   std::uint64_t leader_registry_id_ = 0;
   std::uint64_t leader_registry_changes_ = 0;
   bool must_report_to_leader_ = false;
+  // Ready hosts as last sent to the leader, and when they are sent again.
+  std::vector<ReadyHost> reported_ready_hosts_;
+  Instant next_ready_hosts_at_;
+
+  bool has_pending_grants_ = false;
 };
 
 }  // namespace sapphirebank
