A late hub is asked for a rate token once

Cause: a hub that did not answer the question for a server within 25 ms was asked for the token by a report as well, then for a server again: the later a hub was, the more it was asked. Ruled out: a longer wait for all questions; without a token nothing can be sent meanwhile, but a request that holds one is better sent by the host's own choice. Change: a question that carries a token waits for a quarter of the objective; after it the host's own share of the rate decides.

--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -25,6 +25,11 @@
 // available again within a fraction of a second.
 constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(300);
 
+// Returns how long a request of the route may wait for a rate token.
+Duration TokenWait(const PlannedRoute& route) {
+  return route.latency_objective / kTokenWaitDivisor;
+}
+
 HttpClientSettings ClientSettings() {
   HttpClientSettings settings;
   settings.max_idle_per_endpoint = 2;
@@ -112,18 +117,21 @@
 
 asio::awaitable<Result<void>> EntryRequestHandler::AcquireRateToken(
     RequestContext& context) {
-  const Duration wait = context.route->latency_objective / kTokenWaitDivisor;
-  const TokenOutcome token =
-      co_await state_.TakeToken(context.workspace->id, wait);
+  const TokenOutcome token = co_await state_.TakeToken(
+      context.workspace->id, TokenWait(*context.route));
   if (token == TokenOutcome::kGranted) co_return Result<void>();
   if (token == TokenOutcome::kRefused) {
     co_return Fail(ErrorKind::kRateExceeded, "rate limit exceeded");
   }
-  if (state_.TakeOwnShare(MonotonicNow(), *context.workspace)) {
-    co_return Result<void>();
-  }
-  co_return Fail(ErrorKind::kRateUnavailable,
-                 "the leader did not answer and the local share is used up");
+  co_return TakeLocalToken(context);
+}
+
+// Takes a token from this host's share of the workspace's rate.
+Result<void> EntryRequestHandler::TakeLocalToken(
+    const RequestContext& context) {
+  if (state_.TakeOwnShare(MonotonicNow(), *context.workspace)) return {};
+  return Fail(ErrorKind::kRateUnavailable,
+              "the hub did not answer and the local share is used up");
 }
 
 const PlannedService* EntryRequestHandler::ChooseService(
@@ -193,12 +201,21 @@
     co_return *std::exchange(context.next_choice, std::nullopt);
   }
   ServerQuery query = MakeQuery(context);
-  if (context.needs_token) query.workspace = context.workspace->id;
+  if (context.needs_token) {
+    query.workspace = context.workspace->id;
+    query.token_wait = TokenWait(*context.route);
+  }
   EntryState::Choice choice = co_await state_.Choose(query);
   if (!context.needs_token) co_return choice;
   context.needs_token = false;
   if (choice.has_token) co_return choice;
-  const Result<void> token = co_await AcquireRateToken(context);
+  Result<void> token;
+  if (choice.hub_is_silent) {
+    // Asking a hub that is late once more would make it later.
+    token = TakeLocalToken(context);
+  } else {
+    token = co_await AcquireRateToken(context);
+  }
   if (!token) co_return tl::unexpected(token.error());
   query.workspace = WorkspaceId();
   choice = co_await state_.Choose(query);
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -56,6 +56,7 @@
   Result<void> Admit(RequestContext& context) const;
   boost::asio::awaitable<Result<void>> AcquireRateToken(
       RequestContext& context);
+  Result<void> TakeLocalToken(const RequestContext& context);
   boost::asio::awaitable<HttpAnswer> Forward(RequestContext& context);
   boost::asio::awaitable<AttemptResult> RunAttempt(RequestContext& context,
                                                    EntryState::Choice choice);
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -80,13 +80,15 @@
   const std::uint64_t number = next_assignment_++;
   if (hooks_.request_server(number, hub_query)) {
     auto waiter = std::make_shared<Waiter>(loop_);
-    waiter->timer.expires_after(kAssignmentTimeout);
+    waiter->timer.expires_after(query.workspace.empty() ? kAssignmentTimeout
+                                                        : query.token_wait);
     pending_assignments_[number] = waiter;
     boost::system::error_code ignored;
     co_await waiter->timer.async_wait(
         boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
     pending_assignments_.erase(number);
     choice.has_token = waiter->choice.has_token;
+    choice.hub_is_silent = !waiter->answered;
     choice.server = view_.Find(waiter->choice.server);
     if (choice.server) {
       choice.assignment = number;
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -86,6 +86,8 @@
     bool is_busy = true;
     // The hub took the rate token that the query asked for.
     bool has_token = false;
+    // A hub was asked and did not answer in time.
+    bool hub_is_silent = false;
   };
 
   // Returns the server that the hub assigns, or one that this host chooses when
--- a/sapphirebank/fleet/server_chooser.h
+++ b/sapphirebank/fleet/server_chooser.h
@@ -33,7 +33,10 @@
   // to them, has declined.
   bool may_use_cold = true;
   // Workspace for which the hub is to take a rate token; empty for none.
+  // Without a token no server is of use, so the hub's answer is awaited for
+  // longer.
   WorkspaceId workspace;
+  Duration token_wait{};
   // Latency objective of the route, and the deadline of the request.
   Duration latency_objective{};
   Instant deadline;
