A reconnecting entry host no longer sends and receives all servers

Cause: the first report to a hub listed all servers that the host knew, and each was compared with all others. When control hosts restarted, 422 hosts sent 540 servers each; hubs fell behind, hosts gave up on them after 400 ms, connected to others and sent everything again. Ruled out: the number of reconnects alone; without the lists a report has about 100 bytes. Change: a hub that has lost its servers asks one entry host at a time for them; hosts keep their own until the hub's registry is complete. The first report may take 2 s, as the answer carries the plan and all servers over a link of 2 Mbit/s. The line of a request names the refusal and the service. Measured: unit tests of fleet. The fixture of the hub tests states that its leader is not new, as a new one now waits for the servers.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -324,7 +324,7 @@
   for (const auto& [link, peer] : peers_) {
     if (peer.is_control && !is_leader_) continue;
     if (!hub_.HasPendingGrants(peer.host) &&
-        !(is_due && hub_.HasPendingUpdate(peer.host))) {
+        !(is_due && hub_.HasPendingUpdate(now, peer.host))) {
       continue;
     }
     SendUpdate(link, hub_.BuildUpdate(now, peer.host, record), now);
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -17,7 +17,11 @@
 constexpr Duration kReportPeriod = std::chrono::milliseconds(500);
 
 // A hub that does not answer a report within this time is dropped.
-constexpr Duration kReportTimeout = std::chrono::milliseconds(400);
+constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
+
+// The same for the first report to a hub: its answer may carry the whole plan
+// and all servers, for which the link of a small host needs most of a second.
+constexpr Duration kFirstReportTimeout = std::chrono::milliseconds(2000);
 
 // Timeout for establishing a link: hosts are a few milliseconds apart.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
@@ -83,7 +87,8 @@
     CloseLink("the link was not established in time");
     ConnectNext();
   } else if (!unanswered_reports_.empty() &&
-             now - unanswered_reports_.begin()->second > kReportTimeout) {
+             now - unanswered_reports_.begin()->second >
+                 (hub_answered_ ? kReportTimeout : kFirstReportTimeout)) {
     CloseLink("a report was not answered");
     ConnectNext();
   } else if (ShouldSwitchHub(now)) {
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -285,7 +285,12 @@
        {"workspace",
         context.workspace != nullptr ? context.workspace->id.value() : ""},
        {"plan", context.plan ? context.plan->version() : 0},
+       {"service",
+        context.service != nullptr ? context.service->id.value() : ""},
        {"servers", std::move(servers)},
+       {"refusal", context.refusal_kind
+                       ? std::string(AnswerFor(*context.refusal_kind).name)
+                       : std::string()},
        {"status", answer.status},
        {"ms", ToSeconds(now - context.arrival_time) * 1e3}});
 }
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -37,6 +37,10 @@
 
 Result<void> EntryState::Apply(Instant now, std::optional<Instant> asked_at,
                                const FleetUpdate& update) {
+  if (update.wants_servers) {
+    wanted_servers_ = view_.Announcements();
+    if (!wanted_servers_.empty()) hooks_.report_now();
+  }
   auto applied = view_.Apply(now, asked_at, update);
   retries_.SetShareCount(update.entry_hosts);
   ApplyGrants(asked_at.value_or(now), update);
@@ -192,7 +196,7 @@
   report.outcomes = std::exchange(outcomes_, {});
   report.requests = std::exchange(requests_, {});
   report.crashes = std::exchange(crashes_, {});
-  if (first) report.known_servers = view_.Announcements();
+  report.known_servers = std::exchange(wanted_servers_, {});
   for (auto& [workspace, account] : accounts_) {
     // Requests that a lost leader did not answer are repeated.
     if (first) account.to_request += std::exchange(account.requested, 0);
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -71,7 +71,8 @@
   void RecordUnreachable(Instant now, KnownServer& server);
 
   // Moves the outcomes since the last report into `report`. The `first` report
-  // to a hub also lists the known servers and repeats the token requests.
+  // to a hub also repeats the token requests; the known servers are listed when
+  // the hub asked for them.
   void FillReport(EntryReport& report, bool first);
 
   const EntryView& view() const { return view_; }
@@ -129,6 +130,8 @@
   ServerChooser chooser_;
   Hooks hooks_;
   std::uint64_t next_assignment_ = 1;
+  // Servers to report to a hub that has lost its own.
+  std::vector<ServerAnnouncement> wanted_servers_;
   std::map<std::uint64_t, std::shared_ptr<Waiter>> pending_assignments_;
   std::map<WorkspaceId, RateAccount> accounts_;
   std::map<BackendId, ServerOutcomes> outcomes_;
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -89,6 +89,9 @@
   for (const ServerAnnouncement& server : report.known_servers) {
     ApplyHeartbeat(now, server, record);
   }
+  if (!first_report_at_) first_report_at_ = now;
+  has_server_list_ =
+      has_server_list_ || (!is_relay && !report.known_servers.empty());
   Reporter& reporter = reporters_[id];
   if (report.ready_hosts) {
     reporter.ready_hosts = *report.ready_hosts;
@@ -109,6 +112,10 @@
   }
   FleetUpdate update = FillUpdate(now, reporter, record);
   update.answered_report = report.number;
+  if (!is_relay && !RegistryIsComplete(now) && now >= next_server_request_) {
+    update.wants_servers = true;
+    next_server_request_ = now + settings_.server_request_period;
+  }
   return update;
 }
 
@@ -202,7 +209,7 @@
   return FillUpdate(now, reporters_[id], record);
 }
 
-bool FleetHub::HasPendingUpdate(const HostId& id) const {
+bool FleetHub::HasPendingUpdate(Instant now, const HostId& id) const {
   const auto found = reporters_.find(id);
   if (found == reporters_.end()) return false;
   const Reporter& reporter = found->second;
@@ -210,7 +217,10 @@
   // as the hub chooses servers for them.
   const std::uint64_t registry =
       reporter.is_relay ? registry_.changes() : registry_.urgent_changes();
-  return reporter.registry_changes_sent < registry ||
+  const bool awaits_registry = !reporter.is_relay &&
+                               reporter.registry_changes_sent == 0 &&
+                               !RegistryIsComplete(now);
+  return (!awaits_registry && reporter.registry_changes_sent < registry) ||
          reporter.plan_version_sent < plans_.newest() ||
          reporter.shared_state_sent < shared_state_version_ ||
          !reporter.pending_grants.empty();
@@ -221,14 +231,28 @@
   return found != reporters_.end() && !found->second.pending_grants.empty();
 }
 
+bool FleetHub::RegistryIsComplete(Instant now) const {
+  return has_server_list_ ||
+         (first_report_at_ &&
+          now - *first_report_at_ >= settings_.max_incomplete_time);
+}
+
 FleetUpdate FleetHub::FillUpdate(Instant now, Reporter& reporter,
                                  const FleetRecord& record) {
   FleetUpdate update;
   update.record_changes = record.changes();
   update.registry_id = id_;
-  update.registry_changes = registry_.changes();
-  update.full_registry = reporter.registry_changes_sent == 0;
-  const bool is_behind = reporter.registry_changes_sent < registry_.changes();
+  // An entry host that is new here gets the whole registry, but not before it
+  // is complete; until then it keeps its own servers.
+  const bool is_complete = RegistryIsComplete(now);
+  const bool is_new = reporter.registry_changes_sent == 0;
+  const bool sends_registry = is_complete || reporter.is_relay || !is_new;
+  update.registry_changes =
+      sends_registry ? registry_.changes() : reporter.registry_changes_sent;
+  update.full_registry = is_new && sends_registry;
+  update.wants_servers = reporter.is_relay && !is_complete;
+  const bool is_behind =
+      sends_registry && reporter.registry_changes_sent < registry_.changes();
   for (const auto& [id, entry] : registry_.entries()) {
     if (!is_behind) break;
     if (entry.change_number <= reporter.registry_changes_sent) continue;
@@ -241,7 +265,7 @@
     server_update.retired = entry.state.retired;
     update.servers.push_back(std::move(server_update));
   }
-  reporter.registry_changes_sent = registry_.changes();
+  reporter.registry_changes_sent = update.registry_changes;
   if (reporter.plan_version_sent < plans_.newest()) {
     update.plan = plans_.UpdateSince(reporter.plan_version_sent);
     reporter.plan_version_sent = plans_.newest();
@@ -339,6 +363,7 @@
     registry_.ApplyServerUpdate(now, server_update);
     listed.insert(server_update.announcement.id);
   }
+  if (update.full_registry && !update.wants_servers) has_server_list_ = true;
   leader_registry_id_ = update.registry_id;
   leader_registry_changes_ = update.registry_changes;
   if (update.shared_state) {
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -38,6 +38,11 @@
   // which loses it when the link between them is replaced. Well below
   // entry_report_timeout.
   Duration ready_hosts_period = std::chrono::milliseconds(1000);
+  // A hub that has just started asks one entry host at a time for the servers
+  // that it knows, with this period until the first list arrives; after
+  // max_incomplete_time all servers have announced themselves again.
+  Duration server_request_period = std::chrono::milliseconds(500);
+  Duration max_incomplete_time = std::chrono::milliseconds(1600);
   // Period of updates of request rates and of the number of hosts.
   Duration shared_state_period = std::chrono::milliseconds(1000);
 };
@@ -76,7 +81,7 @@
                           const FleetRecord& record);
 
   // Returns whether `host` lacks changes.
-  bool HasPendingUpdate(const HostId& host) const;
+  bool HasPendingUpdate(Instant now, const HostId& host) const;
 
   // Returns whether token grants may be pending for any host, once for each
   // time that some are added.
@@ -160,6 +165,9 @@
     std::uint32_t outstanding = 0;
   };
 
+  // Returns whether the registry has all servers, so that a host may forget
+  // those that are not in it.
+  bool RegistryIsComplete(Instant now) const;
   FleetUpdate FillUpdate(Instant now, Reporter& host,
                          const FleetRecord& record);
   void AggregateReport(Instant now, const EntryReport& report);
@@ -216,6 +224,10 @@
   Instant next_ready_hosts_at_;
 
   bool has_pending_grants_ = false;
+  // An entry host or the leader has sent the servers that it knows.
+  bool has_server_list_ = false;
+  Instant next_server_request_;
+  std::optional<Instant> first_report_at_;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -163,6 +163,7 @@
          {"id", update.registry_id},
          {"b", update.registry_changes}};
   if (update.full_registry) out["whole"] = true;
+  if (update.wants_servers) out["wants"] = true;
   for (const ServerUpdate& server_update : update.servers) {
     out["servers"].push_back({server_update.announcement,
                               static_cast<unsigned>(server_update.health),
@@ -187,6 +188,7 @@
   in.at("id").get_to(update.registry_id);
   in.at("b").get_to(update.registry_changes);
   ReadOptional(in, "whole", update.full_registry);
+  ReadOptional(in, "wants", update.wants_servers);
   if (const auto found = in.find("servers"); found != in.end()) {
     for (const auto& item : *found) {
       ReadServerUpdate(item, update.servers.emplace_back());
--- a/sapphirebank/fleet/fleet_messages.h
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -99,6 +99,9 @@
   std::uint64_t record_changes = 0;
   std::uint64_t registry_id = 0;
   std::uint64_t registry_changes = 0;
+  // The receiver is asked to report the servers that it knows, as the sender
+  // has lost its own.
+  bool wants_servers = false;
   // The receiver must remove servers that are not listed.
   bool full_registry = false;
   std::vector<ServerUpdate> servers;
--- a/unit_tests/fleet/fleet_hub_test.cc
+++ b/unit_tests/fleet/fleet_hub_test.cc
@@ -33,6 +33,11 @@
     relay.BecomeRelay();
     leader.ApplyRecord(now, record, plan);
     relay.ApplyRecord(now, record, plan);
+    // The leader has served for long enough to know all servers; the relay has
+    // just started.
+    leader.HandleReport(now - seconds(2), HostId("earlier"), false,
+                        EntryReport(), record);
+    leader.RemoveReporter(HostId("earlier"));
   }
 
   template <typename Message>
@@ -86,7 +91,7 @@
                    });
   REQUIRE(server_update != update.servers.end());
   CHECK(server_update->health == ServerHealth::kDown);
-  CHECK_FALSE(hubs.relay.HasPendingUpdate(kEntry));
+  CHECK_FALSE(hubs.relay.HasPendingUpdate(hubs.now, kEntry));
 }
 
 TEST_CASE("a heartbeat at a relay makes the server known to the leader",
@@ -263,17 +268,17 @@
   hubs.leader.HandleReport(hubs.now, kEntry, false, report, hubs.record);
   hubs.leader.HandleReport(hubs.now, kRelay, true, hubs.MakeReport(),
                            hubs.record);
-  REQUIRE_FALSE(hubs.leader.HasPendingUpdate(kEntry));
+  REQUIRE_FALSE(hubs.leader.HasPendingUpdate(hubs.now, kEntry));
   report = hubs.MakeReport();
   report.registry_id = 1;
   report.outcomes[BackendId("a")] = {0, 0, 1};
   hubs.leader.HandleReport(hubs.now, HostId("entry-2"), false, report,
                            hubs.record);
-  CHECK_FALSE(hubs.leader.HasPendingUpdate(kEntry));
-  CHECK(hubs.leader.HasPendingUpdate(kRelay));
+  CHECK_FALSE(hubs.leader.HasPendingUpdate(hubs.now, kEntry));
+  CHECK(hubs.leader.HasPendingUpdate(hubs.now, kRelay));
   // Health changes come with the next response or with a new server.
   hubs.leader.ApplyHeartbeat(hubs.now, MakeServer("c"), hubs.record);
-  CHECK(hubs.leader.HasPendingUpdate(kEntry));
+  CHECK(hubs.leader.HasPendingUpdate(hubs.now, kEntry));
   CHECK(hubs.leader.BuildUpdate(hubs.now, kEntry, hubs.record).servers.size() ==
         2);
 }
@@ -311,5 +316,44 @@
   CHECK(update.request_rates.at(desk) > 45);
 }
 
+// Snapshot on demand: when hundreds of hosts come to a hub that has restarted,
+// one of them sends the servers and none loses its own meanwhile.
+TEST_CASE("a restarted hub asks one entry host for its servers", "[fleet]") {
+  LeaderAndRelay hubs;
+  const auto report_of = [&](const std::string& host,
+                             std::vector<ServerAnnouncement> servers = {}) {
+    EntryReport report = hubs.MakeReport();
+    report.known_servers = std::move(servers);
+    return hubs.relay.HandleReport(hubs.now, HostId(host), false, report,
+                                   hubs.record);
+  };
+  int asked = 0;
+  for (int host = 0; host < 100; ++host) {
+    const FleetUpdate update = report_of("entry-" + std::to_string(host));
+    if (update.wants_servers) ++asked;
+    CHECK_FALSE(update.full_registry);
+    CHECK(update.servers.empty());
+  }
+  CHECK(asked == 1);
+  report_of("entry-0", {MakeServer("a"), MakeServer("b", "fann")});
+  const FleetUpdate update = report_of("entry-1");
+  CHECK(update.full_registry);
+  CHECK(update.servers.size() == 2);
+  CHECK_FALSE(update.wants_servers);
+}
+
+TEST_CASE("a hub that no host can tell its servers waits for their heartbeats",
+          "[fleet]") {
+  LeaderAndRelay hubs;
+  hubs.relay.HandleReport(hubs.now, kEntry, false, hubs.MakeReport(),
+                          hubs.record);
+  hubs.relay.ApplyHeartbeat(hubs.now, MakeServer("a"), hubs.record);
+  hubs.now += FleetHubSettings().max_incomplete_time;
+  const FleetUpdate update = hubs.relay.HandleReport(
+      hubs.now, kEntry, false, hubs.MakeReport(), hubs.record);
+  CHECK(update.full_registry);
+  CHECK(update.servers.size() == 1);
+}
+
 }  // namespace
 }  // namespace sapphirebank
