The leader's load is bounded whatever its relays need

Cause: relays reported to the leader at once for each token that their part of a rate lacked and for each failure; with 18 relays at 3,000 requests/s its thread ran out of processor time, its heartbeats came late, and leaders followed each other every two seconds. Hosts then left hubs whose updates were older than 1.2 s for others with the same leader. Each look-up copied the addresses of all entry hosts. Change: all relays together send at most 250 urgent reports a second; confirmations by a quorum come each 16 ms for each control host, at least 150 ms; a host leaves a hub whose update is 2.2 s old; look-ups read addresses by zone.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -14,9 +14,12 @@
 // Timer period of the decision thread. Each wake-up costs CPU time.
 constexpr Duration kTickPeriod = std::chrono::milliseconds(50);
 
-// Period of leadership confirmations by a quorum. It bounds the leader update
-// age, well below the time for which a withdrawn key may remain usable.
-constexpr Duration kConfirmPeriod = std::chrono::milliseconds(150);
+// Period of leadership confirmations by a quorum, at least, and for each
+// control host: a confirmation costs the leader two messages with each of them.
+// The period bounds the leader update age, which is well below the time for
+// which a withdrawn key may remain usable.
+constexpr Duration kMinConfirmPeriod = std::chrono::milliseconds(150);
+constexpr Duration kConfirmPeriodPerHost = std::chrono::milliseconds(16);
 
 // Raft heartbeat interval when no confirmations are due.
 constexpr Duration kHeartbeat = std::chrono::milliseconds(250);
@@ -36,9 +39,11 @@
 constexpr Duration kReadyCheckPeriod = std::chrono::milliseconds(100);
 constexpr Duration kPublishPeriod = std::chrono::milliseconds(2000);
 
-// Maximum time between two reports of a relay to the leader; urgent content is
-// reported at once.
+// Maximum time between two reports of a relay to the leader. Urgent content is
+// reported sooner, but all relays together send no more than the leader handles
+// with a small part of its processor: one report in this time for each of them.
 constexpr Duration kReportInterval = std::chrono::milliseconds(250);
+constexpr Duration kMinReportIntervalPerHub = std::chrono::milliseconds(4);
 
 // Maximum number of unanswered reports that are tracked; older ones were lost
 // when the leader changed.
@@ -126,7 +131,7 @@
       host_(std::move(host)),
       hub_(HubSettings(settings), RandomSeed(),
            HubHost{self_.value(), settings.zone}, Random(RandomSeed())),
-      published_hosts_(std::make_shared<const std::vector<ReadyHost>>()),
+      published_addresses_(std::make_shared<const AddressesByZone>()),
       random_(RandomSeed()),
       thread_(system),
       links_(self_, FleetSecret(settings.fleet_secret), LinkHooks()) {}
@@ -295,7 +300,9 @@
 // completes, the record contains everything accepted before it started.
 void ControlProcess::ConfirmLeadership(Instant now) {
   if (is_confirming_ || now < next_confirm_) return;
-  next_confirm_ = now + kConfirmPeriod;
+  const std::size_t members = host_.raft().membership().members().size();
+  next_confirm_ = now + std::max<Duration>(kMinConfirmPeriod,
+                                           kConfirmPeriodPerHost * members);
   is_confirming_ = true;
   const RequestToken token = next_token_++;
   completions_[token] = [this, now](const Completion& completion) {
@@ -337,8 +344,12 @@
 void ControlProcess::ReportToLeader(Instant now) {
   const auto link = known_leader_ ? LinkTo(*known_leader_) : std::nullopt;
   if (!link) return;
-  if (!hub_.MustReportToLeader() && now - last_report_at_ < kReportInterval)
-    return;
+  const Duration interval =
+      hub_.MustReportToLeader()
+          ? std::min<Duration>(kMinReportIntervalPerHub * hub_.hub_count(),
+                               kReportInterval)
+          : kReportInterval;
+  if (now - last_report_at_ < interval) return;
   last_report_at_ = now;
   EntryReport report =
       hub_.BuildLeaderReport(now, std::exchange(is_first_report_, false));
@@ -360,10 +371,14 @@
       SendToControl({{"t", "ready"}, {"list", ready_hosts_}});
     }
   }
-  if (*std::atomic_load(&published_hosts_) == ready_hosts_) return;
-  std::atomic_store(
-      &published_hosts_,
-      std::make_shared<const std::vector<ReadyHost>>(ready_hosts_));
+  if (ready_hosts_ == listed_hosts_) return;
+  listed_hosts_ = ready_hosts_;
+  auto addresses = std::make_shared<AddressesByZone>();
+  for (const ReadyHost& host : listed_hosts_) {
+    (*addresses)[host.zone].push_back(host.address);
+  }
+  std::atomic_store(&published_addresses_,
+                    std::shared_ptr<const AddressesByZone>(addresses));
 }
 
 }  // namespace sapphirebank
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -58,6 +58,9 @@
     Instant heard_at;
   };
 
+  // Addresses of the ready entry hosts.
+  using AddressesByZone = std::map<ZoneId, std::vector<std::string>>;
+
   // A call that waits for the leader's response.
   struct PendingCall {
     // The command to replicate; nothing for a read of the plan.
@@ -146,6 +149,7 @@
   std::map<RequestToken, std::function<void(Completion)>> completions_;
   std::map<std::uint64_t, PendingCall> pending_;
   std::vector<ReadyHost> ready_hosts_;
+  std::vector<ReadyHost> listed_hosts_;  // Those in published_addresses_.
   std::optional<HostId> known_leader_;
   RequestToken next_token_ = 1;
   std::uint64_t next_call_ = 1;
@@ -178,7 +182,7 @@
 
   // Written by the decision thread and read by the event loop, with atomic
   // accesses.
-  std::shared_ptr<const std::vector<ReadyHost>> published_hosts_;
+  std::shared_ptr<const AddressesByZone> published_addresses_;
   Random random_;  // Accessed by the event loop only.
 
   DecisionThread thread_;
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "programs/fleet_host/control_process.h"
@@ -56,21 +57,24 @@
 // Returns the ready hosts of the caller's zone, to avoid traffic between zones,
 // or those of all zones when its zone has too few.
 std::vector<std::string> ControlProcess::AddressesFor(const ZoneId& zone) {
-  const auto ready = std::atomic_load(&published_hosts_);
-  std::vector<std::string> addresses;
-  std::vector<std::string> others;
-  for (const ReadyHost& host : *ready) {
-    (host.zone == zone ? addresses : others).push_back(host.address);
+  const auto published = std::atomic_load(&published_addresses_);
+  std::vector<std::string_view> addresses;
+  const auto same_zone = published->find(zone);
+  if (same_zone != published->end()) {
+    addresses.assign(same_zone->second.begin(), same_zone->second.end());
   }
   if (addresses.size() < kMinZoneAddresses) {
-    addresses.insert(addresses.end(), others.begin(), others.end());
+    for (const auto& [other, hosts] : *published) {
+      if (other == zone) continue;
+      addresses.insert(addresses.end(), hosts.begin(), hosts.end());
+    }
   }
   // Partial Fisher-Yates shuffle, so that callers spread over all hosts.
   for (std::size_t i = 0; i + 1 < addresses.size() && i < kMaxAddresses; ++i) {
     std::swap(addresses[i], addresses[i + random_.Below(addresses.size() - i)]);
   }
   if (addresses.size() > kMaxAddresses) addresses.resize(kMaxAddresses);
-  return addresses;
+  return {addresses.begin(), addresses.end()};
 }
 
 void ControlProcess::Execute(FleetCall call, Callback callback) {
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -32,7 +32,8 @@
 
 // A hub whose leader update age exceeds this may be partitioned from the
 // leader. An election may take as long, so a new hub is given a grace period.
-constexpr Duration kMaxUpdateAge = std::chrono::milliseconds(1200);
+// Well below the time for which keys may be used without an update.
+constexpr Duration kMaxUpdateAge = std::chrono::milliseconds(2200);
 constexpr Duration kHubGracePeriod = std::chrono::milliseconds(800);
 
 // A hub that failed is avoided for this time.
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -130,6 +130,9 @@
   // Applies timeouts and periodic updates.
   void Tick(Instant now);
 
+  // Returns the number of hubs, including this one.
+  std::size_t hub_count() const { return hubs_.size(); }
+
   const ServerRegistry& registry() const { return registry_; }
 
   // Returns the health changes of servers since the last call.
