A host that has just started gets what its hub knows at once

Ruled out: cold servers; none was known. Change: only a host that knows servers waits for a complete registry.

--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -100,6 +100,7 @@
   }
   reporter.entry_hosts = report.entry_hosts;
   reporter.is_relay = is_relay;
+  reporter.has_no_servers = report.registry_id == 0;
   reporter.last_report_at = now;
   reporter.plan_version_sent = report.known_plan_version;
   const bool has_registry = report.registry_id == id_;
@@ -217,10 +218,8 @@
   // as the hub chooses servers for them.
   const std::uint64_t registry =
       reporter.is_relay ? registry_.changes() : registry_.urgent_changes();
-  const bool awaits_registry = !reporter.is_relay &&
-                               reporter.registry_changes_sent == 0 &&
-                               !RegistryIsComplete(now);
-  return (!awaits_registry && reporter.registry_changes_sent < registry) ||
+  return (!AwaitsRegistry(now, reporter) &&
+          reporter.registry_changes_sent < registry) ||
          reporter.plan_version_sent < plans_.newest() ||
          reporter.shared_state_sent < shared_state_version_ ||
          !reporter.pending_grants.empty();
@@ -237,20 +236,22 @@
           now - *first_report_at_ >= settings_.max_incomplete_time);
 }
 
+bool FleetHub::AwaitsRegistry(Instant now, const Reporter& reporter) const {
+  return !reporter.is_relay && !reporter.has_no_servers &&
+         reporter.registry_changes_sent == 0 && !RegistryIsComplete(now);
+}
+
 FleetUpdate FleetHub::FillUpdate(Instant now, Reporter& reporter,
                                  const FleetRecord& record) {
   FleetUpdate update;
   update.record_changes = record.changes();
   update.registry_id = id_;
-  // An entry host that is new here gets the whole registry, but not before it
-  // is complete; until then it keeps its own servers.
-  const bool is_complete = RegistryIsComplete(now);
   const bool is_new = reporter.registry_changes_sent == 0;
-  const bool sends_registry = is_complete || reporter.is_relay || !is_new;
+  const bool sends_registry = !AwaitsRegistry(now, reporter);
   update.registry_changes =
       sends_registry ? registry_.changes() : reporter.registry_changes_sent;
   update.full_registry = is_new && sends_registry;
-  update.wants_servers = reporter.is_relay && !is_complete;
+  update.wants_servers = reporter.is_relay && !RegistryIsComplete(now);
   const bool is_behind =
       sends_registry && reporter.registry_changes_sent < registry_.changes();
   for (const auto& [id, entry] : registry_.entries()) {
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -147,6 +147,8 @@
     std::uint32_t entry_hosts = 1;
     // A relay, which grants a hub's share of the rates itself.
     bool is_relay = false;
+    // An entry host that has just started and knows no servers yet.
+    bool has_no_servers = false;
     Instant last_report_at;
     std::uint64_t registry_changes_sent = 0;
     PlanVersion plan_version_sent = 0;
@@ -171,6 +173,9 @@
   // Returns whether the registry has all servers, so that a host may forget
   // those that are not in it.
   bool RegistryIsComplete(Instant now) const;
+  // Returns whether the host must wait for the registry to be complete before
+  // it gets any of it, as it knows servers that the registry may lack.
+  bool AwaitsRegistry(Instant now, const Reporter& reporter) const;
   FleetUpdate FillUpdate(Instant now, Reporter& host,
                          const FleetRecord& record);
   void AggregateReport(Instant now, const EntryReport& report);
--- a/unit_tests/fleet/fleet_hub_test.cc
+++ b/unit_tests/fleet/fleet_hub_test.cc
@@ -323,6 +323,7 @@
   const auto report_of = [&](const std::string& host,
                              std::vector<ServerAnnouncement> servers = {}) {
     EntryReport report = hubs.MakeReport();
+    report.registry_id = 77;  // Of the hub before.
     report.known_servers = std::move(servers);
     return hubs.relay.HandleReport(hubs.now, HostId(host), false, report,
                                    hubs.record);
@@ -355,5 +356,17 @@
   CHECK(update.servers.size() == 1);
 }
 
+TEST_CASE("a host without servers gets those that a restarted hub has",
+          "[fleet]") {
+  LeaderAndRelay hubs;
+  EntryReport report = hubs.MakeReport();
+  report.registry_id = 0;
+  hubs.relay.HandleReport(hubs.now, kEntry, false, report, hubs.record);
+  hubs.relay.ApplyHeartbeat(hubs.now, MakeServer("a"), hubs.record);
+  CHECK(hubs.relay.HasPendingUpdate(hubs.now, kEntry));
+  CHECK(hubs.relay.BuildUpdate(hubs.now, kEntry, hubs.record).servers.size() ==
+        1);
+}
+
 }  // namespace
 }  // namespace sapphirebank
