Reports to the leader are paced by the hub, with a test of that load

Cause: the bound stood in the process, without a test. Change: FleetHub::LeaderReportIsDue() decides; the process asks it. Ruled out: nothing new; the decision is the same.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -39,12 +39,6 @@
 constexpr Duration kReadyCheckPeriod = std::chrono::milliseconds(100);
 constexpr Duration kPublishPeriod = std::chrono::milliseconds(2000);
 
-// Maximum time between two reports of a relay to the leader. Urgent content is
-// reported sooner, but all relays together send no more than the leader handles
-// with a small part of its processor: one report in this time for each of them.
-constexpr Duration kReportInterval = std::chrono::milliseconds(250);
-constexpr Duration kMinReportIntervalPerHub = std::chrono::milliseconds(4);
-
 // Maximum number of unanswered reports that are tracked; older ones were lost
 // when the leader changed.
 constexpr std::size_t kMaxUnansweredReports = 64;
@@ -344,13 +338,7 @@
 void ControlProcess::ReportToLeader(Instant now) {
   const auto link = known_leader_ ? LinkTo(*known_leader_) : std::nullopt;
   if (!link) return;
-  const Duration interval =
-      hub_.MustReportToLeader()
-          ? std::min<Duration>(kMinReportIntervalPerHub * hub_.hub_count(),
-                               kReportInterval)
-          : kReportInterval;
-  if (now - last_report_at_ < interval) return;
-  last_report_at_ = now;
+  if (!hub_.LeaderReportIsDue(now)) return;
   EntryReport report =
       hub_.BuildLeaderReport(now, std::exchange(is_first_report_, false));
   report.number = next_report_number_++;
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -170,7 +170,6 @@
   // Send times of the unanswered reports to the leader, by number.
   std::map<std::uint64_t, Instant> unanswered_reports_;
   std::uint64_t next_report_number_ = 1;
-  Instant last_report_at_;
   bool is_first_report_ = true;
   // Confirmation from the leader that takes effect once this host has applied
   // `record` changes.
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -323,8 +323,19 @@
   }
 }
 
+bool FleetHub::LeaderReportIsDue(Instant now) const {
+  const Duration interval =
+      must_report_to_leader_
+          ? std::min<Duration>(
+                settings_.min_report_interval_per_hub * hubs_.size(),
+                settings_.leader_report_period)
+          : settings_.leader_report_period;
+  return now - last_leader_report_at_ >= interval;
+}
+
 EntryReport FleetHub::BuildLeaderReport(Instant now, bool first) {
   must_report_to_leader_ = false;
+  last_leader_report_at_ = now;
   EntryReport report = std::exchange(pending_report_, {});
   std::vector<ReadyHost> ready = ReadyHosts(now);
   const bool is_due = now >= next_ready_hosts_at_;
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -43,6 +43,12 @@
   // max_incomplete_time all servers have announced themselves again.
   Duration server_request_period = std::chrono::milliseconds(500);
   Duration max_incomplete_time = std::chrono::milliseconds(1600);
+  // Maximum time between two reports of a relay to the leader.
+  Duration leader_report_period = std::chrono::milliseconds(250);
+  // Minimum time between two reports, for each hub. A leader handles about 250
+  // reports a second, with their answers, in a part of a small host's
+  // processor.
+  Duration min_report_interval_per_hub = std::chrono::milliseconds(4);
   // Period of updates of request rates and of the number of hosts.
   Duration shared_state_period = std::chrono::milliseconds(1000);
 };
@@ -96,9 +102,14 @@
   // entry hosts. `first` includes all known servers.
   EntryReport BuildLeaderReport(Instant now, bool first);
 
-  // Returns whether the report to the leader should be sent at once.
+  // Returns whether there is something that the leader should know at once.
   bool MustReportToLeader() const { return must_report_to_leader_; }
 
+  // Relay only: returns whether to report to the leader now: after
+  // settings.leader_report_period, or sooner when there is something urgent,
+  // but not so often that the leader is busy with the reports of all relays.
+  bool LeaderReportIsDue(Instant now) const;
+
   // Relay only: applies the leader's update.
   void ApplyLeaderUpdate(Instant now, const FleetUpdate& update);
 
@@ -227,6 +238,7 @@
   std::uint64_t leader_registry_id_ = 0;
   std::uint64_t leader_registry_changes_ = 0;
   bool must_report_to_leader_ = false;
+  Instant last_leader_report_at_;
   // Ready hosts as last sent to the leader, and when they are sent again.
   std::vector<ReadyHost> reported_ready_hosts_;
   Instant next_ready_hosts_at_;
--- a/unit_tests/fleet/fleet_hub_test.cc
+++ b/unit_tests/fleet/fleet_hub_test.cc
@@ -368,5 +368,42 @@
         1);
 }
 
+// Load shedding by batching: what the leader handles does not grow with what
+// its relays need, so that it keeps time for its heartbeats.
+TEST_CASE("all relays together report at a bounded rate when all need tokens",
+          "[fleet]") {
+  const auto hub_count = GENERATE(2, 5, 19, 40);
+  std::vector<HubHost> hosts;
+  for (int i = 0; i < hub_count; ++i) {
+    hosts.push_back({"10.0.0." + std::to_string(i) + ":7", ZoneId("kochi")});
+  }
+  FleetRecord record;
+  const auto plan = MakePlan(MakePlanParts(1, 5, 5));
+  int reports = 0;
+  for (int i = 0; i < hub_count - 1; ++i) {
+    FleetHub relay(FleetHubSettings(), static_cast<std::uint64_t>(i) + 1,
+                   hosts[static_cast<std::size_t>(i)], Random(1));
+    relay.BecomeRelay();
+    relay.ApplyRecord(kStart, record, plan);
+    relay.SetHubs(hosts, hosts.back().address);
+    Duration longest{};
+    Instant last = kStart;
+    // Each millisecond a request needs a token that only the leader has.
+    for (Instant now = kStart; now < kStart + seconds(2);
+         now += milliseconds(1)) {
+      EntryReport report;
+      report.wanted_tokens[kNorth] = 1;
+      relay.HandleReport(now, kEntry, false, report, record);
+      if (!relay.LeaderReportIsDue(now)) continue;
+      relay.BuildLeaderReport(now, false);
+      longest = std::max(longest, now - last);
+      last = now;
+      ++reports;
+    }
+    CHECK(longest <= FleetHubSettings().leader_report_period);
+  }
+  CHECK(reports <= 2 * 250 + hub_count);
+}
+
 }  // namespace
 }  // namespace sapphirebank
