A silent hub is not waited for again and again

Ruled out: a change of leader; the control hosts reached each other all along. Change: a circuit breaker: after a question without an answer a host refuses requests that need a token at once for half a second, or until anything comes from the hub.

--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -37,6 +37,7 @@
 
 Result<void> EntryState::Apply(Instant now, std::optional<Instant> asked_at,
                                const FleetUpdate& update) {
+  hub_breaker_.RecordAnswer();
   if (update.wants_servers) {
     wanted_servers_ = view_.Announcements();
     if (!wanted_servers_.empty()) hooks_.report_now();
@@ -81,6 +82,10 @@
     }
   }
   Choice choice;
+  if (!query.workspace.empty() && hub_breaker_.IsOpen(now)) {
+    choice.hub_is_silent = true;
+    co_return choice;
+  }
   const std::uint64_t number = next_assignment_++;
   if (hooks_.request_server(number, hub_query)) {
     auto waiter = std::make_shared<Waiter>(loop_);
@@ -93,6 +98,9 @@
     pending_assignments_.erase(number);
     choice.has_token = waiter->choice.has_token;
     choice.hub_is_silent = !waiter->answered;
+    if (choice.hub_is_silent && !query.workspace.empty()) {
+      hub_breaker_.RecordTimeout(MonotonicNow());
+    }
     choice.server = view_.Find(waiter->choice.server);
     if (choice.server) {
       choice.assignment = number;
@@ -116,6 +124,7 @@
   found->second->choice = choice;
   found->second->answered = true;
   found->second->timer.cancel();
+  hub_breaker_.RecordAnswer();
 }
 
 void EntryState::EndAssignment(const Choice& choice,
@@ -146,6 +155,7 @@
       boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
   if (!waiter->answered) {
     std::erase(account.waiters, waiter);
+    hub_breaker_.RecordTimeout(MonotonicNow());
     co_return TokenOutcome::kNoAnswer;
   }
   co_return account.stock.TryTake(MonotonicNow()) ? TokenOutcome::kGranted
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -10,6 +10,7 @@
 
 #include "sapphirebank/core/random.h"
 #include "sapphirebank/fleet/entry_view.h"
+#include "sapphirebank/fleet/hub_circuit_breaker.h"
 #include "sapphirebank/fleet/retry_budget_share.h"
 #include "sapphirebank/fleet/server_chooser.h"
 #include "sapphirebank/fleet/server_dispatcher.h"
@@ -87,7 +88,7 @@
     bool is_busy = true;
     // The hub took the rate token that the query asked for.
     bool has_token = false;
-    // A hub was asked and did not answer in time.
+    // The hub did not answer in time, this question or one shortly before.
     bool hub_is_silent = false;
   };
 
@@ -129,6 +130,7 @@
   Random random_;
   ServerChooser chooser_;
   Hooks hooks_;
+  HubCircuitBreaker hub_breaker_;  // For questions that need a token.
   std::uint64_t next_assignment_ = 1;
   // Servers to report to a hub that has lost its own.
   std::vector<ServerAnnouncement> wanted_servers_;
