--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -12,10 +12,6 @@
 
 using nlohmann::json;
 
-// Time between reports without urgent content. Together with the leader update
-// age it bounds how old an entry host's information about keys is.
-constexpr Duration kReportPeriod = std::chrono::milliseconds(500);
-
 // A hub that does not answer a report within this time is dropped.
 constexpr Duration kReportTimeout = std::chrono::milliseconds(500);
 
@@ -30,12 +26,6 @@
 constexpr Duration kConnectedTick = std::chrono::milliseconds(125);
 constexpr Duration kSearchTick = std::chrono::milliseconds(100);
 
-// A hub whose leader update age exceeds this may be partitioned from the
-// leader. An election may take as long, so a new hub is given a grace period.
-// Well below the time for which keys may be used without an update.
-constexpr Duration kMaxUpdateAge = std::chrono::milliseconds(2200);
-constexpr Duration kHubGracePeriod = std::chrono::milliseconds(800);
-
 // A hub that failed is avoided for this time.
 constexpr Duration kHubBackoff = std::chrono::seconds(2);
 
@@ -278,7 +268,7 @@
                          applied.error().kind == ErrorKind::kNotLeader &&
                          grace_period_over;
   const bool is_outdated = update.answered_report != 0 &&
-                           update.quorum_age > kMaxUpdateAge &&
+                           update.quorum_age > kMaxHubUpdateAge &&
                            grace_period_over;
   if (!is_behind && !is_outdated) return;
   CloseLink(is_outdated ? "its leader update is too old"
--- a/sapphirebank/fleet/hub_assignment.h
+++ b/sapphirebank/fleet/hub_assignment.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "sapphirebank/core/ids.h"
+#include "sapphirebank/core/time.h"
 #include "sapphirebank/fleet/fleet_messages.h"
 
 namespace sapphirebank {
@@ -16,6 +17,17 @@
 // some accuracy: a hub does not count what others send to its servers.
 inline constexpr std::uint32_t kMaxEntryHostsPerHub = 32;
 
+// Time between an entry host's reports without urgent content. Together with
+// the leader update age it bounds how old its information about keys is.
+inline constexpr Duration kReportPeriod = std::chrono::milliseconds(500);
+
+// A hub whose leader update is older than this may be partitioned from the
+// leader, and its entry hosts leave it. They must find another in time to apply
+// a plan that was accepted meanwhile. An election may take as long, so a new
+// hub is given a grace period.
+inline constexpr Duration kMaxHubUpdateAge = std::chrono::milliseconds(1200);
+inline constexpr Duration kHubGracePeriod = std::chrono::milliseconds(800);
+
 // Returns the addresses of the hubs among which the entry hosts and backend
 // servers of `zone` are divided: as many of the zone's first ones in `hubs` as
 // `entry_hosts`, the number in all zones, require. Every host computes the
--- a/unit_tests/fleet/hub_assignment_test.cc
+++ b/unit_tests/fleet/hub_assignment_test.cc
@@ -96,5 +96,15 @@
   CHECK(above_slots == 0);
 }
 
+TEST_CASE("hosts leave a partitioned hub in time to apply an accepted plan",
+          "[fleet]") {
+  // The platform's time from the acknowledgement of a plan until it is in
+  // force.
+  constexpr Duration kTimeToApply = std::chrono::seconds(2);
+  // To connect to another hub, which sends the plan with its first update.
+  constexpr Duration kTimeToReconnect = std::chrono::milliseconds(300);
+  CHECK(kMaxHubUpdateAge + kReportPeriod + kTimeToReconnect <= kTimeToApply);
+}
+
 }  // namespace
 }  // namespace sapphirebank
