What a hub sends stands in a file of its own

Change: updates to hosts and reports to the leader in fleet_hub_updates.cc; the tests of load in fleet_hub_load_test.cc, with the fixture in leader_and_relay.h. No statement changed. Ruled out: a class of its own; it would need most of the hub's members. Conclusion: none.

--- a/unit_tests/fleet/fleet_hub_test.cc
+++ b/unit_tests/fleet/fleet_hub_test.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 
-#include "unit_tests/fleet/fleet_fixtures.h"
+#include "unit_tests/fleet/leader_and_relay.h"
 
 namespace sapphirebank {
 namespace {
@@ -11,60 +11,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr Instant kStart{seconds(1000)};
-const HostId kEntry("entry-1");
-const HostId kRelay("relay");
-const WorkspaceId kNorth("north");
-
-// A leader and a relay that exchange encoded messages.
-struct LeaderAndRelay {
-  FleetRecord record;
-  FleetHub leader{
-      FleetHubSettings(), 1, {"10.0.0.1:7", ZoneId("kochi")}, Random(1)};
-  FleetHub relay{
-      FleetHubSettings(), 2, {"10.0.0.2:7", ZoneId("fann")}, Random(2)};
-  Instant now = kStart;
-  std::uint64_t number = 1;
-
-  explicit LeaderAndRelay(double rate = 50) {
-    record.Apply(StorePlan{1, R"({"version":1})"});
-    const auto plan = MakePlan(MakePlanParts(1, rate, rate));
-    leader.BecomeLeader(now);
-    relay.BecomeRelay();
-    leader.ApplyRecord(now, record, plan);
-    relay.ApplyRecord(now, record, plan);
-    // The leader has served for long enough to know all servers; the relay has
-    // just started.
-    leader.HandleReport(now - seconds(2), HostId("earlier"), false,
-                        EntryReport(), record);
-    leader.RemoveReporter(HostId("earlier"));
-  }
-
-  template <typename Message>
-  static Message RoundTrip(const Message& message) {
-    std::string bytes;
-    nlohmann::json::to_cbor(nlohmann::json(message), bytes);
-    return nlohmann::json::from_cbor(bytes).get<Message>();
-  }
-
-  // Sends the relay's report to the leader and applies the response.
-  void Sync() {
-    EntryReport report = relay.BuildLeaderReport(now, number == 1);
-    report.number = number++;
-    relay.ApplyLeaderUpdate(
-        now, RoundTrip(leader.HandleReport(now, kRelay, true, RoundTrip(report),
-                                           record)));
-  }
-
-  EntryReport MakeReport() {
-    EntryReport report;
-    report.number = number++;
-    report.ready_hosts->push_back({"10.0.1.1:80", ZoneId("fann")});
-    report.registry_id = 2;
-    return report;
-  }
-};
-
 TEST_CASE("outcomes reported to a relay change the health at the leader",
           "[fleet]") {
   LeaderAndRelay hubs;
@@ -283,127 +229,5 @@
         2);
 }
 
-TEST_CASE("a leader without inherited rates sends none until they have settled",
-          "[fleet]") {
-  LeaderAndRelay hubs;
-  const ServiceId desk("desk");
-  // Sends a report with one request each 20 ms and returns the rate that the
-  // updates tell, if any.
-  const auto run = [&](Duration length) {
-    double told = 0;
-    for (const Instant end = hubs.now + length; hubs.now < end;
-         hubs.now += milliseconds(20)) {
-      EntryReport report = hubs.MakeReport();
-      report.requests[desk] = 1;
-      hubs.leader.Tick(hubs.now);
-      const FleetUpdate update = hubs.leader.HandleReport(
-          hubs.now, kEntry, false, report, hubs.record);
-      const auto found = update.request_rates.find(desk);
-      if (found != update.request_rates.end()) told = found->second;
-    }
-    return told;
-  };
-  CHECK(run(seconds(4)) == 0);
-  const double settled = run(seconds(3));
-  CHECK(settled > 45);
-  CHECK(settled < 55);
-  // A relay that takes over continues the rates it was sent.
-  hubs.Sync();
-  hubs.relay.BecomeLeader(hubs.now);
-  hubs.relay.Tick(hubs.now);
-  const FleetUpdate update = hubs.relay.HandleReport(
-      hubs.now, kEntry, false, hubs.MakeReport(), hubs.record);
-  CHECK(update.request_rates.at(desk) > 45);
-}
-
-// Snapshot on demand: when hundreds of hosts come to a hub that has restarted,
-// one of them sends the servers and none loses its own meanwhile.
-TEST_CASE("a restarted hub asks one entry host for its servers", "[fleet]") {
-  LeaderAndRelay hubs;
-  const auto report_of = [&](const std::string& host,
-                             std::vector<ServerAnnouncement> servers = {}) {
-    EntryReport report = hubs.MakeReport();
-    report.registry_id = 77;  // Of the hub before.
-    report.known_servers = std::move(servers);
-    return hubs.relay.HandleReport(hubs.now, HostId(host), false, report,
-                                   hubs.record);
-  };
-  int asked = 0;
-  for (int host = 0; host < 100; ++host) {
-    const FleetUpdate update = report_of("entry-" + std::to_string(host));
-    if (update.wants_servers) ++asked;
-    CHECK_FALSE(update.full_registry);
-    CHECK(update.servers.empty());
-  }
-  CHECK(asked == 1);
-  report_of("entry-0", {MakeServer("a"), MakeServer("b", "fann")});
-  const FleetUpdate update = report_of("entry-1");
-  CHECK(update.full_registry);
-  CHECK(update.servers.size() == 2);
-  CHECK_FALSE(update.wants_servers);
-}
-
-TEST_CASE("a hub that no host can tell its servers waits for their heartbeats",
-          "[fleet]") {
-  LeaderAndRelay hubs;
-  hubs.relay.HandleReport(hubs.now, kEntry, false, hubs.MakeReport(),
-                          hubs.record);
-  hubs.relay.ApplyHeartbeat(hubs.now, MakeServer("a"), hubs.record);
-  hubs.now += FleetHubSettings().max_incomplete_time;
-  const FleetUpdate update = hubs.relay.HandleReport(
-      hubs.now, kEntry, false, hubs.MakeReport(), hubs.record);
-  CHECK(update.full_registry);
-  CHECK(update.servers.size() == 1);
-}
-
-TEST_CASE("a host without servers gets those that a restarted hub has",
-          "[fleet]") {
-  LeaderAndRelay hubs;
-  EntryReport report = hubs.MakeReport();
-  report.registry_id = 0;
-  hubs.relay.HandleReport(hubs.now, kEntry, false, report, hubs.record);
-  hubs.relay.ApplyHeartbeat(hubs.now, MakeServer("a"), hubs.record);
-  CHECK(hubs.relay.HasPendingUpdate(hubs.now, kEntry));
-  CHECK(hubs.relay.BuildUpdate(hubs.now, kEntry, hubs.record).servers.size() ==
-        1);
-}
-
-// Load shedding by batching: what the leader handles does not grow with what
-// its relays need, so that it keeps time for its heartbeats.
-TEST_CASE("all relays together report at a bounded rate when all need tokens",
-          "[fleet]") {
-  const auto hub_count = GENERATE(2, 5, 19, 40);
-  std::vector<HubHost> hosts;
-  for (int i = 0; i < hub_count; ++i) {
-    hosts.push_back({"10.0.0." + std::to_string(i) + ":7", ZoneId("kochi")});
-  }
-  FleetRecord record;
-  const auto plan = MakePlan(MakePlanParts(1, 5, 5));
-  int reports = 0;
-  for (int i = 0; i < hub_count - 1; ++i) {
-    FleetHub relay(FleetHubSettings(), static_cast<std::uint64_t>(i) + 1,
-                   hosts[static_cast<std::size_t>(i)], Random(1));
-    relay.BecomeRelay();
-    relay.ApplyRecord(kStart, record, plan);
-    relay.SetHubs(hosts, hosts.back().address);
-    Duration longest{};
-    Instant last = kStart;
-    // Each millisecond a request needs a token that only the leader has.
-    for (Instant now = kStart; now < kStart + seconds(2);
-         now += milliseconds(1)) {
-      EntryReport report;
-      report.wanted_tokens[kNorth] = 1;
-      relay.HandleReport(now, kEntry, false, report, record);
-      if (!relay.LeaderReportIsDue(now)) continue;
-      relay.BuildLeaderReport(now, false);
-      longest = std::max(longest, now - last);
-      last = now;
-      ++reports;
-    }
-    CHECK(longest <= FleetHubSettings().leader_report_period);
-  }
-  CHECK(reports <= 2 * 250 + hub_count);
-}
-
 }  // namespace
 }  // namespace sapphirebank
