--- a/unit_tests/fleet/fleet_hub_load_test.cc
+++ b/unit_tests/fleet/fleet_hub_load_test.cc
@@ -71,6 +71,7 @@
           "[fleet]") {
   const auto hub_count = GENERATE(2, 5, 19, 40);
   std::vector<HubHost> hosts;
+  hosts.reserve(static_cast<std::size_t>(hub_count));
   for (int i = 0; i < hub_count; ++i) {
     hosts.push_back({"10.0.0." + std::to_string(i) + ":7", ZoneId("kochi")});
   }
