Logs tell how old the leader update of a hub is and how many hubs it lists

To tell the hypotheses of the incident apart: hub_found has the age of the hub's leader update when a host came to it, hub_lost the number of hubs in the list from which the host chooses the next one. No logic changes.

--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -190,7 +190,9 @@
   if (!cause.empty()) backoff_until_[hub_address_] = now + kHubBackoff;
   if (hub_answered_) {
     log_.Write(LogLevel::kWarning, "hub_lost",
-               {{"hub", hub_address_}, {"cause", cause}});
+               {{"hub", hub_address_},
+                {"cause", cause},
+                {"hubs_listed", hooks_.hubs().size()}});
   }
   hub_answered_ = false;
 }
@@ -259,7 +261,9 @@
   }
   if (!hub_answered_) {
     next_switch_ = now + kHubSwitchPeriod;
-    log_.Write(LogLevel::kInfo, "hub_found", {{"hub", hub_address_}});
+    log_.Write(LogLevel::kInfo, "hub_found",
+               {{"hub", hub_address_},
+                {"age_ms", ToSeconds(update.quorum_age) * 1e3}});
   }
   hub_answered_ = true;
   const Result<void> applied = hooks_.update(asked_at, update);
