Entry hosts search for a hub that follows the leader, all hubs within 0.6 s

Cause: a host learned what a hub knows only by reporting to it and waiting out a grace period of 0.8 s; it took the hubs of its own zone first, one after the other; and it chose from the list of the hub that it left, in which a partitioned hub has only those of its own side. About 1 s for each useless hub, so the delay grew with the number of hubs; sites with one hub a zone came through. Class: a failure detector whose recovery time is a sum over suspects without a bound.

Change: HubSelector, without sockets, decides. Control hosts say the age of their leader update and whether they elect a leader as soon as a link is up. A host whose own update is older than 1.2 s probes the other hubs, each once, 50 ms apart and in parallel, and keeps its hub until one has an update of less than 0.6 s. Hubs listed before stay candidates for a minute. During an election nobody moves, and without any leader each hub is probed at most every 1 s and 10 ms for each entry host.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -271,6 +271,7 @@
   const auto leader = host_.leader();
   if (leader != known_leader_) {
     known_leader_ = leader;
+    leader_changed_at_ = now;
     is_first_report_ = true;
     log_.Write(LogLevel::kInfo, "leader_known",
                {{"leader", leader ? leader->value() : ""},
@@ -313,6 +314,7 @@
 
 void ControlProcess::SendUpdate(LinkId link, FleetUpdate update, Instant now) {
   update.quorum_age = StateAge(now);
+  update.is_electing = IsElectingLeader(now);
   links_.Send(link, {{"t", "update"}, {"u", update}});
 }
 
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -91,6 +91,7 @@
   void ReportToLeader(Instant now);
   // Returns the time since `confirmed_as_of_`, at most one hour.
   Duration StateAge(Instant now) const;
+  bool IsElectingLeader(Instant now) const;
   void SendUpdate(LinkId link, FleetUpdate update, Instant now);
   void PublishReady(Instant now);
   void LogHealthChanges();
@@ -151,6 +152,7 @@
   std::vector<ReadyHost> ready_hosts_;
   std::vector<ReadyHost> listed_hosts_;  // Those in published_addresses_.
   std::optional<HostId> known_leader_;
+  Instant leader_changed_at_;
   RequestToken next_token_ = 1;
   std::uint64_t next_call_ = 1;
   bool is_leader_ = false;
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -1,10 +1,12 @@
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
 #include "programs/fleet_host/control_process.h"
 #include "sapphirebank/core/cbor.h"
 #include "sapphirebank/core/json_read.h"
+#include "sapphirebank/fleet/election_state.h"
 
 // Links of a control host to the other control hosts and to entry hosts.
 namespace sapphirebank {
@@ -50,8 +52,31 @@
 }
 
 void ControlProcess::OnUp(LinkId link, const HostId& host) {
-  peers_[link] = {host, false, ZoneId(), Now()};
-  links_.Send(link, {{"t", "control"}, {"zone", settings_.zone.value()}});
+  const Instant now = Now();
+  peers_[link] = {host, false, ZoneId(), now};
+  links_.Send(link, {{"t", "control"},
+                     {"zone", settings_.zone.value()},
+                     {"age", StateAge(now).count()},
+                     {"electing", IsElectingLeader(now)}});
+}
+
+bool ControlProcess::IsElectingLeader(Instant now) const {
+  if (LeaderIsSettled(now, known_leader_.has_value(), leader_changed_at_)) {
+    return false;
+  }
+  std::set<HostId> heard = {self_};
+  for (const auto& [link, peer] : peers_) {
+    const bool is_recent = now - peer.heard_at < kVoterContactTime;
+    if (peer.is_control && is_recent) heard.insert(peer.host);
+  }
+  const GroupMembership& membership = host_.raft().membership();
+  const auto voters_in_contact =
+      std::count_if(membership.members().begin(), membership.members().end(),
+                    [&](const GroupMember& member) {
+                      return member.voter && heard.contains(member.host);
+                    });
+  return MayElect(static_cast<std::size_t>(voters_in_contact),
+                  membership.Quorum());
 }
 
 void ControlProcess::OnDown(LinkId link, const std::string& reason) {
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -1,10 +1,9 @@
 #include "programs/fleet_host/entry_link.h"
 
-#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
 
-#include "sapphirebank/fleet/hub_assignment.h"
+#include "sapphirebank/core/json_read.h"
 #include "sapphirebank/transport/process_clock.h"
 
 namespace sapphirebank {
@@ -19,19 +18,15 @@
 // and all servers, for which the link of a small host needs most of a second.
 constexpr Duration kFirstReportTimeout = std::chrono::milliseconds(2000);
 
-// Timeout for establishing a link: hosts are a few milliseconds apart.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(400);
+// Time for a probed hub to accept the link and send its state: hosts are a few
+// milliseconds apart.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
 
-// Timer periods with and without a hub.
+// Timer periods with a hub and while one is sought.
 constexpr Duration kConnectedTick = std::chrono::milliseconds(125);
-constexpr Duration kSearchTick = std::chrono::milliseconds(100);
+constexpr Duration kSearchTick = std::chrono::milliseconds(50);
 
-// A hub that failed is avoided for this time.
-constexpr Duration kHubBackoff = std::chrono::seconds(2);
-
-// A host that is not connected to the hub that it belongs to retries that one
-// with this period.
-constexpr Duration kHubSwitchPeriod = std::chrono::seconds(3);
+double Milliseconds(Duration duration) { return ToSeconds(duration) * 1e3; }
 
 }  // namespace
 
@@ -41,15 +36,15 @@
       settings_(settings),
       hooks_(std::move(hooks)),
       log_(log),
-      random_(RandomSeed()),
+      selector_(HubSelectorSettings(), settings.zone, settings.host.value(),
+                Random(RandomSeed())),
       timer_(loop),
       links_(settings.host, FleetSecret(settings.fleet_secret), LinkHooks()) {}
 
 FleetLink::Hooks EntryLink::LinkHooks() {
   FleetLink::Hooks hooks;
-  hooks.up = [this](LinkId link, const HostId&) {
-    boost::asio::post(loop_, [this, link] { OnUp(link); });
-  };
+  // The hub sends its state as soon as the link is up.
+  hooks.up = [](LinkId, const HostId&) {};
   hooks.received = [this](LinkId link, const HostId&, json message) {
     boost::asio::post(loop_, [this, link, moved = std::move(message)] {
       OnMessage(link, moved);
@@ -72,133 +67,121 @@
 
 void EntryLink::Tick() {
   const Instant now = MonotonicNow();
-  if (!link_) {
-    ConnectNext();
-  } else if (!is_connected_ && now - connect_started_ > kConnectTimeout) {
-    CloseLink("the link was not established in time");
-    ConnectNext();
-  } else if (!unanswered_reports_.empty() &&
-             now - unanswered_reports_.begin()->second >
-                 (hub_answered_ ? kReportTimeout : kFirstReportTimeout)) {
-    CloseLink("a report was not answered");
-    ConnectNext();
-  } else if (ShouldSwitchHub(now)) {
-    CloseLink("");
-    ConnectNext();
-  } else if (is_connected_ &&
-             now - last_report_at_ >= kReportPeriod - kConnectedTick / 2) {
+  DropOverdueProbes(now);
+  const bool is_overdue =
+      !unanswered_reports_.empty() &&
+      now - unanswered_reports_.begin()->second >
+          (hub_answered_ ? kReportTimeout : kFirstReportTimeout);
+  if (is_overdue) LoseHub("a report was not answered");
+  StartProbes(now);
+  const Duration period = selector_.ReportPeriod(hooks_.leader_update_age(now));
+  if (link_ && now - last_report_at_ >= period - kConnectedTick / 2) {
     SendReport(!hub_answered_);
   }
-  ScheduleTick(hub_answered_ ? kConnectedTick : kSearchTick);
-}
-
-bool EntryLink::IsBackedOff(const std::string& address, Instant now) const {
-  const auto backoff = backoff_until_.find(address);
-  return backoff != backoff_until_.end() && backoff->second > now;
+  const bool is_searching =
+      !link_ || !hub_answered_ || !probes_.empty() || selector_.is_searching();
+  ScheduleTick(is_searching ? kSearchTick : kConnectedTick);
 }
 
-// Returns the hub of this zone that this host belongs to, of those that did not
-// fail recently; empty without any.
-std::string EntryLink::AssignedHubAddress(Instant now) const {
-  std::vector<HubHost> available = hooks_.hubs();
-  std::erase_if(available, [&](const HubHost& hub) {
-    return hub.zone == settings_.zone && IsBackedOff(hub.address, now);
-  });
-  return AssignedHub(
-      ActiveHubs(available, settings_.zone, hooks_.entry_hosts()),
-      settings_.host.value());
+void EntryLink::StartProbes(Instant now) {
+  std::vector<std::string> seeds;
+  for (const Endpoint& seed : hooks_.seeds()) {
+    seeds.push_back(ToString(settings_.FleetEndpoint(seed)));
+  }
+  selector_.SetSeeds(std::move(seeds));
+  const bool was_searching = selector_.is_searching();
+  const Duration age = hooks_.leader_update_age(now);
+  while (const auto address = selector_.NextProbe(now, age)) {
+    const auto endpoint = EndpointFromString(*address);
+    if (!endpoint) {
+      log_.Write(LogLevel::kWarning, "hub_address_invalid",
+                 {{"hub", *address}, {"cause", endpoint.error().detail}});
+      selector_.RecordProbeFailure(now, *address);
+      continue;
+    }
+    probes_[links_.Connect(*endpoint)] = {*address, now};
+  }
+  if (selector_.is_searching() && !was_searching && link_) {
+    log_.Write(LogLevel::kWarning, "hub_search",
+               {{"hub", selector_.hub()}, {"age_ms", Milliseconds(age)}});
+  }
 }
 
-// Returns whether to switch from a different hub to the assigned one.
-bool EntryLink::ShouldSwitchHub(Instant now) const {
-  if (!hub_answered_ || now < next_switch_) return false;
-  const std::string assigned = AssignedHubAddress(now);
-  return !assigned.empty() && assigned != hub_address_;
+void EntryLink::DropOverdueProbes(Instant now) {
+  for (auto next = probes_.begin(); next != probes_.end();) {
+    const auto probe = next++;
+    if (now - probe->second.started_at <= kProbeTimeout) continue;
+    links_.Close(probe->first);
+    selector_.RecordProbeFailure(now, probe->second.address);
+    probes_.erase(probe);
+  }
 }
 
-// Returns the hosts to connect to: the assigned hub and the others of this
-// zone; without any, the other hubs and seeds; and without these, the hosts
-// that failed recently. ConnectNext() takes the first hub of this zone, but a
-// random one of the others.
-std::vector<std::string> EntryLink::Candidates() const {
+// Handles what a hub says about itself when a link to it is up.
+void EntryLink::OnHubState(LinkId link, const json& message) {
+  const auto probe = probes_.find(link);
+  if (probe == probes_.end()) return;
   const Instant now = MonotonicNow();
-  std::vector<std::string> same_zone;
-  std::vector<std::string> others;
-  std::vector<std::string> backed_off;
-  const auto add = [&](const std::string& address, bool is_same_zone) {
-    (IsBackedOff(address, now) ? backed_off
-     : is_same_zone            ? same_zone
-                               : others)
-        .push_back(address);
-  };
-  const std::string assigned = AssignedHubAddress(now);
-  if (!assigned.empty()) same_zone.push_back(assigned);
-  for (const HubHost& hub : hooks_.hubs()) {
-    if (hub.address != assigned) add(hub.address, hub.zone == settings_.zone);
+  const std::string address = probe->second.address;
+  const HubState state = {ReadDuration(message.at("age")),
+                          message.at("electing").get<bool>()};
+  if (selector_.RecordProbe(now, address, state,
+                            hooks_.leader_update_age(now))) {
+    Adopt(link, state);
+    return;
   }
-  for (const Endpoint& seed : hooks_.seeds()) {
-    const std::string address = ToString(settings_.FleetEndpoint(seed));
-    const auto& hubs = hooks_.hubs();
-    const bool is_listed =
-        std::any_of(hubs.begin(), hubs.end(),
-                    [&](const HubHost& hub) { return hub.address == address; });
-    if (!is_listed) add(address, false);
-  }
-  return !same_zone.empty() ? same_zone : !others.empty() ? others : backed_off;
+  probes_.erase(probe);
+  links_.Close(link);
+  log_.Write(LogLevel::kInfo, "hub_not_used",
+             {{"hub", address},
+              {"age_ms", Milliseconds(state.update_age)},
+              {"electing", state.is_electing}});
 }
 
-void EntryLink::ConnectNext() {
-  const std::vector<std::string> candidates = Candidates();
-  if (candidates.empty()) return;
-  const auto& hubs = hooks_.hubs();
-  const bool is_same_zone =
-      std::any_of(hubs.begin(), hubs.end(), [&](const HubHost& hub) {
-        return hub.address == candidates.front() && hub.zone == settings_.zone;
-      });
-  const std::size_t index = is_same_zone ? 0 : random_.Below(candidates.size());
-  const auto endpoint = EndpointFromString(candidates[index]);
-  if (!endpoint) return;
-  hub_address_ = candidates[index];
-  connect_started_ = MonotonicNow();
-  is_connected_ = false;
+// Reports to the probed hub from now on.
+void EntryLink::Adopt(LinkId link, const HubState& state) {
+  probes_.erase(link);
+  for (const auto& [other, probe] : probes_) links_.Close(other);
+  probes_.clear();
+  if (link_) links_.Close(*link_);
+  link_ = link;
   hub_answered_ = false;
   unanswered_reports_.clear();
-  link_ = links_.Connect(*endpoint);
-}
-
-void EntryLink::OnUp(LinkId link) {
-  if (link != link_) return;
-  is_connected_ = true;
+  log_.Write(LogLevel::kInfo, "hub_chosen",
+             {{"hub", selector_.hub()},
+              {"age_ms", Milliseconds(state.update_age)},
+              {"electing", state.is_electing}});
   SendReport(true);
 }
 
 void EntryLink::OnDown(LinkId link) {
-  if (link != link_) return;
-  CloseLink("the connection ended");
-  ConnectNext();
+  if (link == link_) {
+    LoseHub("the connection ended");
+  } else if (const auto probe = probes_.find(link); probe != probes_.end()) {
+    selector_.RecordProbeFailure(MonotonicNow(), probe->second.address);
+    probes_.erase(probe);
+  } else {
+    return;
+  }
+  StartProbes(MonotonicNow());
   ScheduleTick(kSearchTick);
 }
 
-// Closes the link. A hub that failed, which `cause` describes, is avoided for a
-// while; `cause` is empty for a voluntary switch.
-void EntryLink::CloseLink(std::string_view cause) {
-  if (link_) links_.Close(*link_);
-  link_.reset();
-  is_connected_ = false;
-  unanswered_reports_.clear();
+void EntryLink::LoseHub(std::string_view cause) {
   const Instant now = MonotonicNow();
-  if (!cause.empty()) backoff_until_[hub_address_] = now + kHubBackoff;
-  if (hub_answered_) {
-    log_.Write(LogLevel::kWarning, "hub_lost",
-               {{"hub", hub_address_},
-                {"cause", cause},
-                {"hubs_listed", hooks_.hubs().size()}});
-  }
+  log_.Write(LogLevel::kWarning, "hub_lost",
+             {{"hub", selector_.hub()},
+              {"cause", cause},
+              {"age_ms", Milliseconds(hooks_.leader_update_age(now))}});
+  links_.Close(*link_);
+  link_.reset();
   hub_answered_ = false;
+  unanswered_reports_.clear();
+  selector_.RecordHubFailure(now);
 }
 
 void EntryLink::ReportNow() {
-  if (is_connected_ && hub_answered_) SendReport(false);
+  if (link_ && hub_answered_) SendReport(false);
 }
 
 void EntryLink::SendReport(bool first) {
@@ -234,10 +217,13 @@
 }
 
 void EntryLink::OnMessage(LinkId link, const json& message) {
-  if (link != link_) return;
   try {
     const std::string type = message.at("t").get<std::string>();
-    if (type == "use") {
+    if (type == "control") {
+      OnHubState(link, message);
+    } else if (link != link_) {
+      return;
+    } else if (type == "use") {
       hooks_.server_assigned(
           message.at("n").get<std::uint64_t>(),
           {BackendId(message.at("id").get<std::string>()),
@@ -247,7 +233,7 @@
     }
   } catch (const std::exception& e) {
     log_.Write(LogLevel::kWarning, "message_refused",
-               {{"from", hub_address_}, {"cause", e.what()}});
+               {{"from", selector_.hub()}, {"cause", e.what()}});
   }
 }
 
@@ -260,24 +246,16 @@
     unanswered_reports_.erase(asked);
   }
   if (!hub_answered_) {
-    next_switch_ = now + kHubSwitchPeriod;
-    log_.Write(LogLevel::kInfo, "hub_found",
-               {{"hub", hub_address_},
-                {"age_ms", ToSeconds(update.quorum_age) * 1e3}});
+    log_.Write(LogLevel::kInfo, "hub_found", {{"hub", selector_.hub()}});
   }
   hub_answered_ = true;
-  const Result<void> applied = hooks_.update(asked_at, update);
-  const bool grace_period_over = now - connect_started_ > kHubGracePeriod;
-  const bool is_behind = !applied &&
-                         applied.error().kind == ErrorKind::kNotLeader &&
-                         grace_period_over;
-  const bool is_outdated = update.answered_report != 0 &&
-                           update.quorum_age > kMaxHubUpdateAge &&
-                           grace_period_over;
-  if (!is_behind && !is_outdated) return;
-  CloseLink(is_outdated ? "its leader update is too old"
-                        : "it is behind this host");
-  ConnectNext();
+  // An update that is refused leaves the age of this host's information as it
+  // is, which ends in a search for another hub.
+  hooks_.update(asked_at, update);
+  selector_.RecordElection(update.is_electing);
+  if (update.shared_state) {
+    selector_.SetHubs(now, update.hubs, update.entry_hosts);
+  }
 }
 
 }  // namespace sapphirebank
--- a/programs/fleet_host/entry_link.h
+++ b/programs/fleet_host/entry_link.h
@@ -11,9 +11,9 @@
 #include <string>
 #include <vector>
 
-#include "sapphirebank/core/random.h"
 #include "sapphirebank/fleet/fleet_messages.h"
 #include "sapphirebank/fleet/fleet_settings.h"
+#include "sapphirebank/fleet/hub_selector.h"
 #include "sapphirebank/fleet/server_dispatcher.h"
 #include "sapphirebank/telemetry/log_writer.h"
 #include "sapphirebank/transport/fleet_link.h"
@@ -21,9 +21,9 @@
 namespace sapphirebank {
 
 // An entry host's link to its hub, a control host, preferably of the same zone.
-// Finds the hub from the seeds, sends reports, receives updates and requests
-// servers. Not thread-safe: all calls must come from the thread of its event
-// loop.
+// Probes the hubs that HubSelector names and reports to the one that it
+// chooses, receives updates and requests servers. Not thread-safe: all calls
+// must come from the thread of its event loop.
 class EntryLink {
  public:
   struct Hooks {
@@ -38,10 +38,8 @@
     // Handles the hub's choice of a server, whose id is empty when it has none.
     std::function<void(std::uint64_t number, const DispatchChoice&)>
         server_assigned;
-    // Returns the hubs listed in the latest update.
-    std::function<const std::vector<HubHost>&()> hubs;
-    // Returns the number of entry hosts of all zones.
-    std::function<std::uint32_t()> entry_hosts;
+    // Returns the age of this host's last leader update.
+    std::function<Duration(Instant now)> leader_update_age;
     // Returns the seeds currently in the settings.
     std::function<std::vector<Endpoint>()> seeds;
   };
@@ -66,35 +64,35 @@
  private:
   using LinkId = FleetLink::LinkId;
 
+  // A connection to a hub whose state is not known yet.
+  struct Probe {
+    std::string address;
+    Instant started_at;
+  };
+
   FleetLink::Hooks LinkHooks();
   void Tick();
   void ScheduleTick(Duration delay);
-  void ConnectNext();
-  void OnUp(LinkId link);
+  void StartProbes(Instant now);
+  void DropOverdueProbes(Instant now);
   void OnMessage(LinkId link, const nlohmann::json& message);
+  void OnHubState(LinkId link, const nlohmann::json& message);
   void OnDown(LinkId link);
-  void CloseLink(std::string_view cause);
+  void Adopt(LinkId link, const HubState& state);
+  void LoseHub(std::string_view cause);
   void SendReport(bool first);
   void ApplyUpdate(const FleetUpdate& update);
-  bool IsBackedOff(const std::string& address, Instant now) const;
-  std::string AssignedHubAddress(Instant now) const;
-  bool ShouldSwitchHub(Instant now) const;
-  std::vector<std::string> Candidates() const;
 
   boost::asio::io_context& loop_;
   FleetSettings settings_;
   Hooks hooks_;
   LogWriter& log_;
-  Random random_;
+  HubSelector selector_;
   boost::asio::steady_timer timer_;
+  // The link to the hub; none while there is no hub.
   std::optional<LinkId> link_;
-  std::string hub_address_;
-  bool is_connected_ = false;
   bool hub_answered_ = false;
-  Instant next_switch_;
-  // Hubs that failed recently, with the time until which they are avoided.
-  std::map<std::string, Instant> backoff_until_;
-  Instant connect_started_;
+  std::map<LinkId, Probe> probes_;
   Instant last_report_at_;
   std::uint64_t next_report_number_ = 1;
   // Send times of the unanswered reports, by number.
--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -73,22 +73,21 @@
                  }}),
       requests_(loop, state_, std::move(codec), log, metrics_->metrics()),
       timer_(loop),
-      link_(
-          loop, settings,
-          EntryLink::Hooks{
-              [this](bool first) { return BuildReport(first); },
-              [this](std::optional<Instant> asked_at,
-                     const FleetUpdate& update) {
-                return ApplyUpdate(asked_at, update);
-              },
-              [this](std::uint64_t number, const DispatchChoice& choice) {
-                state_.OnServerAssigned(number, choice);
-              },
-              [this]() -> const std::vector<HubHost>& {
-                return state_.view().hubs();
-              },
-              [this] { return state_.view().entry_hosts(); }, std::move(seeds)},
-          log) {
+      link_(loop, settings,
+            EntryLink::Hooks{
+                [this](bool first) { return BuildReport(first); },
+                [this](std::optional<Instant> asked_at,
+                       const FleetUpdate& update) {
+                  return ApplyUpdate(asked_at, update);
+                },
+                [this](std::uint64_t number, const DispatchChoice& choice) {
+                  state_.OnServerAssigned(number, choice);
+                },
+                [this](Instant now) {
+                  return state_.view().LeaderUpdateAge(now);
+                },
+                std::move(seeds)},
+            log) {
   metrics_->set_refresh([this] { RefreshMetrics(); });
 }
 
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -19,7 +19,6 @@
     quarantined_ = {update.quarantined.begin(), update.quarantined.end()};
     request_rates_ = update.request_rates;
     entry_hosts_ = update.entry_hosts;
-    hubs_ = update.hubs;
   }
   Result<void> plan_applied;
   if (update.plan) plan_applied = ApplyPlan(*update.plan);
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -82,9 +82,6 @@
   std::uint64_t registry_id() const { return registry_id_; }
   std::uint64_t registry_changes() const { return registry_changes_; }
 
-  // Returns the control hosts that this host may report to.
-  const std::vector<HubHost>& hubs() const { return hubs_; }
-
   // Returns the server called `id`, or null.
   KnownServerPtr Find(const BackendId& id) const;
 
@@ -106,7 +103,6 @@
   std::unordered_set<RequestFingerprint> quarantined_;
   std::map<ServiceId, double> request_rates_;
   std::uint32_t entry_hosts_ = 1;
-  std::vector<HubHost> hubs_;
   std::uint64_t record_changes_ = 0;
   std::uint64_t registry_id_ = 0;
   std::uint64_t registry_changes_ = 0;
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -162,6 +162,7 @@
          {"rec", update.record_changes},
          {"id", update.registry_id},
          {"b", update.registry_changes}};
+  if (update.is_electing) out["electing"] = true;
   if (update.full_registry) out["whole"] = true;
   if (update.wants_servers) out["wants"] = true;
   for (const ServerUpdate& server_update : update.servers) {
@@ -187,6 +188,7 @@
   in.at("rec").get_to(update.record_changes);
   in.at("id").get_to(update.registry_id);
   in.at("b").get_to(update.registry_changes);
+  ReadOptional(in, "electing", update.is_electing);
   ReadOptional(in, "whole", update.full_registry);
   ReadOptional(in, "wants", update.wants_servers);
   if (const auto found = in.find("servers"); found != in.end()) {
--- a/sapphirebank/fleet/fleet_messages.h
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -95,6 +95,9 @@
   // Time since a quorum last confirmed the leader. The update contains
   // everything committed before then.
   Duration quorum_age{};
+  // The sender takes part in an election of a leader, so that its quorum age
+  // says nothing about its connections.
+  bool is_electing = false;
   // Changes of the replicated record that the sender has applied.
   std::uint64_t record_changes = 0;
   std::uint64_t registry_id = 0;
--- a/sapphirebank/fleet/hub_assignment.h
+++ b/sapphirebank/fleet/hub_assignment.h
@@ -22,11 +22,9 @@
 inline constexpr Duration kReportPeriod = std::chrono::milliseconds(500);
 
 // A hub whose leader update is older than this may be partitioned from the
-// leader, and its entry hosts leave it. They must find another in time to apply
-// a plan that was accepted meanwhile. An election may take as long, so a new
-// hub is given a grace period.
+// leader, and its entry hosts look for another. They must find one in time to
+// apply a plan that was accepted meanwhile.
 inline constexpr Duration kMaxHubUpdateAge = std::chrono::milliseconds(1200);
-inline constexpr Duration kHubGracePeriod = std::chrono::milliseconds(800);
 
 // Returns the addresses of the hubs among which the entry hosts and backend
 // servers of `zone` are divided: as many of the zone's first ones in `hubs` as
--- /dev/null
+++ b/sapphirebank/fleet/hub_selector.cc
@@ -0,0 +1,188 @@
+#include "sapphirebank/fleet/hub_selector.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sapphirebank {
+namespace {
+
+// Part of max_update_age from which the hub is asked more often.
+constexpr double kUrgentAgeFraction = 0.75;
+
+// Report period at such an age.
+constexpr Duration kUrgentReportPeriod = kReportPeriod / 2;
+
+}  // namespace
+
+HubSelector::HubSelector(HubSelectorSettings settings, ZoneId zone,
+                         std::string member, Random random)
+    : settings_(settings),
+      zone_(std::move(zone)),
+      member_(std::move(member)),
+      random_(random) {}
+
+void HubSelector::SetHubs(Instant now, std::span<const HubHost> hubs,
+                          std::uint32_t entry_hosts) {
+  entry_hosts_ = entry_hosts;
+  listed_.assign(hubs.begin(), hubs.end());
+  for (const HubHost& hub : hubs) known_[hub.address] = {hub.zone, now};
+  std::erase_if(known_, [&](const auto& item) {
+    return now - item.second.listed_at > settings_.retention;
+  });
+}
+
+void HubSelector::SetSeeds(std::vector<std::string> addresses) {
+  seeds_ = std::move(addresses);
+}
+
+bool HubSelector::IsBackedOff(Instant now, const std::string& address) const {
+  const auto backoff = backoff_until_.find(address);
+  return backoff != backoff_until_.end() && now < backoff->second;
+}
+
+bool HubSelector::IsOutdated(Duration update_age) const {
+  return update_age > (hub_is_electing_ ? settings_.max_update_age_in_election
+                                        : settings_.max_update_age);
+}
+
+// Returns the hub of this zone that this host belongs to, of those that did not
+// fail recently; empty without any.
+std::string HubSelector::AssignedAddress(Instant now) const {
+  std::vector<HubHost> available = listed_;
+  std::erase_if(available, [&](const HubHost& hub) {
+    return hub.zone == zone_ && IsBackedOff(now, hub.address);
+  });
+  return AssignedHub(ActiveHubs(available, zone_, entry_hosts_), member_);
+}
+
+Duration HubSelector::ReportPeriod(Duration update_age) const {
+  const bool is_urgent =
+      ToSeconds(update_age) >
+      ToSeconds(settings_.max_update_age) * kUrgentAgeFraction;
+  return is_urgent ? kUrgentReportPeriod : kReportPeriod;
+}
+
+std::optional<std::string> HubSelector::NextProbe(Instant now,
+                                                  Duration update_age) {
+  if (!hub_.empty() && !IsOutdated(update_age)) {
+    search_.reset();
+    searched_in_vain_ = false;
+    return ProbeAssigned(now);
+  }
+  if (!search_) {
+    if (now < next_search_at_) return std::nullopt;
+    search_ = StartSearch(now);
+  }
+  if (now < next_probe_at_) return std::nullopt;
+  while (!search_->empty()) {
+    std::string address = std::move(search_->front());
+    search_->pop_front();
+    if (!probing_.insert(address).second) continue;
+    next_probe_at_ = now + settings_.probe_interval;
+    return address;
+  }
+  if (probing_.empty()) EndSearchInVain(now);
+  return std::nullopt;
+}
+
+// Returns the hub that this host belongs to when it is connected to a different
+// one.
+std::optional<std::string> HubSelector::ProbeAssigned(Instant now) {
+  if (now < next_switch_at_ || !probing_.empty()) return std::nullopt;
+  std::string assigned = AssignedAddress(now);
+  if (assigned.empty() || assigned == hub_) return std::nullopt;
+  next_switch_at_ = now + settings_.switch_period;
+  probing_.insert(assigned);
+  return assigned;
+}
+
+// Lists the candidates in the order in which they are probed: the hub that this
+// host belongs to, then, after the loss of a hub, others of the zone. A zone's
+// hubs may have lost the leader together, so their zone does not count then.
+// Hubs that failed recently come last, and only for a host without a hub.
+HubSelector::Search HubSelector::StartSearch(Instant now) {
+  struct Candidate {
+    std::string address;
+    int rank = 0;
+  };
+  constexpr int kFailedRank = 3;
+  std::vector<Candidate> candidates;
+  const std::string assigned = AssignedAddress(now);
+  const auto add = [&](const std::string& address, const ZoneId& zone) {
+    if (address == hub_) return;
+    int rank = 2;
+    if (IsBackedOff(now, address)) {
+      rank = kFailedRank;
+    } else if (address == assigned) {
+      rank = 0;
+    } else if (hub_.empty() && zone == zone_) {
+      rank = 1;
+    }
+    if (rank == kFailedRank && !hub_.empty()) return;
+    candidates.push_back({address, rank});
+  };
+  for (const auto& [address, hub] : known_) add(address, hub.zone);
+  for (const std::string& seed : seeds_) {
+    if (!known_.contains(seed)) add(seed, ZoneId());
+  }
+  for (std::size_t i = candidates.size(); i > 1; --i) {
+    std::swap(candidates[i - 1], candidates[random_.Below(i)]);
+  }
+  std::stable_sort(
+      candidates.begin(), candidates.end(),
+      [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
+  Search search;
+  for (Candidate& candidate : candidates) {
+    search.push_back(std::move(candidate.address));
+  }
+  return search;
+}
+
+void HubSelector::EndSearchInVain(Instant now) {
+  search_.reset();
+  searched_in_vain_ = true;
+  next_search_at_ =
+      now + (hub_.empty() ? settings_.search_pause_without_hub
+                          : settings_.search_pause +
+                                settings_.search_pause_per_host * entry_hosts_);
+}
+
+bool HubSelector::RecordProbe(Instant now, const std::string& address,
+                              const HubState& state, Duration update_age) {
+  probing_.erase(address);
+  const bool is_recent = state.update_age <= settings_.max_new_hub_age;
+  if (hub_.empty()) {
+    // Any hub is better than none once all have been probed.
+    const bool is_last = search_ && search_->empty() && probing_.empty();
+    if (!is_recent && !searched_in_vain_ && !is_last) return false;
+  } else if (!is_recent ||
+             (!IsOutdated(update_age) && address != AssignedAddress(now))) {
+    return false;
+  }
+  Adopt(now, address);
+  return true;
+}
+
+void HubSelector::Adopt(Instant now, const std::string& address) {
+  hub_ = address;
+  hub_is_electing_ = false;
+  search_.reset();
+  probing_.clear();
+  next_search_at_ = now + settings_.first_update_time;
+  next_switch_at_ = now + settings_.switch_period;
+}
+
+void HubSelector::RecordProbeFailure(Instant now, const std::string& address) {
+  probing_.erase(address);
+  backoff_until_[address] = now + settings_.failure_backoff;
+}
+
+void HubSelector::RecordHubFailure(Instant now) {
+  backoff_until_[hub_] = now + settings_.failure_backoff;
+  hub_.clear();
+  hub_is_electing_ = false;
+  search_.reset();
+  next_search_at_ = now;
+}
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/sapphirebank/fleet/hub_selector.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "sapphirebank/core/ids.h"
+#include "sapphirebank/core/random.h"
+#include "sapphirebank/core/time.h"
+#include "sapphirebank/fleet/fleet_messages.h"
+#include "sapphirebank/fleet/hub_assignment.h"
+
+namespace sapphirebank {
+
+struct HubSelectorSettings {
+  // Leader update age of this host from which it looks for a hub with a newer
+  // update.
+  Duration max_update_age = kMaxHubUpdateAge;
+  // The same while the hub takes part in an election: other hubs then have no
+  // newer update either. Most elections are over within this time.
+  Duration max_update_age_in_election = std::chrono::milliseconds(2000);
+  // Maximum update age of a hub that is chosen. Those that follow the leader
+  // are confirmed several times a second; the updates of hubs that lost it
+  // together differ by as much, so a slightly newer one says nothing.
+  Duration max_new_hub_age = std::chrono::milliseconds(600);
+  // Time between the starts of two probes of one search.
+  Duration probe_interval = std::chrono::milliseconds(50);
+  // A hub that failed is probed again only after this time.
+  Duration failure_backoff = std::chrono::seconds(2);
+  // Pause after a search in vain, for a host with a hub: this and a part for
+  // each entry host, as all of them search at the same time when no hub has a
+  // leader.
+  Duration search_pause = std::chrono::milliseconds(1000);
+  Duration search_pause_per_host = std::chrono::milliseconds(10);
+  // The same for a host without a hub.
+  Duration search_pause_without_hub = std::chrono::milliseconds(100);
+  // Time for a new hub's first update, before which the search goes on.
+  Duration first_update_time = std::chrono::milliseconds(800);
+  // A host that is not connected to the hub that it belongs to probes that one
+  // with this period.
+  Duration switch_period = std::chrono::seconds(3);
+  // Hubs are kept as candidates for this time after a hub listed them last.
+  Duration retention = std::chrono::seconds(60);
+};
+
+// What a hub says about itself when a host connects to it, and in its updates.
+struct HubState {
+  // Time since a quorum last confirmed the leader that the hub follows.
+  Duration update_age{};
+  bool is_electing = false;
+};
+
+// Chooses the hub of an entry host. Any hub serves while its leader update is
+// recent; one that is partitioned from the leader goes on answering, so its
+// hosts have to look for another one by themselves.
+//
+// A search probes the other hubs, each once and in staggered order as in Happy
+// Eyeballs (RFC 8305), until one has a recent update. The host keeps its hub
+// meanwhile: when no hub is better off, as during an election, none of them
+// loses its hosts. A hub on the wrong side of a partition lists only hubs of
+// its own side, so those listed before remain candidates.
+class HubSelector {
+ public:
+  // `zone` and `member` are the zone and the id of this entry host.
+  HubSelector(HubSelectorSettings settings, ZoneId zone, std::string member,
+              Random random);
+
+  // Sets the hubs that the current one lists, and the number of entry hosts.
+  void SetHubs(Instant now, std::span<const HubHost> hubs,
+               std::uint32_t entry_hosts);
+
+  // Sets the hubs to begin with, of which the zones are unknown.
+  void SetSeeds(std::vector<std::string> addresses);
+
+  // Returns the address of the next hub to probe, if a probe is due.
+  // `update_age` is the leader update age of this host.
+  std::optional<std::string> NextProbe(Instant now, Duration update_age);
+
+  // Records the state of a probed hub. Returns whether to report to that hub
+  // from now on; other probes are then void.
+  bool RecordProbe(Instant now, const std::string& address,
+                   const HubState& state, Duration update_age);
+
+  // Records that a probe failed.
+  void RecordProbeFailure(Instant now, const std::string& address);
+
+  // Records whether the current hub takes part in an election.
+  void RecordElection(bool is_electing) { hub_is_electing_ = is_electing; }
+
+  // Records that the current hub was lost.
+  void RecordHubFailure(Instant now);
+
+  // Returns the period of reports to the hub, shorter while the answer may end
+  // the need for a search.
+  Duration ReportPeriod(Duration update_age) const;
+
+  // Returns the current hub, or an empty address.
+  const std::string& hub() const { return hub_; }
+
+  // Returns whether a search is going on.
+  bool is_searching() const { return search_.has_value(); }
+
+ private:
+  struct KnownHub {
+    ZoneId zone;
+    Instant listed_at;
+  };
+  // The hubs that remain to be probed.
+  using Search = std::deque<std::string>;
+
+  bool IsBackedOff(Instant now, const std::string& address) const;
+  bool IsOutdated(Duration update_age) const;
+  std::string AssignedAddress(Instant now) const;
+  Search StartSearch(Instant now);
+  void EndSearchInVain(Instant now);
+  void Adopt(Instant now, const std::string& address);
+  std::optional<std::string> ProbeAssigned(Instant now);
+
+  HubSelectorSettings settings_;
+  ZoneId zone_;
+  std::string member_;
+  Random random_;
+  std::vector<HubHost> listed_;
+  std::map<std::string, KnownHub> known_;
+  std::vector<std::string> seeds_;
+  std::uint32_t entry_hosts_ = 1;
+  std::string hub_;
+  bool hub_is_electing_ = false;
+  std::map<std::string, Instant> backoff_until_;
+  std::optional<Search> search_;
+  std::set<std::string> probing_;
+  // The last search found no hub with a recent update.
+  bool searched_in_vain_ = false;
+  Instant next_probe_at_;
+  Instant next_search_at_;
+  Instant next_switch_at_;
+};
+
+}  // namespace sapphirebank
