A request that waited for a connection is checked again before it is sent

Cause: the choice of a server, and the check that keys may be used, were made once; connecting takes up to 200 ms, and a suspended process wakes up in between. Class: time of check and time of use.

Change: HttpClient asks HttpExchange::may_send right before the first byte. The entry host answers with what it knows then: the server is known in the same incarnation, its zone is in service, and keys may still be used. A withheld attempt reached nobody: it is no failure of the server and another server may be tried.

The test of the client failed with a build of http_client.cc that lacks the check ("failure != nullptr"); it has a new and a kept connection.

--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -106,6 +106,13 @@
   exchange.matches_request = [this, id](const HeaderFields& fields) {
     return codec_.matches_request(fields, id);
   };
+  // The server may leave, or the process may be suspended, while the request
+  // waits for a connection.
+  exchange.may_send = [this, server, has_key = context.workspace != nullptr] {
+    const Instant at = MonotonicNow();
+    return state_.view().MayReceiveRequests(*server) &&
+           (!has_key || state_.view().IsCurrent(at));
+  };
   // Only idempotent requests are aborted when the caller disconnects.
   std::shared_ptr<CallerWatch> watch;
   asio::steady_timer timer(loop_);
@@ -141,6 +148,11 @@
     bool blames_server) {
   AttemptResult attempt;
   const Instant now = MonotonicNow();
+  if (failure.stage == AttemptStage::kWithheld) {
+    attempt.failure = ErrorKind::kNoBackendServer;
+    attempt.may_retry = true;
+    return attempt;
+  }
   if (failure.stage == AttemptStage::kNotConnected) {
     attempt.failure = ErrorKind::kBackendUnreachable;
     attempt.may_retry = true;
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -101,6 +101,14 @@
   return found == servers_.end() ? nullptr : found->second;
 }
 
+bool EntryView::MayReceiveRequests(const KnownServer& server) const {
+  const ServerAnnouncement& announcement = server.state.announcement;
+  const auto found = servers_.find(announcement.id);
+  // A later incarnation is a different object.
+  return found != servers_.end() && found->second.get() == &server &&
+         !IsZoneOut(announcement.zone);
+}
+
 double EntryView::RequestRate(const ServiceId& service) const {
   const auto found = request_rates_.find(service);
   return found == request_rates_.end() ? 0 : found->second;
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -85,6 +85,11 @@
   // Returns the server called `id`, or null.
   KnownServerPtr Find(const BackendId& id) const;
 
+  // Returns whether the server may still be sent requests: a request that was
+  // assigned to it may have waited while it left or its zone went out of
+  // service.
+  bool MayReceiveRequests(const KnownServer& server) const;
+
   // Returns the announcements of all servers.
   std::vector<ServerAnnouncement> Announcements() const;
 
--- a/sapphirebank/request/attempt_policy.cc
+++ b/sapphirebank/request/attempt_policy.cc
@@ -5,6 +5,8 @@
 
 ErrorKind RefusalFor(const AttemptFailure& failure) {
   switch (failure.stage) {
+    case AttemptStage::kWithheld:
+      return ErrorKind::kNoBackendServer;
     case AttemptStage::kNotConnected:
       return ErrorKind::kBackendUnreachable;
     case AttemptStage::kRefusedByPeer:
@@ -18,7 +20,8 @@
 }
 
 bool CannotHaveRun(AttemptStage stage) {
-  return stage == AttemptStage::kNotConnected ||
+  return stage == AttemptStage::kWithheld ||
+         stage == AttemptStage::kNotConnected ||
          stage == AttemptStage::kRefusedByPeer;
 }
 
--- a/sapphirebank/request/attempt_policy.h
+++ b/sapphirebank/request/attempt_policy.h
@@ -9,6 +9,7 @@
 
 // How far an attempt got before it failed.
 enum class AttemptStage {
+  kWithheld,       // The sender decided not to send it; no byte was sent.
   kNotConnected,   // No connection; no byte of the request was sent.
   kRefusedByPeer,  // Another entry host reports that it was not run.
   kSent,           // At least one byte was sent; no complete answer.
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -276,6 +276,9 @@
   if (watch && watch->hung_up()) {
     co_return Failure(AttemptStage::kNotConnected, error, reused);
   }
+  if (exchange.may_send && !exchange.may_send()) {
+    co_return Failure(AttemptStage::kWithheld, error, reused);
+  }
   CloseOnHangUp close_on_hang_up(watch, connection);
 
   connection->stream.expires_after(exchange.answer_timeout);
--- a/sapphirebank/transport/http_client.h
+++ b/sapphirebank/transport/http_client.h
@@ -35,6 +35,10 @@
   // Other answers are late answers to earlier requests and are skipped. Null
   // accepts all.
   std::function<bool(const HeaderFields&)> matches_request;
+  // Called right before the first byte is sent, as establishing a connection
+  // takes time. When it returns false nothing is sent, and the exchange fails
+  // with AttemptStage::kWithheld. Null always sends.
+  std::function<bool()> may_send;
   // Open a new connection in place of reusing an idle one.
   bool fresh_connection = false;
 };
--- a/unit_tests/fleet/entry_view_test.cc
+++ b/unit_tests/fleet/entry_view_test.cc
@@ -180,5 +180,36 @@
   for (int i = 0; i < 1'000; ++i) CHECK(fixture.Choose() == "warm");
 }
 
+// Guards against a request at a server that left while the request waited for
+// a connection: the choice was not checked again before sending.
+TEST_CASE("a server that was chosen may be sent nothing once it has left",
+          "[fleet]") {
+  EntryView view(ReadTestPlan, kKeyValidity);
+  FleetUpdate update = MakeUpdate(1, 1);
+  update.servers.push_back({MakeServer("a")});
+  update.servers.push_back({MakeServer("b", "fann")});
+  REQUIRE(view.Apply(kStart, kStart, update));
+  const KnownServerPtr left = view.Find(BackendId("a"));
+  const KnownServerPtr evacuated = view.Find(BackendId("b"));
+  CHECK(view.MayReceiveRequests(*left));
+  CHECK(view.MayReceiveRequests(*evacuated));
+
+  FleetUpdate news = MakeUpdate(2);
+  news.servers.push_back({MakeServer("a")});
+  news.servers.back().retired = true;
+  news.shared_state = true;
+  news.zones_out = {ZoneId("fann")};
+  REQUIRE(view.Apply(kStart, kStart, news));
+  CHECK_FALSE(view.MayReceiveRequests(*left));
+  CHECK_FALSE(view.MayReceiveRequests(*evacuated));
+
+  // The server that starts under the same id is another one.
+  FleetUpdate restarted = MakeUpdate(3);
+  restarted.servers.push_back({MakeServer("a", "kochi", 2)});
+  REQUIRE(view.Apply(kStart, kStart, restarted));
+  CHECK_FALSE(view.MayReceiveRequests(*left));
+  CHECK(view.MayReceiveRequests(*view.Find(BackendId("a"))));
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/transport/http_client_test.cc
+++ b/unit_tests/transport/http_client_test.cc
@@ -176,6 +176,39 @@
         AttemptStage::kNotConnected);
 }
 
+// Guards against sending to a server that left while the connection to it was
+// established.
+TEST_CASE("a request is withheld when it may no longer be sent",
+          "[transport]") {
+  std::atomic<int> requests = 0;
+  ScriptedServer server([&](tcp::socket& socket, int) {
+    while (ScriptedServer::ReadRequest(socket)) {
+      ++requests;
+      ScriptedServer::Write(socket, OkResponse("whole"));
+    }
+  });
+  LoopThread loop;
+  HttpClient client(loop.loop(), HttpClientSettings());
+  const auto send = [&](bool may_send) {
+    HttpExchange exchange;
+    exchange.to = server.endpoint();
+    exchange.method = "GET";
+    exchange.target = "/";
+    exchange.may_send = [may_send] { return may_send; };
+    return loop.Run(client.Exchange(exchange, nullptr));
+  };
+  // On a new connection, and on one that is kept alive.
+  for (int i = 0; i < 2; ++i) {
+    const auto withheld = send(false);
+    const auto* failure = std::get_if<AttemptFailure>(&withheld.outcome);
+    REQUIRE(failure != nullptr);
+    CHECK(failure->stage == AttemptStage::kWithheld);
+    CHECK(requests == i);
+    CHECK(BodyOf(send(true)) == "whole");
+    CHECK(requests == i + 1);
+  }
+}
+
 TEST_CASE("a streamed answer that is cut off ends with an error",
           "[transport]") {
   ScriptedServer server([](tcp::socket& socket, int) {
