Plans are sent compressed to entry hosts

Cause: the patch of such a plan takes about half a second on the link of a small host (2.8 Mbit/s). Reports behind it are not answered within 0.5 s, the host takes its hub for dead (front-thrissur-18 at 22.02 s and 28.26 s, "a report was not answered"; front-thrissur-9 and front-kochi-26, which were late, left theirs too), and gets the patch from the next hub once more, while its requests wait behind it. Class: a timeout that does not know how long its answer takes. Ruled out: a late log at the control hosts; plan 43 was in force at all of them 0.22 s after its acknowledgement.

Change: PlanHistory compresses each patch once (zlib, a library that the project links already by way of cpp-httplib) and hubs send it as it is.

Hosts of this build do not read plans of hubs of an earlier one, nor the other way round: the control and the entry hosts of a fleet are to be replaced together.

--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -150,8 +150,7 @@
     call.sent_to = known_leader_;
     json message = {{"t", "call"}, {"call", number}};
     if (call.command) {
-      const std::string bytes = EncodeCommand(*call.command);
-      message["command"] = json::binary({bytes.begin(), bytes.end()});
+      message["command"] = CborBinary(EncodeCommand(*call.command));
     }
     links_.Send(*link, message);
   }
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -24,15 +24,6 @@
 // The same for links to entry hosts, which report at least twice a second.
 constexpr Duration kEntryLinkTimeout = std::chrono::seconds(4);
 
-json Binary(const std::string& bytes) {
-  return json::binary({bytes.begin(), bytes.end()});
-}
-
-std::string Text(const json& binary) {
-  const auto& bytes = binary.get_binary();
-  return {bytes.begin(), bytes.end()};
-}
-
 }  // namespace
 
 FleetLink::Hooks ControlProcess::LinkHooks() {
@@ -109,8 +100,9 @@
   for (const PeerEnvelope& envelope : messages) {
     const auto link = LinkTo(envelope.host);
     if (!link) continue;
-    links_.Send(*link, {{"t", "raft"},
-                        {"m", Binary(EncodePeerMessage(envelope.message))}});
+    links_.Send(*link,
+                {{"t", "raft"},
+                 {"m", CborBinary(EncodePeerMessage(envelope.message))}});
   }
 }
 
@@ -159,7 +151,7 @@
   try {
     const std::string type = message.at("t").get<std::string>();
     if (type == "raft") {
-      const auto decoded = DecodePeerMessage(Text(message.at("m")));
+      const auto decoded = DecodePeerMessage(CborBytes(message.at("m")));
       if (decoded) host_.Receive(peer.heard_at, from, *decoded);
     } else if (type == "ask") {
       OnServerRequest(link, from, message);
@@ -284,7 +276,7 @@
   const auto number = message.at("call").get<std::uint64_t>();
   std::optional<ControlCommand> command;
   if (message.contains("command")) {
-    auto decoded = DecodeCommand(Text(message.at("command")));
+    auto decoded = DecodeCommand(CborBytes(message.at("command")));
     if (!decoded) return;
     command = std::move(*decoded);
   }
--- a/sapphirebank/core/cbor.h
+++ b/sapphirebank/core/cbor.h
@@ -3,6 +3,8 @@
 #include <exception>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace sapphirebank {
@@ -19,4 +21,15 @@
   }
 }
 
+// Returns `bytes` as a byte string of CBOR.
+inline nlohmann::json CborBinary(std::string_view bytes) {
+  return nlohmann::json::binary({bytes.begin(), bytes.end()});
+}
+
+// Returns the bytes of a byte string. Throws when `value` is none.
+inline std::string CborBytes(const nlohmann::json& value) {
+  const auto& bytes = value.get_binary();
+  return {bytes.begin(), bytes.end()};
+}
+
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -4,7 +4,16 @@
 
 #include <algorithm>
 
+#include "sapphirebank/core/compression.h"
+
 namespace sapphirebank {
+namespace {
+
+// Maximum length of a plan or of a patch to it. A control host accepts plans of
+// 16 MiB, and a patch repeats paths.
+constexpr std::size_t kMaxPlanBytes = std::size_t{64} << 20U;
+
+}  // namespace
 
 Result<void> EntryView::Apply(Instant now, std::optional<Instant> requested_at,
                               const FleetUpdate& update) {
@@ -33,8 +42,13 @@
 Result<void> EntryView::ApplyPlan(const PlanUpdate& server_update) {
   const PlanVersion held_version = plan_ ? plan_->version() : 0;
   if (server_update.version <= held_version) return {};
+  const Result<std::string> text =
+      Decompress(server_update.compressed_text, kMaxPlanBytes);
+  if (!text) {
+    return Fail(ErrorKind::kInvalidDeclaration, text.error().detail);
+  }
   try {
-    nlohmann::json document = nlohmann::json::parse(server_update.text);
+    nlohmann::json document = nlohmann::json::parse(*text);
     if (server_update.base) {
       if (*server_update.base != held_version) {
         return Fail(
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -1,5 +1,6 @@
 #include "sapphirebank/fleet/fleet_messages.h"
 
+#include "sapphirebank/core/cbor.h"
 #include "sapphirebank/core/json_read.h"
 
 namespace sapphirebank {
@@ -173,7 +174,7 @@
   }
   if (update.plan) {
     out["plan"] = {{"version", update.plan->version},
-                   {"text", update.plan->text}};
+                   {"text", CborBinary(update.plan->compressed_text)}};
     if (update.plan->base) out["plan"]["base"] = *update.plan->base;
   }
   if (update.shared_state) out["general"] = SharedStateToJson(update);
@@ -199,7 +200,7 @@
   if (const auto found = in.find("plan"); found != in.end()) {
     PlanUpdate plan;
     found->at("version").get_to(plan.version);
-    found->at("text").get_to(plan.text);
+    plan.compressed_text = CborBytes(found->at("text"));
     if (found->contains("base")) {
       plan.base = found->at("base").get<PlanVersion>();
     }
--- a/sapphirebank/fleet/fleet_messages.h
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -77,7 +77,9 @@
 struct PlanUpdate {
   PlanVersion version = 0;
   std::optional<PlanVersion> base;
-  std::string text;
+  // Compressed JSON: the link of a small host takes seconds for the text of a
+  // plan with a thousand routes.
+  std::string compressed_text;
 };
 
 // Answers token requests.
--- a/sapphirebank/fleet/plan_history.cc
+++ b/sapphirebank/fleet/plan_history.cc
@@ -1,18 +1,17 @@
 #include "sapphirebank/fleet/plan_history.h"
 
 #include <algorithm>
-#include <utility>
+
+#include "sapphirebank/core/compression.h"
 
 namespace sapphirebank {
 
-void PlanHistory::Add(PlanVersion version, std::string document) {
+void PlanHistory::Add(PlanVersion version, const std::string& document) {
   constexpr bool kAllowExceptions = false;
-  Plan plan;
-  plan.version = version;
-  plan.document = nlohmann::json::parse(document, nullptr, kAllowExceptions);
-  plan.text = std::move(document);
-  plans_.push_back(std::move(plan));
+  plans_.push_back(
+      {version, nlohmann::json::parse(document, nullptr, kAllowExceptions)});
   if (plans_.size() > kMaxPlans) plans_.pop_front();
+  newest_text_ = Compress(document);
   patches_.clear();
 }
 
@@ -22,14 +21,14 @@
       plans_.begin(), plans_.end(),
       [&](const Plan& plan) { return plan.version == held_version; });
   if (base_plan == plans_.end())
-    return {newest.version, std::nullopt, newest.text};
+    return {newest.version, std::nullopt, newest_text_};
   auto [patch, is_new] = patches_.try_emplace(held_version);
   if (is_new) {
-    patch->second =
-        nlohmann::json::diff(base_plan->document, newest.document).dump();
+    patch->second = Compress(
+        nlohmann::json::diff(base_plan->document, newest.document).dump());
   }
-  if (patch->second.size() >= newest.text.size()) {
-    return {newest.version, std::nullopt, newest.text};
+  if (patch->second.size() >= newest_text_.size()) {
+    return {newest.version, std::nullopt, newest_text_};
   }
   return {newest.version, held_version, patch->second};
 }
--- a/sapphirebank/fleet/plan_history.h
+++ b/sapphirebank/fleet/plan_history.h
@@ -18,7 +18,7 @@
   static constexpr std::size_t kMaxPlans = 8;
 
   // Adds the plan that took effect; `document` is JSON.
-  void Add(PlanVersion version, std::string document);
+  void Add(PlanVersion version, const std::string& document);
 
   // Returns the newest version, or 0.
   PlanVersion newest() const {
@@ -31,12 +31,13 @@
  private:
   struct Plan {
     PlanVersion version = 0;
-    std::string text;
     nlohmann::json document;
   };
 
   std::deque<Plan> plans_;
-  // Patches to the newest plan by base version.
+  // The newest plan, compressed.
+  std::string newest_text_;
+  // Compressed patches to it by base version.
   std::map<PlanVersion, std::string> patches_;
 };
 
--- a/unit_tests/fleet/budgets_test.cc
+++ b/unit_tests/fleet/budgets_test.cc
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include "sapphirebank/core/compression.h"
+#include "sapphirebank/core/random.h"
 #include "sapphirebank/fleet/crashing_request_detector.h"
 #include "sapphirebank/fleet/plan_history.h"
 #include "sapphirebank/fleet/retry_budget_share.h"
@@ -89,6 +91,11 @@
   CHECK_FALSE(detector.RecordCrash(kStart + seconds(40), 1, BackendId("c")));
 }
 
+std::string TextOf(const PlanUpdate& update) {
+  constexpr std::size_t kMaxBytes = std::size_t{1} << 20U;
+  return Decompress(update.compressed_text, kMaxBytes).value();
+}
+
 TEST_CASE(
     "a host gets a patch to its plan, or the full plan if its own is too old",
     "[fleet]") {
@@ -101,14 +108,72 @@
   }
   const PlanUpdate all = history.UpdateSince(0);
   CHECK_FALSE(all.base);
-  CHECK(all.text == document.dump());
+  CHECK(TextOf(all) == document.dump());
   CHECK_FALSE(history.UpdateSince(3).base);  // Too old to be kept.
   const PlanUpdate update = history.UpdateSince(11);
   REQUIRE(update.base == PlanVersion{11});
-  CHECK(update.text.size() < all.text.size() / 2);
+  CHECK(TextOf(update).size() < TextOf(all).size() / 2);
   nlohmann::json before = document;
   before["routes"].erase("r12");
-  CHECK(before.patch(nlohmann::json::parse(update.text)) == document);
+  CHECK(before.patch(nlohmann::json::parse(TextOf(update))) == document);
+}
+
+// Guards against a plan that takes so long on the link of a small host that the
+// host takes its hub for dead, gets the plan from the next one again, and goes
+// on with the old plan beyond the bound.
+TEST_CASE("a plan with many routes more passes a slow link in time",
+          "[fleet]") {
+  // The slowest link of a deployment, and the time after which an entry host
+  // drops a hub that does not answer.
+  constexpr double kBytesPerSecond = 2e6 / 8;
+  constexpr double kReportTimeoutSeconds = 0.5;
+  constexpr int kNewRoutes = 1400;
+  for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+    Random random(seed);
+    const auto name = [&](std::size_t length) {
+      std::string text;
+      for (std::size_t i = 0; i < length; ++i) {
+        text += static_cast<char>('a' + random.Below(26));
+      }
+      return text;
+    };
+    nlohmann::json document = {{"version", "r1"}};
+    const auto add_route = [&] {
+      document["routes"]["r-" + name(7)] = {{"host", name(6) + ".example"},
+                                            {"pathPrefix", "/" + name(8) + "/"},
+                                            {"kind", "safe"},
+                                            {"timeout", "1500ms"},
+                                            {"targetLatency", "600ms"},
+                                            {"priority", 2},
+                                            {"service", "desk"},
+                                            {"maxAttempts", 2},
+                                            {"public", false}};
+    };
+    for (int i = 0; i < 10; ++i) add_route();
+    PlanHistory history;
+    history.Add(1, document.dump());
+    for (int i = 0; i < kNewRoutes; ++i) add_route();
+    history.Add(2, document.dump());
+    const PlanUpdate update = history.UpdateSince(1);
+    CAPTURE(seed, TextOf(update).size(), update.compressed_text.size());
+    CHECK(static_cast<double>(update.compressed_text.size()) <
+          kBytesPerSecond * kReportTimeoutSeconds);
+  }
+}
+
+TEST_CASE("compressed texts are restored, damaged and long ones refused",
+          "[fleet]") {
+  for (const std::string& text :
+       {std::string(), std::string("short"), std::string(100'000, 'x')}) {
+    const std::string compressed = Compress(text);
+    CHECK(Decompress(compressed, text.size()).value() == text);
+    CHECK_FALSE(
+        Decompress(compressed.substr(0, compressed.size() - 1), text.size()));
+    if (text.empty()) continue;
+    CHECK_FALSE(Decompress(compressed, text.size() - 1));
+  }
+  CHECK_FALSE(Decompress("", 10));
+  CHECK_FALSE(Decompress("not compressed", 100));
 }
 
 }  // namespace
--- a/unit_tests/fleet/entry_view_test.cc
+++ b/unit_tests/fleet/entry_view_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "sapphirebank/core/compression.h"
 #include "sapphirebank/fleet/server_chooser.h"
 #include "unit_tests/fleet/fleet_fixtures.h"
 
@@ -30,8 +31,9 @@
   update.record_changes = record;
   update.registry_id = 1;
   if (version > 0) {
-    update.plan = PlanUpdate{version, std::nullopt,
-                             nlohmann::json{{"version", version}}.dump()};
+    update.plan =
+        PlanUpdate{version, std::nullopt,
+                   Compress(nlohmann::json{{"version", version}}.dump())};
   }
   return update;
 }
@@ -78,7 +80,8 @@
   REQUIRE(view.Apply(kStart, std::nullopt, MakeUpdate(1, 6)));
   CHECK(view.plan()->version() == 7);
   FleetUpdate patch = MakeUpdate(2);
-  const std::string text = R"([{"op":"replace","path":"/version","value":8}])";
+  const std::string text =
+      Compress(R"([{"op":"replace","path":"/version","value":8}])");
   patch.plan = PlanUpdate{8, PlanVersion{6}, text};
   // If the plan fails, the confirmation is not applied either.
   CHECK_FALSE(view.Apply(kStart, kStart, patch));
@@ -86,8 +89,10 @@
   patch.plan = PlanUpdate{8, PlanVersion{7}, text};
   CHECK(view.Apply(kStart, kStart, patch));
   CHECK(view.plan()->version() == 8);
-  patch.plan = PlanUpdate{9, PlanVersion{8}, "no patch"};
-  CHECK_FALSE(view.Apply(kStart, kStart, patch));
+  for (const std::string& wrong : {Compress("no patch"), std::string("{}")}) {
+    patch.plan = PlanUpdate{9, PlanVersion{8}, wrong};
+    CHECK_FALSE(view.Apply(kStart, kStart, patch));
+  }
   CHECK(view.plan()->version() == 8);
 }
 
