Entry hosts obey servers that say that they leave or ask for a pause

ServerSignals, without network, keeps them for each incarnation of a server; they bind this host at once, whatever its hub says and while it has none. The hub gets such servers as excluded, the host's own choice skips them also as a last resort, and a request that waited for a connection is withheld. A later incarnation starts anew; a late answer of an earlier one counts for nothing.

Not told to the hub: other hosts learn of a departure by the announcement or by answers of their own.

--- a/programs/fleet_host/entry_codec.h
+++ b/programs/fleet_host/entry_codec.h
@@ -36,6 +36,10 @@
   // The address now belongs to another server.
   bool misdirected = false;
   std::optional<ServerLoad> load;
+  // The server accepts no new requests from now on.
+  bool leaving = false;
+  // Time for which the server wants no requests from this host.
+  std::optional<Duration> pause;
 };
 
 // Converts requests and answers between the proxy and the wire format of
--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -110,7 +110,7 @@
   // waits for a connection.
   exchange.may_send = [this, server, has_key = context.workspace != nullptr] {
     const Instant at = MonotonicNow();
-    return state_.view().MayReceiveRequests(*server) &&
+    return state_.view().MayReceiveRequests(at, *server) &&
            (!has_key || state_.view().IsCurrent(at));
   };
   // Only idempotent requests are aborted when the caller disconnects.
@@ -195,6 +195,13 @@
     state_.RecordUnreachable(now, server);
     return attempt;
   }
+  if (info.leaving) state_.RecordLeaving(now, server);
+  if (info.pause) {
+    state_.RecordPause(now, server, *info.pause);
+    log_.Write(LogLevel::kInfo, "server_pause",
+               {{"server", server.state.announcement.id.value()},
+                {"ms", ToSeconds(*info.pause) * 1e3}});
+  }
   if (info.not_run) {
     attempt.failure = ErrorKind::kQueueFull;
     attempt.may_retry = true;
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -77,7 +77,7 @@
     hub_query.excluded.insert(server->state.announcement.id);
   }
   for (const KnownServerPtr& server : view_.ServersOf(query.service->id)) {
-    if (now < server->avoid_until) {
+    if (now < server->avoid_until || !view_.MayReceiveRequests(now, *server)) {
       hub_query.excluded.insert(server->state.announcement.id);
     }
   }
@@ -199,6 +199,18 @@
   hooks_.report_now();
 }
 
+void EntryState::RecordLeaving(Instant now, const KnownServer& server) {
+  const ServerAnnouncement& announcement = server.state.announcement;
+  view_.signals().RecordLeaving(now, announcement.id, announcement.incarnation);
+}
+
+void EntryState::RecordPause(Instant now, const KnownServer& server,
+                             Duration pause) {
+  const ServerAnnouncement& announcement = server.state.announcement;
+  view_.signals().RecordPause(now, announcement.id, announcement.incarnation,
+                              pause);
+}
+
 void EntryState::FillReport(EntryReport& report, bool first) {
   report.registry_id = view_.registry_id();
   report.known_registry_changes = view_.registry_changes();
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -71,6 +71,11 @@
                            RequestFingerprint request, bool may_have_crashed);
   void RecordUnreachable(Instant now, KnownServer& server);
 
+  // Record what a server said in an answer: that it leaves, and for how long it
+  // wants no requests from this host.
+  void RecordLeaving(Instant now, const KnownServer& server);
+  void RecordPause(Instant now, const KnownServer& server, Duration pause);
+
   // Moves the outcomes since the last report into `report`. The `first` report
   // to a hub also repeats the token requests; the known servers are listed when
   // the hub asked for them.
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -115,12 +115,14 @@
   return found == servers_.end() ? nullptr : found->second;
 }
 
-bool EntryView::MayReceiveRequests(const KnownServer& server) const {
+bool EntryView::MayReceiveRequests(Instant now,
+                                   const KnownServer& server) const {
   const ServerAnnouncement& announcement = server.state.announcement;
   const auto found = servers_.find(announcement.id);
   // A later incarnation is a different object.
   return found != servers_.end() && found->second.get() == &server &&
-         !IsZoneOut(announcement.zone);
+         !IsZoneOut(announcement.zone) &&
+         signals_.Permit(now, announcement.id, announcement.incarnation);
 }
 
 double EntryView::RequestRate(const ServiceId& service) const {
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -14,6 +14,7 @@
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/time.h"
 #include "sapphirebank/fleet/fleet_messages.h"
+#include "sapphirebank/fleet/server_signals.h"
 #include "sapphirebank/fleet/traffic_plan.h"
 
 namespace sapphirebank {
@@ -86,9 +87,12 @@
   KnownServerPtr Find(const BackendId& id) const;
 
   // Returns whether the server may still be sent requests: a request that was
-  // assigned to it may have waited while it left or its zone went out of
-  // service.
-  bool MayReceiveRequests(const KnownServer& server) const;
+  // assigned to it may have waited while it left, asked for a pause, or its
+  // zone went out of service.
+  bool MayReceiveRequests(Instant now, const KnownServer& server) const;
+
+  // What servers told this host in their answers.
+  ServerSignals& signals() { return signals_; }
 
   // Returns the announcements of all servers.
   std::vector<ServerAnnouncement> Announcements() const;
@@ -106,6 +110,7 @@
   std::map<ServiceId, std::vector<KnownServerPtr>> servers_by_service_;
   std::set<ZoneId> zones_out_;
   std::unordered_set<RequestFingerprint> quarantined_;
+  ServerSignals signals_;
   std::map<ServiceId, double> request_rates_;
   std::uint32_t entry_hosts_ = 1;
   std::uint64_t record_changes_ = 0;
--- a/sapphirebank/fleet/server_chooser.cc
+++ b/sapphirebank/fleet/server_chooser.cc
@@ -11,12 +11,10 @@
          query.tried.end();
 }
 
-// Returns whether the server may be used at all: its zone is in service and it
-// was not tried yet.
-bool IsEligible(const EntryView& view, const ServerQuery& query,
+// Returns whether the server may be used at all and was not tried yet.
+bool IsEligible(Instant now, const EntryView& view, const ServerQuery& query,
                 const KnownServerPtr& server) {
-  return !view.IsZoneOut(server->state.announcement.zone) &&
-         !WasTried(query, server);
+  return view.MayReceiveRequests(now, *server) && !WasTried(query, server);
 }
 
 // Returns whether the server is expected to succeed. Servers on probation only
@@ -46,7 +44,7 @@
   std::vector<KnownServerPtr> other_zones;
   std::vector<KnownServerPtr> unhealthy;
   for (const KnownServerPtr& server : view.ServersOf(query.service->id)) {
-    if (!IsEligible(view, query, server)) continue;
+    if (!IsEligible(now, view, query, server)) continue;
     if (now < server->state.cold_until) continue;
     if (!IsHealthy(now, query, server)) {
       unhealthy.push_back(server);
@@ -75,7 +73,8 @@
   double sample = random_.Unit();
   for (const KnownServerPtr& server : view.ServersOf(query.service->id)) {
     if (now >= server->state.cold_until) continue;
-    if (!IsEligible(view, query, server) || !IsHealthy(now, query, server)) {
+    if (!IsEligible(now, view, query, server) ||
+        !IsHealthy(now, query, server)) {
       continue;
     }
     if (sample < fraction) return server;
--- a/unit_tests/fleet/entry_view_test.cc
+++ b/unit_tests/fleet/entry_view_test.cc
@@ -196,8 +196,8 @@
   REQUIRE(view.Apply(kStart, kStart, update));
   const KnownServerPtr left = view.Find(BackendId("a"));
   const KnownServerPtr evacuated = view.Find(BackendId("b"));
-  CHECK(view.MayReceiveRequests(*left));
-  CHECK(view.MayReceiveRequests(*evacuated));
+  CHECK(view.MayReceiveRequests(kStart, *left));
+  CHECK(view.MayReceiveRequests(kStart, *evacuated));
 
   FleetUpdate news = MakeUpdate(2);
   news.servers.push_back({MakeServer("a")});
@@ -205,15 +205,15 @@
   news.shared_state = true;
   news.zones_out = {ZoneId("fann")};
   REQUIRE(view.Apply(kStart, kStart, news));
-  CHECK_FALSE(view.MayReceiveRequests(*left));
-  CHECK_FALSE(view.MayReceiveRequests(*evacuated));
+  CHECK_FALSE(view.MayReceiveRequests(kStart, *left));
+  CHECK_FALSE(view.MayReceiveRequests(kStart, *evacuated));
 
   // The server that starts under the same id is another one.
   FleetUpdate restarted = MakeUpdate(3);
   restarted.servers.push_back({MakeServer("a", "kochi", 2)});
   REQUIRE(view.Apply(kStart, kStart, restarted));
-  CHECK_FALSE(view.MayReceiveRequests(*left));
-  CHECK(view.MayReceiveRequests(*view.Find(BackendId("a"))));
+  CHECK_FALSE(view.MayReceiveRequests(kStart, *left));
+  CHECK(view.MayReceiveRequests(kStart, *view.Find(BackendId("a"))));
 }
 
 }  // namespace
--- a/unit_tests/platform/request_codec_test.cc
+++ b/unit_tests/platform/request_codec_test.cc
@@ -64,6 +64,28 @@
   CHECK(FieldValue(open, "sapphirebank-tenant").empty());
 }
 
+TEST_CASE("a leaving backend server and its wish for a pause are decoded",
+          "[platform]") {
+  const auto read = [](int status, HeaderFields fields) {
+    HttpAnswer answer;
+    answer.status = status;
+    answer.fields = std::move(fields);
+    return kCodec.read_response_info(answer, Instant());
+  };
+  CHECK(read(200, {{"server-leaving", "1"}}).leaving);
+  CHECK(read(503, {{"server-leaving", "1"}}).leaving);
+  CHECK_FALSE(read(200, {{"server-leaving", "0"}}).leaving);
+  CHECK_FALSE(read(200, {}).leaving);
+  CHECK(read(503, {{"retry-after", "2"}}).pause == std::chrono::seconds(2));
+  CHECK(read(503, {{"retry-after", "0.25"}}).pause == milliseconds(250));
+  CHECK_FALSE(read(200, {{"retry-after", "2"}}).pause);
+  CHECK_FALSE(read(503, {}).pause);
+  for (const char* wrong : {"", "-1", "nan", "inf", "soon", "1 s"}) {
+    CAPTURE(wrong);
+    CHECK_FALSE(read(503, {{"retry-after", wrong}}).pause);
+  }
+}
+
 TEST_CASE("a backend server's answer signals are decoded", "[platform]") {
   HttpAnswer answer;
   answer.status = 503;
