A server's named rate limit holds for all entry hosts together

Cause: nothing read the field, and an entry host cannot obey it alone: with 44 or 119 hosts the part of a limit of 1 a second is far below one request. Class: a limit of the whole fleet without a place that counts for the whole fleet.

Change: platform/ decodes the field. An entry host reports a change at once; an answer without the field ends the limit only if its request was sent under it. Hubs and the leader keep the limit with the server's state. Only the server's own hub assigns requests to it, by ServerTokenBuckets, the buckets that cold servers had before; other hubs leave it out. An entry host without a hub sends its part of the limit in proportion to its part of the requests, as to cold servers. When nothing is left the request is refused at once.

--- a/programs/fleet_host/entry_codec.h
+++ b/programs/fleet_host/entry_codec.h
@@ -40,6 +40,8 @@
   bool leaving = false;
   // Time for which the server wants no requests from this host.
   std::optional<Duration> pause;
+  // Requests per second that the server accepts from all hosts together.
+  std::optional<double> rate_limit;
 };
 
 // Converts requests and answers between the proxy and the wire format of
--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -139,8 +139,8 @@
     attempt.is_retry_charged = abandoned;
     co_return attempt;
   }
-  co_return ClassifyAnswer(context, *server,
-                           std::move(std::get<HttpAnswer>(result.outcome)));
+  co_return ClassifyAnswer(
+      context, *server, std::move(std::get<HttpAnswer>(result.outcome)), now);
 }
 
 EntryRequestHandler::AttemptResult EntryRequestHandler::ClassifyFailure(
@@ -181,7 +181,8 @@
 }
 
 EntryRequestHandler::AttemptResult EntryRequestHandler::ClassifyAnswer(
-    RequestContext& context, KnownServer& server, HttpAnswer answer) {
+    RequestContext& context, KnownServer& server, HttpAnswer answer,
+    Instant sent_at) {
   AttemptResult attempt;
   const Instant now = MonotonicNow();
   const BackendResponseInfo info = codec_.read_response_info(answer, now);
@@ -202,6 +203,7 @@
                {{"server", server.state.announcement.id.value()},
                 {"ms", ToSeconds(*info.pause) * 1e3}});
   }
+  state_.RecordRateLimit(now, sent_at, server, info.rate_limit);
   if (info.not_run) {
     attempt.failure = ErrorKind::kQueueFull;
     attempt.may_retry = true;
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -66,7 +66,7 @@
                                 const AttemptFailure& failure,
                                 bool blames_server);
   AttemptResult ClassifyAnswer(RequestContext& context, KnownServer& server,
-                               HttpAnswer answer);
+                               HttpAnswer answer, Instant sent_at);
   const PlannedService* ChooseService(const RequestContext& context);
   ServerQuery MakeQuery(const RequestContext& context) const;
   // Returns the server for the next attempt, with a rate token if the request
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -108,7 +108,7 @@
       co_return choice;
     }
     hooks_.end_assignment(number, AssignmentOutcome::kInconclusive);
-    query.may_use_cold = !waiter->answered;
+    query.may_use_rate_limited = !waiter->answered;
   }
   if (!query.workspace.empty() && !choice.has_token) co_return choice;
   if (query.is_retry && !retries_.TryAcquire(query.service->id))
@@ -211,6 +211,14 @@
                               pause);
 }
 
+void EntryState::RecordRateLimit(Instant now, Instant sent_at,
+                                 KnownServer& server,
+                                 std::optional<double> limit) {
+  if (!server.TakeRateLimit(now, sent_at, limit)) return;
+  rate_limits_[server.state.announcement.id] = limit;
+  hooks_.report_now();
+}
+
 void EntryState::FillReport(EntryReport& report, bool first) {
   report.registry_id = view_.registry_id();
   report.known_registry_changes = view_.registry_changes();
@@ -218,6 +226,7 @@
   report.outcomes = std::exchange(outcomes_, {});
   report.requests = std::exchange(requests_, {});
   report.crashes = std::exchange(crashes_, {});
+  report.rate_limits = std::exchange(rate_limits_, {});
   report.known_servers = std::exchange(wanted_servers_, {});
   for (auto& [workspace, account] : accounts_) {
     // Requests that a lost leader did not answer are repeated.
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -76,6 +76,11 @@
   void RecordLeaving(Instant now, const KnownServer& server);
   void RecordPause(Instant now, const KnownServer& server, Duration pause);
 
+  // Records the rate limit that a server named in its answer to a request sent
+  // at `sent_at`, or that it named none. Changes are reported at once.
+  void RecordRateLimit(Instant now, Instant sent_at, KnownServer& server,
+                       std::optional<double> limit);
+
   // Moves the outcomes since the last report into `report`. The `first` report
   // to a hub also repeats the token requests; the known servers are listed when
   // the hub asked for them.
@@ -144,6 +149,7 @@
   std::map<BackendId, ServerOutcomes> outcomes_;
   std::map<ServiceId, std::uint32_t> requests_;
   std::vector<EntryReport::Crash> crashes_;
+  std::map<BackendId, std::optional<double>> rate_limits_;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -15,6 +15,15 @@
 
 }  // namespace
 
+bool KnownServer::TakeRateLimit(Instant now, Instant sent_at,
+                                std::optional<double> limit) {
+  if (limit == state.rate_limit) return false;
+  if (!limit && sent_at < limited_since) return false;
+  if (!state.rate_limit) limited_since = now;
+  state.rate_limit = limit;
+  return true;
+}
+
 Result<void> EntryView::Apply(Instant now, std::optional<Instant> requested_at,
                               const FleetUpdate& update) {
   if (update.record_changes < record_changes_) {
@@ -88,6 +97,10 @@
     server->state.announcement = server_update.announcement;
     server->state.health = server_update.health;
     server->state.cold_until = now + server_update.cold_for;
+    if (!server->state.rate_limit && server_update.rate_limit) {
+      server->limited_since = now;
+    }
+    server->state.rate_limit = server_update.rate_limit;
   }
   if (update.full_registry) {
     std::erase_if(servers_, [&](const auto& item) {
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -33,8 +33,16 @@
   // This host could not reach the server and sends it no requests until then,
   // whatever other hosts report.
   Instant avoid_until;
+  // Since when this host knows of a rate limit of the server.
+  Instant limited_since;
   int in_flight = 0;  // From this host.
   ServerLoad load;
+
+  // Takes the rate limit that the server named in its answer to a request sent
+  // at `sent_at`, or that it named none. Returns whether that is a change. The
+  // answer to a request from before the limit was known does not end it, since
+  // the server may have answered before it named the limit.
+  bool TakeRateLimit(Instant now, Instant sent_at, std::optional<double> limit);
 };
 
 using KnownServerPtr = std::shared_ptr<KnownServer>;
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -129,6 +129,11 @@
       dispatcher_.RecordError(now, server);
     }
   }
+  for (const auto& [server, limit] : report.rate_limits) {
+    if (!registry_.ApplyRateLimit(now, server, limit) || is_leader_) continue;
+    pending_report_.rate_limits[server] = limit;
+    must_report_to_leader_ = true;
+  }
   if (is_leader_) {
     for (const auto& [server, outcomes] : report.outcomes) {
       registry_.AddOutcomes(now, server, outcomes);
--- a/sapphirebank/fleet/fleet_hub_updates.cc
+++ b/sapphirebank/fleet/fleet_hub_updates.cc
@@ -66,6 +66,7 @@
     server_update.cold_for =
         std::max(entry.state.cold_until - now, Duration::zero());
     server_update.retired = entry.state.retired;
+    server_update.rate_limit = entry.state.rate_limit;
     update.servers.push_back(std::move(server_update));
   }
   reporter.registry_changes_sent = update.registry_changes;
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -24,11 +24,21 @@
   return map;
 }
 
+json RateLimitToJson(std::optional<double> limit) {
+  return limit ? json(*limit) : json();
+}
+
+std::optional<double> ReadRateLimit(const json& in) {
+  if (in.is_null()) return std::nullopt;
+  return in.get<double>();
+}
+
 void ReadServerUpdate(const json& in, ServerUpdate& update) {
   in.at(0).get_to(update.announcement);
   update.health = ReadEnum(in.at(1), ServerHealth::kDown);
   update.cold_for = ReadDuration(in.at(2));
   in.at(3).get_to(update.retired);
+  update.rate_limit = ReadRateLimit(in.at(4));
 }
 
 // Reads a member that is omitted when empty.
@@ -122,6 +132,9 @@
   for (const EntryReport::Crash& crash : report.crashes) {
     out["crashes"].push_back({crash.request, crash.server.value()});
   }
+  for (const auto& [id, limit] : report.rate_limits) {
+    out["limits"][id.value()] = RateLimitToJson(limit);
+  }
   if (!report.known_servers.empty()) out["known"] = report.known_servers;
 }
 
@@ -154,6 +167,11 @@
                                 BackendId(crash.at(1).get<std::string>())});
     }
   }
+  if (const auto found = in.find("limits"); found != in.end()) {
+    for (const auto& [id, limit] : found->items()) {
+      report.rate_limits[BackendId(id)] = ReadRateLimit(limit);
+    }
+  }
   ReadOptional(in, "known", report.known_servers);
 }
 
@@ -170,7 +188,8 @@
     out["servers"].push_back({server_update.announcement,
                               static_cast<unsigned>(server_update.health),
                               server_update.cold_for.count(),
-                              server_update.retired});
+                              server_update.retired,
+                              RateLimitToJson(server_update.rate_limit)});
   }
   if (update.plan) {
     out["plan"] = {{"version", update.plan->version},
--- a/sapphirebank/fleet/fleet_messages.h
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -60,6 +60,8 @@
     BackendId server;
   };
   std::vector<Crash> crashes;
+  // Rate limits that servers have named, or no longer name, in answers.
+  std::map<BackendId, std::optional<double>> rate_limits;
   // Servers that the receiver may not know.
   std::vector<ServerAnnouncement> known_servers;
 };
@@ -70,6 +72,7 @@
   ServerHealth health = ServerHealth::kUp;
   Duration cold_for{};
   bool retired = false;
+  std::optional<double> rate_limit{};
 };
 
 // A traffic plan in an update, either complete or as a patch (RFC 6902) to the
--- a/sapphirebank/fleet/server_announcement.h
+++ b/sapphirebank/fleet/server_announcement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 #include "sapphirebank/core/endpoint.h"
@@ -57,6 +58,9 @@
   Instant cold_until;
   // Gone or leaving; gets no requests.
   bool retired = false;
+  // Requests per second that the server accepts from all hosts together, for as
+  // long as it says so in its answers.
+  std::optional<double> rate_limit;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/server_chooser.cc
+++ b/sapphirebank/fleet/server_chooser.cc
@@ -33,19 +33,35 @@
   return false;
 }
 
+// Returns whether the server accepts a limited rate of requests: it is cold or
+// has named a limit.
+bool IsRateLimited(Instant now, const KnownServer& server) {
+  return now < server.state.cold_until || server.state.rate_limit.has_value();
+}
+
+// Returns the rate that a server with a limited rate accepts.
+double AcceptedRate(Instant now, const KnownServer& server,
+                    const PlannedService& service) {
+  const double named = server.state.rate_limit.value_or(service.warm_up_rate);
+  return now < server.state.cold_until ? std::min(named, service.warm_up_rate)
+                                       : named;
+}
+
 }  // namespace
 
 KnownServerPtr ServerChooser::Choose(Instant now, const EntryView& view,
                                      const ServerQuery& query) {
-  if (query.may_use_cold) {
-    if (KnownServerPtr cold = ChooseCold(now, view, query)) return cold;
+  if (query.may_use_rate_limited) {
+    if (KnownServerPtr limited = ChooseRateLimited(now, view, query)) {
+      return limited;
+    }
   }
   std::vector<KnownServerPtr> same_zone;
   std::vector<KnownServerPtr> other_zones;
   std::vector<KnownServerPtr> unhealthy;
   for (const KnownServerPtr& server : view.ServersOf(query.service->id)) {
     if (!IsEligible(now, view, query, server)) continue;
-    if (now < server->state.cold_until) continue;
+    if (IsRateLimited(now, *server)) continue;
     if (!IsHealthy(now, query, server)) {
       unhealthy.push_back(server);
     } else if (server->state.announcement.zone == zone_) {
@@ -60,23 +76,26 @@
   return PickLessLoaded(now, unhealthy);
 }
 
-// Sends each cold server its fraction of the total request rate, so that all
-// hosts together stay within its warm-up rate without coordination. While the
-// total is unknown, as after a restart of the whole fleet, it gets none.
-KnownServerPtr ServerChooser::ChooseCold(Instant now, const EntryView& view,
-                                         const ServerQuery& query) {
+// Sends each server with a limited rate a fraction of it, in proportion to this
+// host's part of all requests, so that all hosts together stay within the rate
+// without coordination. While the total of requests is unknown, as after a
+// restart of the whole fleet, these servers get none.
+KnownServerPtr ServerChooser::ChooseRateLimited(Instant now,
+                                                const EntryView& view,
+                                                const ServerQuery& query) {
   const double known_rate = view.RequestRate(query.service->id);
   if (known_rate <= 0) return nullptr;
   const double total_rate = std::max(known_rate, 1.0);
-  const double fraction = settings_.warm_up_rate_fraction *
-                          query.service->warm_up_rate / total_rate;
   double sample = random_.Unit();
   for (const KnownServerPtr& server : view.ServersOf(query.service->id)) {
-    if (now >= server->state.cold_until) continue;
+    if (!IsRateLimited(now, *server)) continue;
     if (!IsEligible(now, view, query, server) ||
         !IsHealthy(now, query, server)) {
       continue;
     }
+    const double fraction = settings_.limited_rate_fraction *
+                            AcceptedRate(now, *server, *query.service) /
+                            total_rate;
     if (sample < fraction) return server;
     sample -= fraction;
   }
--- a/sapphirebank/fleet/server_chooser.h
+++ b/sapphirebank/fleet/server_chooser.h
@@ -12,9 +12,10 @@
 namespace sapphirebank {
 
 struct ServerChooserSettings {
-  // Fraction of a cold server's warm-up rate that is sent on average. Below 1
-  // because the limit holds in every second and random choices cluster.
-  double warm_up_rate_fraction = 0.6;
+  // Fraction of a server's limited rate, as of a cold one, that is sent on
+  // average. Below 1 because the limit holds in every second and random choices
+  // cluster.
+  double limited_rate_fraction = 0.6;
   // Age up to which a server's reported load is used.
   Duration max_load_age = std::chrono::milliseconds(400);
 };
@@ -29,9 +30,9 @@
   bool is_retry = false;
   // Servers already tried for the request.
   std::span<const KnownServerPtr> tried;
-  // Cold servers may be used. Not after the hub, which knows what others send
-  // to them, has declined.
-  bool may_use_cold = true;
+  // Cold servers, and those that have named a rate limit, may be used. Not
+  // after the hub, which knows what others send to them, has declined.
+  bool may_use_rate_limited = true;
   // Workspace for which the hub is to take a rate token; empty for none.
   // Without a token no server is of use, so the hub's answer is awaited for
   // longer.
@@ -56,8 +57,8 @@
                         const ServerQuery& query);
 
  private:
-  KnownServerPtr ChooseCold(Instant now, const EntryView& view,
-                            const ServerQuery& query);
+  KnownServerPtr ChooseRateLimited(Instant now, const EntryView& view,
+                                   const ServerQuery& query);
   KnownServerPtr PickLessLoaded(Instant now,
                                 std::vector<KnownServerPtr>& servers);
   double LoadOf(Instant now, const KnownServer& server) const;
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -59,10 +59,10 @@
 
 void ServerDispatcher::Classify(Instant now, const DispatchQuery& query,
                                 const Servers& servers,
-                                Candidates& candidates) const {
+                                Candidates& candidates) {
   for (const ServerState* server : servers) {
     const BackendId& id = server->announcement.id;
-    if (query.excluded.contains(id)) continue;
+    if (query.excluded.contains(id) || HasReachedLimit(now, *server)) continue;
     const bool is_healthy =
         !suspected_until_.contains(id) &&
         (server->health == ServerHealth::kUp ||
@@ -82,7 +82,7 @@
 // Classifies the servers that only this hub sends requests to. For entry hosts
 // of another zone that have lost their hub, these are all servers of that zone.
 ServerDispatcher::Candidates ServerDispatcher::ClassifyOwn(
-    Instant now, const DispatchQuery& query) const {
+    Instant now, const DispatchQuery& query) {
   if (query.zone != zone_) return ClassifyRestOfZone(now, query);
   Candidates candidates;
   const auto service = index_.find(query.service);
@@ -93,7 +93,7 @@
 
 // Classifies the servers of the query's zone that belong to other hubs.
 ServerDispatcher::Candidates ServerDispatcher::ClassifyRestOfZone(
-    Instant now, const DispatchQuery& query) const {
+    Instant now, const DispatchQuery& query) {
   Candidates candidates;
   const auto service = index_.find(query.service);
   if (service == index_.end()) return candidates;
@@ -105,7 +105,7 @@
 
 ServerDispatcher::Candidates ServerDispatcher::ClassifyOtherZones(
     Instant now, const DispatchQuery& query,
-    const std::set<ZoneId>& zones_out) const {
+    const std::set<ZoneId>& zones_out) {
   Candidates candidates;
   const auto service = index_.find(query.service);
   if (service == index_.end()) return candidates;
@@ -173,6 +173,9 @@
   }
   if (chosen == nullptr) return std::nullopt;
   const BackendId server = chosen->announcement.id;
+  if (chosen->rate_limit) {
+    rate_limits_.TryTake(now, server, NamedLimit(*chosen));
+  }
   // Requests that other hubs send to their servers are not counted here.
   const bool load_is_partial = !IsOwn(chosen->announcement);
   const int in_flight = liveness_.StatusOf(now, server).in_flight;
@@ -211,21 +214,33 @@
   const double fraction = are_own ? settings_.warm_up_rate_fraction
                                   : settings_.stand_in_rate_fraction;
   for (const ServerState* server : servers) {
-    const double rate = fraction * service.warm_up_rate;
-    auto [found, is_new] = warm_ups_.try_emplace(server->announcement.id);
-    WarmUp& warm_up = found->second;
-    if (is_new) warm_up = {1, now};
-    warm_up.tokens =
-        std::min(settings_.warm_up_burst,
-                 warm_up.tokens + rate * ToSeconds(now - warm_up.filled_at));
-    warm_up.filled_at = now;
-    if (warm_up.tokens < 1) continue;
-    warm_up.tokens -= 1;
-    return server;
+    ServerRateLimit limit;
+    limit.rate = fraction * service.warm_up_rate;
+    limit.capacity = settings_.warm_up_burst;
+    limit.initial_fill = 1;
+    if (warm_ups_.TryTake(now, server->announcement.id, limit)) return server;
   }
   return nullptr;
 }
 
+ServerRateLimit ServerDispatcher::NamedLimit(const ServerState& server) const {
+  ServerRateLimit limit;
+  limit.rate =
+      std::max(server.rate_limit.value_or(0), settings_.min_limited_rate);
+  limit.capacity =
+      std::max(1.0, limit.rate * settings_.rate_limit_burst_seconds);
+  return limit;
+}
+
+// Returns whether a server that has named a rate limit gets no request from
+// this hub now.
+bool ServerDispatcher::HasReachedLimit(Instant now, const ServerState& server) {
+  if (!server.rate_limit) return false;
+  return !IsOwn(server.announcement) ||
+         !rate_limits_.HasToken(now, server.announcement.id,
+                                NamedLimit(server));
+}
+
 // Returns the server with the lowest cost, with ties broken at random; servers
 // without a cost are skipped.
 template <typename Cost>
@@ -312,10 +327,8 @@
   }
   for (const AssignmentId& id : expired) DiscardAssignment(id);
   liveness_.Tick(now);
-  constexpr Duration kWarmUpRetention = std::chrono::seconds(30);
-  std::erase_if(warm_ups_, [&](const auto& item) {
-    return now - item.second.filled_at > kWarmUpRetention;
-  });
+  warm_ups_.Tick(now);
+  rate_limits_.Tick(now);
 }
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -14,6 +14,7 @@
 #include "sapphirebank/fleet/attempt_duration_estimator.h"
 #include "sapphirebank/fleet/server_liveness_tracker.h"
 #include "sapphirebank/fleet/server_registry.h"
+#include "sapphirebank/fleet/server_token_buckets.h"
 #include "sapphirebank/fleet/traffic_plan.h"
 
 namespace sapphirebank {
@@ -35,6 +36,11 @@
   Duration suspicion_time = std::chrono::milliseconds(250);
   // Token bucket capacity for requests to a cold server.
   double warm_up_burst = 1;
+  // Token bucket capacity of a server that has named a rate limit, in seconds
+  // of that rate, and the least rate, at which a server that accepts next to
+  // nothing is asked whether that has changed.
+  double rate_limit_burst_seconds = 0.5;
+  double min_limited_rate = 0.25;
   // Fraction of the warm-up rate for servers of a zone without a hub, which
   // several other hubs cover, and for a hub that has just started.
   double stand_in_rate_fraction = 0.2;
@@ -92,6 +98,9 @@
 // thereby confirm their liveness; requests that must run once go to the most
 // recently confirmed servers. Servers with an overdue request get neither while
 // others have room.
+//
+// A server that has named a rate limit gets requests from its own hub only, by
+// a token bucket, so that the limit holds for all entry hosts together.
 class ServerDispatcher {
  public:
   ServerDispatcher(ServerDispatcherSettings settings, ZoneId zone,
@@ -143,10 +152,6 @@
     Instant expires_at;
     RequestClass request_class;
   };
-  struct WarmUp {
-    double tokens = 0;
-    Instant filled_at;
-  };
   struct Candidate {
     const ServerState* server = nullptr;
     ServerLivenessTracker::Status status;
@@ -168,12 +173,14 @@
 
   void RefreshIndex(Instant now, const ServerRegistry& registry);
   void Classify(Instant now, const DispatchQuery& query, const Servers& servers,
-                Candidates& candidates) const;
-  Candidates ClassifyOwn(Instant now, const DispatchQuery& query) const;
+                Candidates& candidates);
+  Candidates ClassifyOwn(Instant now, const DispatchQuery& query);
   Candidates ClassifyOtherZones(Instant now, const DispatchQuery& query,
-                                const std::set<ZoneId>& zones_out) const;
+                                const std::set<ZoneId>& zones_out);
   bool IsOwn(const ServerAnnouncement& server) const;
-  Candidates ClassifyRestOfZone(Instant now, const DispatchQuery& query) const;
+  Candidates ClassifyRestOfZone(Instant now, const DispatchQuery& query);
+  ServerRateLimit NamedLimit(const ServerState& server) const;
+  bool HasReachedLimit(Instant now, const ServerState& server);
   const Candidate* ChooseWarm(const DispatchQuery& query,
                               const Candidates& same_zone,
                               const Candidates& other_zones);
@@ -195,7 +202,8 @@
   ZoneId zone_;
   Random random_;
   std::map<AssignmentId, Assignment> assignments_;
-  std::map<BackendId, WarmUp> warm_ups_;
+  ServerTokenBuckets warm_ups_;
+  ServerTokenBuckets rate_limits_;
   std::map<BackendId, Instant> suspected_until_;
   ServerLivenessTracker liveness_;
   std::map<RequestClass, AttemptDurationEstimator> durations_;
--- a/sapphirebank/fleet/server_registry.cc
+++ b/sapphirebank/fleet/server_registry.cc
@@ -78,6 +78,18 @@
   return true;
 }
 
+bool ServerRegistry::ApplyRateLimit(Instant now, const BackendId& id,
+                                    std::optional<double> limit) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return false;
+  Entry& entry = found->second;
+  entry.rate_limit_reported_at = now;
+  if (entry.state.rate_limit == limit) return false;
+  entry.state.rate_limit = limit;
+  MarkChanged(entry);
+  return true;
+}
+
 void ServerRegistry::ApplyServerUpdate(Instant now,
                                        const ServerUpdate& update) {
   const ServerAnnouncement& incoming = update.announcement;
@@ -98,13 +110,19 @@
       cold_until > entry.state.cold_until + kTransitTolerance;
   const bool is_urgent = is_new_incarnation || warm_up_extended ||
                          entry.state.retired != update.retired;
+  const bool limit_is_settled =
+      is_new_incarnation ||
+      now - entry.rate_limit_reported_at >= settings_.rate_limit_settling_time;
+  const bool limit_changed =
+      limit_is_settled && entry.state.rate_limit != update.rate_limit;
+  if (limit_changed) entry.state.rate_limit = update.rate_limit;
   const bool health_changed = entry.state.health != update.health;
   entry.state.health = update.health;
   entry.state.retired = update.retired;
   if (warm_up_extended) entry.state.cold_until = cold_until;
   if (is_urgent) {
     MarkUrgentlyChanged(entry);
-  } else if (health_changed) {
+  } else if (health_changed || limit_changed) {
     MarkChanged(entry);
   }
 }
--- a/sapphirebank/fleet/server_registry.h
+++ b/sapphirebank/fleet/server_registry.h
@@ -22,6 +22,9 @@
   Duration failing_heartbeat_timeout = std::chrono::seconds(6);
   // A server without a heartbeat for this time is always retired.
   Duration heartbeat_timeout = std::chrono::seconds(60);
+  // A rate limit that entry hosts reported to this host is not replaced by the
+  // leader's for this time, in which the leader learns of it.
+  Duration rate_limit_settling_time = std::chrono::seconds(1);
   // Servers of a zone that returns to service may be cold without announcing
   // it.
   Duration zone_return_warm_up = std::chrono::seconds(3);
@@ -50,6 +53,8 @@
     ServerHealthTracker health_tracker;
     Instant last_heartbeat_at;
     Instant last_success_at;
+    // When an entry host reported the rate limit, or its end, here.
+    Instant rate_limit_reported_at;
     // Sequence number of the server's last change that hosts must receive.
     std::uint64_t change_number = 0;
   };
@@ -58,6 +63,11 @@
   bool ApplyHeartbeat(Instant now, const ServerAnnouncement& announcement,
                       const FleetRecord& record);
 
+  // Applies what an entry host heard from a server: the rate limit that it
+  // names, or that it names none. Returns false if that is known already.
+  bool ApplyRateLimit(Instant now, const BackendId& id,
+                      std::optional<double> limit);
+
   // Applies the leader's state of a server.
   void ApplyServerUpdate(Instant now, const ServerUpdate& update);
 
--- a/unit_tests/fleet/fleet_messages_test.cc
+++ b/unit_tests/fleet/fleet_messages_test.cc
@@ -26,6 +26,8 @@
   report.requests[ServiceId("desk")] = 9;
   report.wanted_tokens[WorkspaceId("north")] = 2;
   report.crashes.push_back({~std::uint64_t{0}, BackendId("a")});
+  report.rate_limits[BackendId("a")] = 2.5;
+  report.rate_limits[BackendId("b")] = std::nullopt;
   report.known_servers = {MakeServer("a"),
                           MakeServer("b", "fann", 1'700'000'000'000, 4)};
   CHECK(RoundTrip(report) == json(report));
@@ -35,9 +37,11 @@
   update.answered_report = 7;
   update.quorum_age = std::chrono::milliseconds(20);
   update.record_changes = 3;
+  update.is_electing = true;
   update.full_registry = true;
   update.servers = {{MakeServer("a"), ServerHealth::kProbation,
-                     std::chrono::seconds(2), true}};
+                     std::chrono::seconds(2), true, 0.5},
+                    {MakeServer("b"), ServerHealth::kUp, {}, false}};
   update.plan = PlanUpdate{8, PlanVersion{7}, "[]"};
   update.shared_state = true;
   update.zones_out = {ZoneId("kochi")};
--- a/unit_tests/platform/request_codec_test.cc
+++ b/unit_tests/platform/request_codec_test.cc
@@ -86,6 +86,22 @@
   }
 }
 
+TEST_CASE("a backend server's rate limit is decoded", "[platform]") {
+  const auto read = [](const char* limit) {
+    HttpAnswer answer;
+    answer.fields = {{"server-limit", limit}};
+    return kCodec.read_response_info(answer, Instant()).rate_limit;
+  };
+  CHECK(read("4") == 4.0);
+  CHECK(read("5.75") == 5.75);
+  CHECK(read("0") == 0.0);
+  for (const char* wrong : {"", "-1", "nan", "inf", "few", "1/s"}) {
+    CAPTURE(wrong);
+    CHECK_FALSE(read(wrong));
+  }
+  CHECK_FALSE(kCodec.read_response_info(HttpAnswer(), Instant()).rate_limit);
+}
+
 TEST_CASE("a backend server's answer signals are decoded", "[platform]") {
   HttpAnswer answer;
   answer.status = 503;
