--- a/sapphirebank/core/compression.cc
+++ b/sapphirebank/core/compression.cc
@@ -14,7 +14,7 @@
 // documents with recurring keys nearly as much.
 constexpr int kLevel = Z_BEST_SPEED;
 
-constexpr std::size_t kChunkBytes = 16 * 1024;
+constexpr std::size_t kChunkBytes = std::size_t{16} << 10U;
 
 const Bytef* BytesOf(std::string_view text) {
   return reinterpret_cast<const Bytef*>(text.data());
--- a/unit_tests/fleet/rate_limited_servers_test.cc
+++ b/unit_tests/fleet/rate_limited_servers_test.cc
@@ -54,7 +54,8 @@
       host.zone = ZoneId(i % 2 == 0 ? "kochi" : "fann");
       host.hub = i % 2 == 0 ? 1 + static_cast<std::size_t>(i / 2) % 2 : 3;
       host.view = std::make_unique<EntryView>(
-          [plan](std::string_view) { return plan; }, seconds(4));
+          [](std::string_view) { return MakePlan(MakePlanParts()); },
+          seconds(4));
       host.next_report_at = now + milliseconds(random_.Below(500));
       hosts_.push_back(std::move(host));
     }
