A draining host stops accepting requests at half of the grace time

Cause: new requests were accepted for 0.6 of the grace time (3.6 s of 6 s) and the process ended at 0.88 of it (5.28 s), so the last ones had 1.7 s. Class: two times of one schedule that are not derived from each other.

Change: DrainSchedule, without clocks: accept for half of the grace time, end a twelfth before its end. The last request has 2.5 s now.

--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "sapphirebank/fleet/drain_schedule.h"
 #include "sapphirebank/transport/process_clock.h"
 
 namespace sapphirebank {
@@ -13,13 +14,6 @@
 // server.
 constexpr double kKeyValidityFraction = 0.85;
 
-// Fraction of the grace time during which new requests are still served:
-// callers cache addresses for some seconds.
-constexpr double kServeWhileDrainingFraction = 0.6;
-
-// Fraction of the grace time after which the process ends in any case.
-constexpr double kDrainDeadlineFraction = 0.88;
-
 constexpr Duration kIdleCheckPeriod = std::chrono::milliseconds(50);
 
 Duration Fraction(Duration whole, double part) {
@@ -184,8 +178,9 @@
   caller_server_->DisableKeepAlive();
   requests_.BeginDrain();
   link_.ReportNow();
-  timer_.expires_after(Fraction(settings_.grace, kServeWhileDrainingFraction));
-  const Instant end = now + Fraction(settings_.grace, kDrainDeadlineFraction);
+  const DrainSchedule schedule = MakeDrainSchedule(settings_.grace);
+  timer_.expires_after(schedule.accept_time);
+  const Instant end = now + schedule.end_time;
   timer_.async_wait(
       [this, end, done = std::move(done)](boost::system::error_code error) {
         if (error) return;
