--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -196,14 +196,7 @@
     state_.RecordUnreachable(now, server);
     return attempt;
   }
-  if (info.leaving) state_.RecordLeaving(now, server);
-  if (info.pause) {
-    state_.RecordPause(now, server, *info.pause);
-    log_.Write(LogLevel::kInfo, "server_pause",
-               {{"server", server.state.announcement.id.value()},
-                {"ms", ToSeconds(*info.pause) * 1e3}});
-  }
-  state_.RecordRateLimit(now, sent_at, server, info.rate_limit);
+  RecordSignals(now, sent_at, server, info);
   if (info.not_run) {
     attempt.failure = ErrorKind::kQueueFull;
     attempt.may_retry = true;
@@ -228,4 +221,24 @@
   return attempt;
 }
 
+void EntryRequestHandler::RecordSignals(Instant now, Instant sent_at,
+                                        KnownServer& server,
+                                        const BackendResponseInfo& info) {
+  const std::string& id = server.state.announcement.id.value();
+  if (info.leaving && state_.RecordLeaving(now, server)) {
+    log_.Write(LogLevel::kInfo, "server_leaves", {{"server", id}});
+  }
+  if (info.pause) {
+    state_.RecordPause(now, server, *info.pause);
+    log_.Write(LogLevel::kInfo, "server_pause",
+               {{"server", id}, {"ms", ToSeconds(*info.pause) * 1e3}});
+  }
+  if (state_.RecordRateLimit(now, sent_at, server, info.rate_limit)) {
+    const nlohmann::json rate =
+        info.rate_limit ? nlohmann::json(*info.rate_limit) : nlohmann::json();
+    log_.Write(LogLevel::kInfo, "server_rate_limit",
+               {{"server", id}, {"per_second", rate}});
+  }
+}
+
 }  // namespace sapphirebank
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -67,6 +67,10 @@
                                 bool blames_server);
   AttemptResult ClassifyAnswer(RequestContext& context, KnownServer& server,
                                HttpAnswer answer, Instant sent_at);
+  // Records what the server says about itself in an answer to a request sent at
+  // `sent_at`.
+  void RecordSignals(Instant now, Instant sent_at, KnownServer& server,
+                     const BackendResponseInfo& info);
   const PlannedService* ChooseService(const RequestContext& context);
   ServerQuery MakeQuery(const RequestContext& context) const;
   // Returns the server for the next attempt, with a rate token if the request
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -199,9 +199,10 @@
   hooks_.report_now();
 }
 
-void EntryState::RecordLeaving(Instant now, const KnownServer& server) {
+bool EntryState::RecordLeaving(Instant now, const KnownServer& server) {
   const ServerAnnouncement& announcement = server.state.announcement;
-  view_.signals().RecordLeaving(now, announcement.id, announcement.incarnation);
+  return view_.signals().RecordLeaving(now, announcement.id,
+                                       announcement.incarnation);
 }
 
 void EntryState::RecordPause(Instant now, const KnownServer& server,
@@ -211,12 +212,13 @@
                               pause);
 }
 
-void EntryState::RecordRateLimit(Instant now, Instant sent_at,
+bool EntryState::RecordRateLimit(Instant now, Instant sent_at,
                                  KnownServer& server,
                                  std::optional<double> limit) {
-  if (!server.TakeRateLimit(now, sent_at, limit)) return;
+  if (!server.TakeRateLimit(now, sent_at, limit)) return false;
   rate_limits_[server.state.announcement.id] = limit;
   hooks_.report_now();
+  return true;
 }
 
 void EntryState::FillReport(EntryReport& report, bool first) {
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -71,14 +71,15 @@
                            RequestFingerprint request, bool may_have_crashed);
   void RecordUnreachable(Instant now, KnownServer& server);
 
-  // Record what a server said in an answer: that it leaves, and for how long it
-  // wants no requests from this host.
-  void RecordLeaving(Instant now, const KnownServer& server);
+  // Record what a server said in an answer: that it leaves, which is news only
+  // the first time, and for how long it wants no requests from this host.
+  bool RecordLeaving(Instant now, const KnownServer& server);
   void RecordPause(Instant now, const KnownServer& server, Duration pause);
 
   // Records the rate limit that a server named in its answer to a request sent
-  // at `sent_at`, or that it named none. Changes are reported at once.
-  void RecordRateLimit(Instant now, Instant sent_at, KnownServer& server,
+  // at `sent_at`, or that it named none. Changes are reported at once. Returns
+  // whether it is one.
+  bool RecordRateLimit(Instant now, Instant sent_at, KnownServer& server,
                        std::optional<double> limit);
 
   // Moves the outcomes since the last report into `report`. The `first` report
--- a/sapphirebank/fleet/server_signals.cc
+++ b/sapphirebank/fleet/server_signals.cc
@@ -1,6 +1,7 @@
 #include "sapphirebank/fleet/server_signals.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sapphirebank {
 namespace {
@@ -27,10 +28,10 @@
   return &signals;
 }
 
-void ServerSignals::RecordLeaving(Instant now, const BackendId& server,
+bool ServerSignals::RecordLeaving(Instant now, const BackendId& server,
                                   Incarnation incarnation) {
   Signals* const signals = SignalsOf(now, server, incarnation);
-  if (signals != nullptr) signals->is_leaving = true;
+  return signals != nullptr && !std::exchange(signals->is_leaving, true);
 }
 
 void ServerSignals::RecordPause(Instant now, const BackendId& server,
--- a/sapphirebank/fleet/server_signals.h
+++ b/sapphirebank/fleet/server_signals.h
@@ -11,8 +11,8 @@
 // host alone and at once, whatever its hub says and while it has none.
 class ServerSignals {
  public:
-  // Records that a server said that it leaves.
-  void RecordLeaving(Instant now, const BackendId& server,
+  // Records that a server said that it leaves. Returns whether that is news.
+  bool RecordLeaving(Instant now, const BackendId& server,
                      Incarnation incarnation);
 
   // Records that a server wants no requests for `pause`. A shorter pause does
--- a/unit_tests/fleet/server_signals_test.cc
+++ b/unit_tests/fleet/server_signals_test.cc
@@ -20,7 +20,8 @@
           "[fleet]") {
   ServerSignals signals;
   CHECK(signals.Permit(kStart, kServer, 1));
-  signals.RecordLeaving(kStart, kServer, 1);
+  CHECK(signals.RecordLeaving(kStart, kServer, 1));
+  CHECK_FALSE(signals.RecordLeaving(kStart, kServer, 1));
   CHECK_FALSE(signals.Permit(kStart, kServer, 1));
   CHECK_FALSE(signals.Permit(kStart + seconds(60), kServer, 1));
   // It starts again under the same id.
