The search for a hub reads the settings once, not with every tick

The selector asks for them by a hook when a search starts; the test counts the calls (it did not exist before, and the interface that it counts is new).

--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -36,8 +36,9 @@
       settings_(settings),
       hooks_(std::move(hooks)),
       log_(log),
-      selector_(HubSelectorSettings(), settings.zone, settings.host.value(),
-                Random(RandomSeed())),
+      selector_(
+          HubSelectorSettings(), settings.zone, settings.host.value(),
+          [this] { return SeedAddresses(); }, Random(RandomSeed())),
       timer_(loop),
       links_(settings.host, FleetSecret(settings.fleet_secret), LinkHooks()) {}
 
@@ -84,11 +85,6 @@
 }
 
 void EntryLink::StartProbes(Instant now) {
-  std::vector<std::string> seeds;
-  for (const Endpoint& seed : hooks_.seeds()) {
-    seeds.push_back(ToString(settings_.FleetEndpoint(seed)));
-  }
-  selector_.SetSeeds(std::move(seeds));
   const bool was_searching = selector_.is_searching();
   const Duration age = hooks_.leader_update_age(now);
   while (const auto address = selector_.NextProbe(now, age)) {
@@ -107,6 +103,14 @@
   }
 }
 
+std::vector<std::string> EntryLink::SeedAddresses() const {
+  std::vector<std::string> addresses;
+  for (const Endpoint& seed : hooks_.seeds()) {
+    addresses.push_back(ToString(settings_.FleetEndpoint(seed)));
+  }
+  return addresses;
+}
+
 void EntryLink::DropOverdueProbes(Instant now) {
   for (auto next = probes_.begin(); next != probes_.end();) {
     const auto probe = next++;
--- a/programs/fleet_host/entry_link.h
+++ b/programs/fleet_host/entry_link.h
@@ -74,6 +74,7 @@
   void Tick();
   void ScheduleTick(Duration delay);
   void StartProbes(Instant now);
+  std::vector<std::string> SeedAddresses() const;
   void DropOverdueProbes(Instant now);
   void OnMessage(LinkId link, const nlohmann::json& message);
   void OnHubState(LinkId link, const nlohmann::json& message);
--- a/sapphirebank/fleet/hub_selector.cc
+++ b/sapphirebank/fleet/hub_selector.cc
@@ -15,10 +15,13 @@
 }  // namespace
 
 HubSelector::HubSelector(HubSelectorSettings settings, ZoneId zone,
-                         std::string member, Random random)
+                         std::string member,
+                         std::function<std::vector<std::string>()> seeds,
+                         Random random)
     : settings_(settings),
       zone_(std::move(zone)),
       member_(std::move(member)),
+      seeds_(std::move(seeds)),
       random_(random) {}
 
 void HubSelector::SetHubs(Instant now, std::span<const HubHost> hubs,
@@ -31,10 +34,6 @@
   });
 }
 
-void HubSelector::SetSeeds(std::vector<std::string> addresses) {
-  seeds_ = std::move(addresses);
-}
-
 bool HubSelector::IsBackedOff(Instant now, const std::string& address) const {
   const auto backoff = backoff_until_.find(address);
   return backoff != backoff_until_.end() && now < backoff->second;
@@ -122,7 +121,7 @@
     candidates.push_back({address, rank});
   };
   for (const auto& [address, hub] : known_) add(address, hub.zone);
-  for (const std::string& seed : seeds_) {
+  for (const std::string& seed : seeds_()) {
     if (!known_.contains(seed)) add(seed, ZoneId());
   }
   for (std::size_t i = candidates.size(); i > 1; --i) {
--- a/sapphirebank/fleet/hub_selector.h
+++ b/sapphirebank/fleet/hub_selector.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -67,17 +68,16 @@
 // its own side, so those listed before remain candidates.
 class HubSelector {
  public:
-  // `zone` and `member` are the zone and the id of this entry host.
+  // `zone` and `member` are the zone and the id of this entry host. `seeds`
+  // returns the addresses of the hubs to begin with, of which the zones are
+  // unknown; it is called once for each search.
   HubSelector(HubSelectorSettings settings, ZoneId zone, std::string member,
-              Random random);
+              std::function<std::vector<std::string>()> seeds, Random random);
 
   // Sets the hubs that the current one lists, and the number of entry hosts.
   void SetHubs(Instant now, std::span<const HubHost> hubs,
                std::uint32_t entry_hosts);
 
-  // Sets the hubs to begin with, of which the zones are unknown.
-  void SetSeeds(std::vector<std::string> addresses);
-
   // Returns the address of the next hub to probe, if a probe is due.
   // `update_age` is the leader update age of this host.
   std::optional<std::string> NextProbe(Instant now, Duration update_age);
@@ -125,10 +125,10 @@
   HubSelectorSettings settings_;
   ZoneId zone_;
   std::string member_;
+  std::function<std::vector<std::string>()> seeds_;
   Random random_;
   std::vector<HubHost> listed_;
   std::map<std::string, KnownHub> known_;
-  std::vector<std::string> seeds_;
   std::uint32_t entry_hosts_ = 1;
   std::string hub_;
   bool hub_is_electing_ = false;
--- a/unit_tests/fleet/hub_selector_test.cc
+++ b/unit_tests/fleet/hub_selector_test.cc
@@ -29,12 +29,17 @@
  public:
   HubSimulation(int hubs, int zones, std::uint64_t seed)
       : random_(seed),
-        selector_(HubSelectorSettings(), ZoneName(0), "entry-1",
-                  Random(seed + 1)) {
+        selector_(
+            HubSelectorSettings(), ZoneName(0), "entry-1",
+            [this] {
+              ++seed_reads;
+              return std::vector<std::string>{HubAddress(0), HubAddress(1),
+                                              HubAddress(2)};
+            },
+            Random(seed + 1)) {
     for (int i = 0; i < hubs; ++i) {
       all_hubs_.push_back({HubAddress(i), ZoneName(i % zones)});
     }
-    selector_.SetSeeds({HubAddress(0), HubAddress(1), HubAddress(2)});
   }
 
   // Runs until `end`.
@@ -51,6 +56,7 @@
 
   Instant now = kStart;
   std::map<std::string, int> probes;
+  int seed_reads = 0;
   // When the host last got an update from a hub that follows the leader.
   Instant updated_at;
 
@@ -208,6 +214,13 @@
   }
 }
 
+// Guards against settings that are read with every tick of a timer.
+TEST_CASE("a host with a hub does not look up the seeds", "[fleet]") {
+  HubSimulation fleet(12, 4, 1);
+  fleet.RunUntil(kStart + seconds(10));
+  CHECK(fleet.seed_reads == 1);
+}
+
 TEST_CASE("hosts keep their hub during an election", "[fleet]") {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     CAPTURE(seed);
@@ -268,9 +281,12 @@
 
 TEST_CASE("a host without a hub takes one without a leader after all others",
           "[fleet]") {
-  HubSelector selector(HubSelectorSettings(), ZoneId("kochi"), "entry-1",
-                       Random(1));
-  selector.SetSeeds({"10.0.0.1:7", "10.0.0.2:7"});
+  HubSelector selector(
+      HubSelectorSettings(), ZoneId("kochi"), "entry-1",
+      [] {
+        return std::vector<std::string>{"10.0.0.1:7", "10.0.0.2:7"};
+      },
+      Random(1));
   constexpr Duration kUnknown = seconds(3600);
   Instant now = kStart;
   const auto first = selector.NextProbe(now, kUnknown);
