--- a/unit_tests/fleet/hub_selector_test.cc
+++ b/unit_tests/fleet/hub_selector_test.cc
@@ -47,6 +47,12 @@
     for (; now < end; now += kStep) Step();
   }
 
+  // Lets all hubs lose the leader.
+  void StrandAll() {
+    for (const HubHost& hub : all_hubs_) stranded.insert(hub.address);
+    stranded_at = now;
+  }
+
   // The hubs that lost the leader, and since when.
   std::set<std::string> stranded;
   Instant stranded_at;
@@ -228,10 +234,7 @@
     fleet.RunUntil(kStart + seconds(5));
     const std::string hub = fleet.hub();
     fleet.probes.clear();
-    for (const HubHost& other : fleet.all_hubs()) {
-      fleet.stranded.insert(other.address);
-    }
-    fleet.stranded_at = fleet.now;
+    fleet.StrandAll();
     fleet.is_electing = true;
     fleet.RunUntil(fleet.now + milliseconds(1400));
     fleet.is_electing = false;
@@ -249,10 +252,7 @@
   fleet.RunUntil(kStart + seconds(5));
   const std::string hub = fleet.hub();
   fleet.probes.clear();
-  for (const HubHost& other : fleet.all_hubs()) {
-    fleet.stranded.insert(other.address);
-  }
-  fleet.stranded_at = fleet.now;
+  fleet.StrandAll();
   constexpr int kSeconds = 20;
   fleet.RunUntil(fleet.now + seconds(kSeconds));
   CHECK(fleet.hub() == hub);
