--- a/unit_tests/fleet/drain_schedule_test.cc
+++ b/unit_tests/fleet/drain_schedule_test.cc
@@ -16,7 +16,7 @@
   // the signal, or that was not running in the last sixth of the grace time.
   constexpr Duration kGrace = seconds(6);
   constexpr Duration kLastAcceptance = seconds(3);
-  constexpr DrainSchedule schedule = MakeDrainSchedule(kGrace);
+  const DrainSchedule schedule = MakeDrainSchedule(kGrace);
   CHECK(schedule.accept_time <= kLastAcceptance);
   CHECK(schedule.end_time >= kGrace - kGrace / 6);
   // The process ends by itself before it is killed.
