A host without a hub takes the first one that elects a leader

Cause: 44 entry hosts that start together probed all seeds within 100 ms, and again 0.9 s later, since no hub had a recent update. Class: a stampede on recovery.

A hub on the side of a minority does not elect and is passed over as before.

--- a/sapphirebank/fleet/hub_selector.cc
+++ b/sapphirebank/fleet/hub_selector.cc
@@ -151,14 +151,19 @@
   probing_.erase(address);
   const bool is_recent = state.update_age <= settings_.max_new_hub_age;
   if (hub_.empty()) {
-    // Any hub is better than none once all have been probed.
+    // No hub has a newer update during an election, and any one is better than
+    // none once all have been probed.
     const bool is_last = search_ && search_->empty() && probing_.empty();
-    if (!is_recent && !searched_in_vain_ && !is_last) return false;
+    const bool suffices = is_recent || state.is_electing || is_last;
+    if (!suffices && !searched_in_vain_) return false;
   } else if (!is_recent ||
              (!IsOutdated(update_age) && address != AssignedAddress(now))) {
     return false;
   }
   Adopt(now, address);
+  if (!is_recent && state.is_electing) {
+    next_search_at_ = now + settings_.max_update_age_in_election;
+  }
   return true;
 }
 
