Names of the platform leave a test of the fleet; a comment says what it means

The document of budgets_test.cc had the platform's field names, which belong to platform/; the comment on first_update_time had the sense turned round. No change of behaviour.

--- a/sapphirebank/fleet/hub_selector.h
+++ b/sapphirebank/fleet/hub_selector.h
@@ -41,7 +41,7 @@
   Duration search_pause_per_host = std::chrono::milliseconds(10);
   // The same for a host without a hub.
   Duration search_pause_without_hub = std::chrono::milliseconds(100);
-  // Time for a new hub's first update, before which the search goes on.
+  // Time for a new hub's first update, after which a search may begin again.
   Duration first_update_time = std::chrono::milliseconds(800);
   // A host that is not connected to the hub that it belongs to probes that one
   // with this period.
--- a/unit_tests/fleet/budgets_test.cc
+++ b/unit_tests/fleet/budgets_test.cc
@@ -139,15 +139,16 @@
     };
     nlohmann::json document = {{"version", "r1"}};
     const auto add_route = [&] {
-      document["routes"]["r-" + name(7)] = {{"host", name(6) + ".example"},
-                                            {"pathPrefix", "/" + name(8) + "/"},
-                                            {"kind", "safe"},
-                                            {"timeout", "1500ms"},
-                                            {"targetLatency", "600ms"},
-                                            {"priority", 2},
-                                            {"service", "desk"},
-                                            {"maxAttempts", 2},
-                                            {"public", false}};
+      document["routes"]["r-" + name(7)] = {
+          {"host", name(6) + ".example"},
+          {"path_prefix", "/" + name(8) + "/"},
+          {"kind", "safe"},
+          {"timeout", "1500ms"},
+          {"latency_objective", "600ms"},
+          {"priority", 2},
+          {"service", "desk"},
+          {"max_tries", 2},
+          {"public", false}};
     };
     for (int i = 0; i < 10; ++i) add_route();
     PlanHistory history;
