--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -148,6 +148,7 @@
     bool blames_server) {
   AttemptResult attempt;
   const Instant now = MonotonicNow();
+  LogFailedAttempt(context, server, failure);
   if (failure.stage == AttemptStage::kWithheld) {
     attempt.failure = ErrorKind::kNoBackendServer;
     attempt.may_retry = true;
@@ -180,6 +181,22 @@
   return attempt;
 }
 
+void EntryRequestHandler::LogFailedAttempt(const RequestContext& context,
+                                           const KnownServer& server,
+                                           const AttemptFailure& failure) {
+  const std::string_view stage =
+      failure.stage == AttemptStage::kWithheld       ? "withheld"
+      : failure.stage == AttemptStage::kNotConnected ? "not_connected"
+                                                     : "sent";
+  log_.Write(LogLevel::kInfo, "attempt_failed",
+             {{"request_id", context.info.id.value()},
+              {"server", server.state.announcement.id.value()},
+              {"stage", stage},
+              {"timed_out", failure.timed_out},
+              {"reused_connection", failure.reused_connection},
+              {"caller_left", context.request.watch->hung_up()}});
+}
+
 EntryRequestHandler::AttemptResult EntryRequestHandler::ClassifyAnswer(
     RequestContext& context, KnownServer& server, HttpAnswer answer,
     Instant sent_at) {
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -65,6 +65,9 @@
   AttemptResult ClassifyFailure(RequestContext& context, KnownServer& server,
                                 const AttemptFailure& failure,
                                 bool blames_server);
+  void LogFailedAttempt(const RequestContext& context,
+                        const KnownServer& server,
+                        const AttemptFailure& failure);
   AttemptResult ClassifyAnswer(RequestContext& context, KnownServer& server,
                                HttpAnswer answer, Instant sent_at);
   // Records what the server says about itself in an answer to a request sent at
