Failures of a host that has lost its path are not put down to servers

Cause: an attribution fault. A host reported each attempt without an answer as a failure of the server, and ended its assignment at the hub as failed. Nothing asked whether the host reached any server at all.

Servers avoided while the path was lost are used again when it is back.

Evidence: "attempts of a host without a path are not put down to servers" has no counterpart in the code before, which counted each of them.

--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -34,9 +34,11 @@
     std::function<std::vector<Endpoint>()> seeds, LogWriter& log) {
   auto metrics = MetricsServer::Listen(loop, settings, log);
   if (!metrics) return tl::unexpected(metrics.error());
-  std::unique_ptr<EntryProcess> process(
-      new EntryProcess(loop, settings, std::move(codec), std::move(plan_reader),
-                       std::move(seeds), log, std::move(*metrics)));
+  auto path = ServerPathMonitor::Create(ServerPathSettings());
+  if (!path) return tl::unexpected(path.error());
+  std::unique_ptr<EntryProcess> process(new EntryProcess(
+      loop, settings, std::move(codec), std::move(plan_reader),
+      std::move(*path), std::move(seeds), log, std::move(*metrics)));
   if (auto opened = process->Listen(); !opened) {
     return tl::unexpected(opened.error());
   }
@@ -46,7 +48,7 @@
 
 EntryProcess::EntryProcess(boost::asio::io_context& loop,
                            const FleetSettings& settings, EntryCodec codec,
-                           PlanReader plan_reader,
+                           PlanReader plan_reader, ServerPathMonitor path,
                            std::function<std::vector<Endpoint>()> seeds,
                            LogWriter& log,
                            std::unique_ptr<MetricsServer> metrics)
@@ -54,7 +56,7 @@
       settings_(settings),
       log_(log),
       metrics_(std::move(metrics)),
-      state_(loop, std::move(plan_reader),
+      state_(loop, std::move(plan_reader), std::move(path),
              Fraction(settings.key_withdrawal, kKeyValidityFraction),
              settings.retry_slack, settings.zone, RandomSeed(),
              EntryState::Hooks{
--- a/programs/fleet_host/entry_process.h
+++ b/programs/fleet_host/entry_process.h
@@ -35,7 +35,7 @@
 
  private:
   EntryProcess(boost::asio::io_context& loop, const FleetSettings& settings,
-               EntryCodec codec, PlanReader plan_reader,
+               EntryCodec codec, PlanReader plan_reader, ServerPathMonitor path,
                std::function<std::vector<Endpoint>()> seeds, LogWriter& log,
                std::unique_ptr<MetricsServer> metrics);
 
--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -123,7 +123,9 @@
     guard = StartAttemptTimer(context, timer, watch, choice.is_busy);
   }
   ++server->in_flight;
+  path_prober_.AddAttempt(now);
   ExchangeResult result = co_await client_.Exchange(std::move(exchange), watch);
+  path_prober_.RemoveAttempt(now);
   --server->in_flight;
   context.backend_time += MonotonicNow() - now;
   timer.cancel();
@@ -135,8 +137,9 @@
     failure->timed_out = failure->timed_out || abandoned;
     const bool blames_server = !(abandoned && choice.is_busy);
     AttemptResult attempt =
-        ClassifyFailure(context, *server, *failure, blames_server);
+        ClassifyFailure(context, choice, *failure, blames_server);
     attempt.is_retry_charged = abandoned;
+    path_prober_.Start();
     co_return attempt;
   }
   co_return ClassifyAnswer(
@@ -144,8 +147,9 @@
 }
 
 EntryRequestHandler::AttemptResult EntryRequestHandler::ClassifyFailure(
-    RequestContext& context, KnownServer& server, const AttemptFailure& failure,
-    bool blames_server) {
+    RequestContext& context, const EntryState::Choice& choice,
+    const AttemptFailure& failure, bool blames_server) {
+  KnownServer& server = *choice.server;
   AttemptResult attempt;
   const Instant now = MonotonicNow();
   LogFailedAttempt(context, server, failure);
@@ -154,12 +158,15 @@
     attempt.may_retry = true;
     return attempt;
   }
+  UnansweredAttempt unanswered;
+  unanswered.server = server.state.announcement.id;
+  unanswered.assignment = choice.assignment;
   if (failure.stage == AttemptStage::kNotConnected) {
     attempt.failure = ErrorKind::kBackendUnreachable;
     attempt.may_retry = true;
     if (context.request.watch->hung_up()) return attempt;
-    attempt.assignment_outcome = AssignmentOutcome::kFailed;
-    state_.RecordUnreachable(now, server);
+    attempt.assignment_outcome.reset();
+    state_.RecordUnreachable(now, server, std::move(unanswered));
     return attempt;
   }
   attempt.received_by_server = true;
@@ -169,15 +176,16 @@
                                       : ErrorKind::kBackendBroken;
   attempt.may_retry = context.route->idempotent;
   if (context.request.watch->hung_up() || !blames_server) return attempt;
-  attempt.assignment_outcome = AssignmentOutcome::kFailed;
-  const bool is_fault = !failure.timed_out || now < context.deadline;
-  if (is_fault) {
-    client_.CloseIdleConnections(server.state.announcement.endpoint);
-    state_.RecordBrokenAttempt(now, server, context.fingerprint,
-                               !failure.timed_out);
-  }
+  attempt.assignment_outcome.reset();
   // An attempt that ran into the request's deadline tells of the time at which
   // it was sent; the hub has seen it overdue since.
+  unanswered.is_fault = !failure.timed_out || now < context.deadline;
+  unanswered.request = context.fingerprint;
+  unanswered.may_have_crashed = !failure.timed_out;
+  if (unanswered.is_fault) {
+    client_.CloseIdleConnections(server.state.announcement.endpoint);
+  }
+  state_.RecordBrokenAttempt(now, server, std::move(unanswered));
   return attempt;
 }
 
@@ -205,12 +213,13 @@
   const BackendResponseInfo info = codec_.read_response_info(answer, now);
   attempt.received_by_server = true;
   ++context.attempts_received;
+  state_.RecordAnswer(now);
   if (info.load) server.load = *info.load;
   if (info.misdirected) {
     attempt.failure = ErrorKind::kNoBackendServer;
     attempt.may_retry = true;
     attempt.assignment_outcome = AssignmentOutcome::kFailed;
-    state_.RecordUnreachable(now, server);
+    state_.RecordMisdirected(now, server);
     return attempt;
   }
   RecordSignals(now, sent_at, server, info);
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -47,7 +47,8 @@
       log_(log),
       metrics_(metrics),
       loop_(loop),
-      client_(loop, ClientSettings()) {}
+      client_(loop, ClientSettings()),
+      path_prober_(loop, state, client_, log, RandomSeed()) {}
 
 Result<std::uint64_t> EntryRequestHandler::AcceptHead(
     const HttpRequestHead& /*head*/) const {
@@ -156,6 +157,7 @@
   // answer.
   std::optional<HttpAnswer> fallback;
   while (true) {
+    co_await path_prober_.AwaitVerdict();
     const Instant now = MonotonicNow();
     if (now >= context.deadline || context.request.watch->hung_up()) {
       last.failure = context.may_have_run ? ErrorKind::kBackendTimeout
@@ -166,7 +168,9 @@
     if (!choice) co_return RefuseNotRun(context, choice.error().kind);
     if (!choice->server) break;
     last = co_await RunAttempt(context, *choice);
-    state_.EndAssignment(*choice, last.assignment_outcome);
+    if (last.assignment_outcome) {
+      state_.EndAssignment(*choice, *last.assignment_outcome);
+    }
     if (last.answer) fallback = std::exchange(last.answer, std::nullopt);
     if (!MayRetry(context, last, MonotonicNow())) break;
   }
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -9,6 +9,7 @@
 
 #include "programs/fleet_host/entry_codec.h"
 #include "programs/fleet_host/entry_state.h"
+#include "programs/fleet_host/server_path_prober.h"
 #include "sapphirebank/telemetry/fleet_metrics.h"
 #include "sapphirebank/telemetry/log_writer.h"
 #include "sapphirebank/transport/http_client.h"
@@ -49,8 +50,10 @@
     bool received_by_server = false;
     // The retry budget has been charged for the next attempt already.
     bool is_retry_charged = false;
-    // Outcome for the server's health.
-    AssignmentOutcome assignment_outcome = AssignmentOutcome::kInconclusive;
+    // Outcome for the server's health; nothing when it is not known yet whether
+    // the server or this host's path is the cause.
+    std::optional<AssignmentOutcome> assignment_outcome =
+        AssignmentOutcome::kInconclusive;
   };
 
   Result<void> Admit(RequestContext& context) const;
@@ -62,7 +65,8 @@
                                                    EntryState::Choice choice);
   // `blames_server` tells whether a failure is due to the server: a request
   // that was abandoned in its queue is not.
-  AttemptResult ClassifyFailure(RequestContext& context, KnownServer& server,
+  AttemptResult ClassifyFailure(RequestContext& context,
+                                const EntryState::Choice& choice,
                                 const AttemptFailure& failure,
                                 bool blames_server);
   void LogFailedAttempt(const RequestContext& context,
@@ -105,6 +109,7 @@
   FleetMetrics& metrics_;
   boost::asio::io_context& loop_;
   HttpClient client_;
+  ServerPathProber path_prober_;
   bool draining_ = false;
 };
 
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -26,10 +26,12 @@
 }  // namespace
 
 EntryState::EntryState(boost::asio::io_context& loop, PlanReader reader,
-                       Duration key_validity, double retry_slack, ZoneId zone,
-                       std::uint64_t seed, Hooks hooks)
+                       ServerPathMonitor path, Duration key_validity,
+                       double retry_slack, ZoneId zone, std::uint64_t seed,
+                       Hooks hooks)
     : loop_(loop),
       view_(std::move(reader), key_validity),
+      path_(std::move(path)),
       retries_(kEntryHostRetryShare, retry_slack),
       random_(seed),
       chooser_(ServerChooserSettings(), std::move(zone), Random(seed + 1)),
@@ -172,6 +174,34 @@
   retries_.CountRequest(service);
 }
 
+// Ends and reports attempts that are no longer held.
+void EntryState::Settle(const PathVerdict& verdict) {
+  const AssignmentOutcome outcome = verdict.blames_servers
+                                        ? AssignmentOutcome::kFailed
+                                        : AssignmentOutcome::kInconclusive;
+  for (const UnansweredAttempt& attempt : verdict.attempts) {
+    if (attempt.assignment != 0) {
+      hooks_.end_assignment(attempt.assignment, outcome);
+    }
+    if (!verdict.blames_servers || !attempt.is_fault) continue;
+    ++outcomes_[attempt.server].hard_failures;
+    if (attempt.may_have_crashed) {
+      crashes_.push_back({attempt.request, attempt.server});
+    }
+    hooks_.report_now();
+  }
+}
+
+void EntryState::RecordAnswer(Instant now) { Settle(path_.RecordAnswer(now)); }
+
+void EntryState::RecordProbes(Instant now, bool connected) {
+  const bool was_lost = path_.IsLost();
+  Settle(path_.RecordProbes(now, connected));
+  if (path_.IsLost() == was_lost) return;
+  if (was_lost) view_.EndAvoidance();
+  hooks_.report_now();
+}
+
 void EntryState::RecordSuccess(const KnownServer& server) {
   ++outcomes_[server.state.announcement.id].successes;
   if (server.state.health != ServerHealth::kUp) hooks_.report_now();
@@ -182,21 +212,24 @@
   hooks_.report_now();
 }
 
-void EntryState::RecordBrokenAttempt(Instant now, KnownServer& server,
-                                     RequestFingerprint request,
-                                     bool may_have_crashed) {
-  server.avoid_until = std::max(server.avoid_until, now + kBrokenBackoff);
+void EntryState::RecordMisdirected(Instant now, KnownServer& server) {
+  server.avoid_until = std::max(server.avoid_until, now + kUnreachableBackoff);
   ++outcomes_[server.state.announcement.id].hard_failures;
-  if (may_have_crashed) {
-    crashes_.push_back({request, server.state.announcement.id});
-  }
   hooks_.report_now();
 }
 
-void EntryState::RecordUnreachable(Instant now, KnownServer& server) {
+void EntryState::RecordBrokenAttempt(Instant now, KnownServer& server,
+                                     UnansweredAttempt attempt) {
+  if (attempt.is_fault) {
+    server.avoid_until = std::max(server.avoid_until, now + kBrokenBackoff);
+  }
+  Settle(path_.RecordUnanswered(std::move(attempt)));
+}
+
+void EntryState::RecordUnreachable(Instant now, KnownServer& server,
+                                   UnansweredAttempt attempt) {
   server.avoid_until = std::max(server.avoid_until, now + kUnreachableBackoff);
-  ++outcomes_[server.state.announcement.id].hard_failures;
-  hooks_.report_now();
+  Settle(path_.RecordUnanswered(std::move(attempt)));
 }
 
 bool EntryState::RecordLeaving(Instant now, const KnownServer& server) {
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -14,6 +14,7 @@
 #include "sapphirebank/fleet/retry_budget_share.h"
 #include "sapphirebank/fleet/server_chooser.h"
 #include "sapphirebank/fleet/server_dispatcher.h"
+#include "sapphirebank/fleet/server_path_monitor.h"
 #include "sapphirebank/fleet/workspace_token_cache.h"
 
 namespace sapphirebank {
@@ -38,8 +39,8 @@
   };
 
   EntryState(boost::asio::io_context& loop, PlanReader reader,
-             Duration key_validity, double retry_slack, ZoneId zone,
-             std::uint64_t seed, Hooks hooks);
+             ServerPathMonitor path, Duration key_validity, double retry_slack,
+             ZoneId zone, std::uint64_t seed, Hooks hooks);
 
   // Applies an update from the hub. `asked_at` is when the report that it
   // answers was sent. Fails as EntryView::Apply() does.
@@ -62,14 +63,31 @@
   // Counts a request for `service` and adds to its retry budget.
   void CountRequest(const ServiceId& service);
 
-  // Record the outcome of an attempt at a server. Failures are reported at
-  // once, and the server is avoided for a while after a broken attempt or when
-  // it was unreachable.
+  // Record the outcome of an attempt at a server. The server is avoided for a
+  // while after a broken attempt or when it was unreachable. Failures are
+  // reported at once; those that a lost path of this host causes as well, once
+  // the path has been seen to be sound.
+  void RecordAnswer(Instant now);
   void RecordSuccess(const KnownServer& server);
   void RecordServerError(const KnownServer& server);
+  void RecordMisdirected(Instant now, KnownServer& server);
   void RecordBrokenAttempt(Instant now, KnownServer& server,
-                           RequestFingerprint request, bool may_have_crashed);
-  void RecordUnreachable(Instant now, KnownServer& server);
+                           UnansweredAttempt attempt);
+  void RecordUnreachable(Instant now, KnownServer& server,
+                         UnansweredAttempt attempt);
+
+  // This host's path to the servers.
+  const ServerPathMonitor& path() const { return path_; }
+
+  // Records the result of a round of probes: whether any server could be
+  // connected to. Servers that were unreachable are used again once a lost path
+  // is back.
+  void RecordProbes(Instant now, bool connected);
+
+  // Records that attempts are in flight, the oldest since `oldest`.
+  void CheckSilence(Instant now, Instant oldest) {
+    path_.CheckSilence(now, oldest);
+  }
 
   // Record what a server said in an answer: that it leaves, which is news only
   // the first time, and for how long it wants no requests from this host.
@@ -134,9 +152,11 @@
   };
 
   void ApplyGrants(Instant asked_at, const FleetUpdate& update);
+  void Settle(const PathVerdict& verdict);
 
   boost::asio::io_context& loop_;
   EntryView view_;
+  ServerPathMonitor path_;
   RetryBudgetShare retries_;
   Random random_;
   ServerChooser chooser_;
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -138,11 +138,22 @@
          signals_.Permit(now, announcement.id, announcement.incarnation);
 }
 
+void EntryView::EndAvoidance() {
+  for (auto& [id, server] : servers_) server->avoid_until = Instant();
+}
+
 double EntryView::RequestRate(const ServiceId& service) const {
   const auto found = request_rates_.find(service);
   return found == request_rates_.end() ? 0 : found->second;
 }
 
+std::vector<KnownServerPtr> EntryView::Servers() const {
+  std::vector<KnownServerPtr> servers;
+  servers.reserve(servers_.size());
+  for (const auto& [id, server] : servers_) servers.push_back(server);
+  return servers;
+}
+
 std::vector<ServerAnnouncement> EntryView::Announcements() const {
   std::vector<ServerAnnouncement> announcements;
   announcements.reserve(servers_.size());
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -99,9 +99,16 @@
   // zone went out of service.
   bool MayReceiveRequests(Instant now, const KnownServer& server) const;
 
+  // Uses servers again that this host could not reach, as the cause was its own
+  // path.
+  void EndAvoidance();
+
   // What servers told this host in their answers.
   ServerSignals& signals() { return signals_; }
 
+  // Returns all servers.
+  std::vector<KnownServerPtr> Servers() const;
+
   // Returns the announcements of all servers.
   std::vector<ServerAnnouncement> Announcements() const;
 
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -221,6 +221,20 @@
     return nullptr;
   }
 
+  // Opens a connection; failures are stored in `error`.
+  asio::awaitable<ConnectionPtr> Open(Endpoint to, Duration timeout,
+                                      error_code& error) {
+    auto connection = std::make_shared<Connection>(loop_);
+    connection->stream.expires_after(timeout);
+    const tcp::endpoint endpoint(asio::ip::make_address(to.ip), to.port);
+    co_await connection->stream.async_connect(endpoint, CaptureError(error));
+    if (!error) {
+      SetSocketOptions(connection->stream.socket(),
+                       settings_.unacknowledged_timeout);
+    }
+    co_return connection;
+  }
+
   void ReturnIdle(const Endpoint& to, ConnectionPtr connection) {
     auto& connections = idle_[to];
     if (connections.size() >= settings_.max_idle_per_endpoint) {
@@ -253,6 +267,15 @@
       settings_(settings),
       pool_(std::make_shared<Pool>(loop, settings)) {}
 
+asio::awaitable<bool> HttpClient::OpenIdleConnection(Endpoint to,
+                                                     Duration timeout) {
+  error_code error;
+  ConnectionPtr connection = co_await pool_->Open(to, timeout, error);
+  if (error) co_return false;
+  pool_->ReturnIdle(to, std::move(connection));
+  co_return true;
+}
+
 void HttpClient::CloseIdleConnections(const Endpoint& to) {
   pool_->CloseIdleConnections(to);
 }
@@ -263,14 +286,9 @@
   ConnectionPtr connection;
   if (!exchange.fresh_connection) connection = pool_->TakeIdle(exchange.to);
   if (!connection) {
-    connection = std::make_shared<Connection>(loop_);
-    connection->stream.expires_after(exchange.connect_timeout);
-    const tcp::endpoint endpoint(asio::ip::make_address(exchange.to.ip),
-                                 exchange.to.port);
-    co_await connection->stream.async_connect(endpoint, CaptureError(error));
+    connection =
+        co_await pool_->Open(exchange.to, exchange.connect_timeout, error);
     if (error) co_return Failure(AttemptStage::kNotConnected, error, false);
-    SetSocketOptions(connection->stream.socket(),
-                     settings_.unacknowledged_timeout);
   }
   const bool reused = connection->reused;
   if (watch && watch->hung_up()) {
--- a/sapphirebank/transport/http_client.h
+++ b/sapphirebank/transport/http_client.h
@@ -72,6 +72,11 @@
   boost::asio::awaitable<ExchangeResult> Exchange(
       HttpExchange exchange, std::shared_ptr<CallerWatch> watch);
 
+  // Opens a connection to `to` and keeps it for later exchanges. Returns
+  // whether the peer accepted it within `timeout`.
+  boost::asio::awaitable<bool> OpenIdleConnection(Endpoint to,
+                                                  Duration timeout);
+
   // Closes all idle connections to `to`.
   void CloseIdleConnections(const Endpoint& to);
 
