A host that reaches no server sends requests through another entry host

Cause: a single point of failure by design. An entry host had no way to a server but its own, so that it could only refuse. The detour is built; hosts stay listed and ready, since they serve.

Change: a host whose path is lost, or a request that found two servers out of reach, sends the request to the fleet port of an entry host that reaches servers. That host handles it as its own: key, workspace, rate, retry budget, limits, pauses, departures, quarantine and plan hold there; a signature of the fleet covers method, target, body, receiver and what the first host knows (time left, attempts, whether it may have run, token, plan version). It is never sent on. A refusal is marked, so that "not run" is what that host knows; without an answer a request that must run once ends with 502 or 504.

Evidence: "requests at a host without a path are served through another one" gets 503 where no detour is taken, 200 now.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -358,6 +358,7 @@
     if (ready != ready_hosts_ || now >= next_publish_) {
       next_publish_ = now + kPublishPeriod;
       ready_hosts_ = std::move(ready);
+      hub_.SetFleetHosts(ready_hosts_);
       SendToControl({{"t", "ready"}, {"list", ready_hosts_}});
     }
   }
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -173,6 +173,7 @@
       OnCallDone(message);
     } else if (type == "ready" && !is_leader_) {
       ready_hosts_ = message.at("list").get<std::vector<ReadyHost>>();
+      hub_.SetFleetHosts(ready_hosts_);
     } else {
       return;
     }
--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -14,6 +14,12 @@
 // server.
 constexpr double kKeyValidityFraction = 0.85;
 
+// Bytes of header fields that another entry host adds to a request.
+constexpr std::size_t kMaxDetourFieldBytes = 4096;
+
+// Connections of other entry hosts are closed by those, earlier than this.
+constexpr Duration kDetourIdleTimeout = std::chrono::seconds(75);
+
 constexpr Duration kIdleCheckPeriod = std::chrono::milliseconds(50);
 
 Duration Fraction(Duration whole, double part) {
@@ -67,7 +73,9 @@
                  [this](std::uint64_t number, AssignmentOutcome outcome) {
                    link_.EndAssignment(number, outcome);
                  }}),
-      requests_(loop, state_, std::move(codec), log, metrics_->metrics()),
+      requests_(loop, state_, std::move(codec),
+                settings.FleetEndpoint(settings.callers),
+                FleetSecret(settings.fleet_secret), log, metrics_->metrics()),
       timer_(loop),
       link_(loop, settings,
             EntryLink::Hooks{
@@ -105,10 +113,21 @@
   hooks.handle = [this](HttpRequest request) {
     return requests_.Handle(std::move(request));
   };
-  auto opened = HttpServer::Listen(loop_, callers, std::move(hooks));
+  auto opened = HttpServer::Listen(loop_, callers, hooks);
   if (!opened) return tl::unexpected(opened.error());
   caller_server_.emplace(std::move(*opened));
 
+  const Endpoint fleet = settings_.FleetEndpoint(settings_.callers);
+  HttpServerSettings detours;
+  detours.ip = fleet.ip;
+  detours.port = fleet.port;
+  hooks.handle = [this](HttpRequest request) {
+    return requests_.HandleDetour(std::move(request));
+  };
+  auto detour_port = HttpServer::Listen(loop_, detours, std::move(hooks));
+  if (!detour_port) return tl::unexpected(detour_port.error());
+  detour_server_.emplace(std::move(*detour_port));
+
   HttpServerSettings readiness;
   readiness.ip = settings_.readiness.ip;
   readiness.port = settings_.readiness.port;
@@ -136,7 +155,7 @@
   EntryReport report;
   if (IsReady()) {
     report.ready_hosts->push_back(
-        {ToString(settings_.callers), settings_.zone});
+        {ToString(settings_.callers), settings_.zone, !state_.path().IsLost()});
   }
   state_.FillReport(report, first);
   return report;
@@ -165,6 +184,8 @@
     const CallerLimits& limits = plan->parts().limits;
     caller_server_->SetLimits(limits.max_head_bytes, limits.head_timeout,
                               limits.idle_timeout);
+    detour_server_->SetLimits(limits.max_head_bytes + kMaxDetourFieldBytes,
+                              limits.head_timeout, kDetourIdleTimeout);
     log_.Write(LogLevel::kInfo, "plan_in_force",
                {{"version", plan->version()}});
   }
@@ -178,6 +199,7 @@
              {{"in_work", caller_server_->active_requests()}});
   const Instant now = MonotonicNow();
   caller_server_->DisableKeepAlive();
+  detour_server_->DisableKeepAlive();
   requests_.BeginDrain();
   link_.ReportNow();
   const DrainSchedule schedule = MakeDrainSchedule(settings_.grace);
@@ -187,12 +209,15 @@
       [this, end, done = std::move(done)](boost::system::error_code error) {
         if (error) return;
         caller_server_->Drain();
+        detour_server_->Drain();
         AwaitIdle(end, done);
       });
 }
 
 void EntryProcess::AwaitIdle(Instant until, std::function<void()> done) {
-  if (caller_server_->active_requests() == 0 || MonotonicNow() >= until) {
+  const std::size_t active =
+      caller_server_->active_requests() + detour_server_->active_requests();
+  if (active == 0 || MonotonicNow() >= until) {
     done();
     return;
   }
--- a/programs/fleet_host/entry_process.h
+++ b/programs/fleet_host/entry_process.h
@@ -56,6 +56,8 @@
   EntryRequestHandler requests_;
   boost::asio::steady_timer timer_;
   std::optional<HttpServer> caller_server_;
+  // Requests that other entry hosts send here.
+  std::optional<HttpServer> detour_server_;
   std::optional<HttpServer> readiness_server_;
   bool draining_ = false;
   bool report_is_posted_ = false;
--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -58,6 +58,11 @@
     RequestContext& context, std::shared_ptr<CallerWatch> watch,
     std::weak_ptr<void> attempt) {
   if (attempt.expired()) co_return;
+  if (state_.path().IsLost() && ShouldDetour(context)) {
+    context.abandoned_for_detour = true;
+    watch->HangUp();
+    co_return;
+  }
   // The request may end while the hub is asked.
   const std::shared_ptr<const TrafficPlan> plan = context.plan;
   const std::vector<KnownServerPtr> tried = context.tried;
@@ -132,13 +137,15 @@
   context.request.watch->set_on_hang_up(nullptr);
   if (auto* failure = std::get_if<AttemptFailure>(&result.outcome)) {
     guard.reset();
+    const bool is_replaced = context.next_choice.has_value();
     const bool abandoned =
-        context.next_choice.has_value() && !context.request.watch->hung_up();
+        (is_replaced || std::exchange(context.abandoned_for_detour, false)) &&
+        !context.request.watch->hung_up();
     failure->timed_out = failure->timed_out || abandoned;
     const bool blames_server = !(abandoned && choice.is_busy);
     AttemptResult attempt =
         ClassifyFailure(context, choice, *failure, blames_server);
-    attempt.is_retry_charged = abandoned;
+    attempt.is_retry_charged = is_replaced;
     path_prober_.Start();
     co_return attempt;
   }
@@ -165,6 +172,7 @@
     attempt.failure = ErrorKind::kBackendUnreachable;
     attempt.may_retry = true;
     if (context.request.watch->hung_up()) return attempt;
+    ++context.unreachable_attempts;
     attempt.assignment_outcome.reset();
     state_.RecordUnreachable(now, server, std::move(unanswered));
     return attempt;
@@ -234,6 +242,7 @@
   }
   context.may_have_run = true;
   StripConnectionFields(answer.fields);
+  if (context.detour) MarkServerAnswer(answer, server.state.announcement.id);
   const bool failed = answer.status >= kFirstServerError;
   attempt.assignment_outcome =
       failed ? AssignmentOutcome::kFailed : AssignmentOutcome::kServed;
--- a/programs/fleet_host/entry_request_context.h
+++ b/programs/fleet_host/entry_request_context.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "programs/fleet_host/entry_request_handler.h"
+#include "sapphirebank/transport/detour_fields.h"
 
 namespace sapphirebank {
 
@@ -25,6 +26,14 @@
   std::vector<KnownServerPtr> tried;
   // Attempts that reached a backend server.
   int attempts_received = 0;
+  // Attempts to which no connection could be made.
+  int unreachable_attempts = 0;
+  // What the entry host that sent the request here told of it.
+  std::optional<DetourRequest> detour;
+  // Entry hosts that the request was sent to.
+  std::vector<std::string> detour_hosts;
+  // The attempt is abandoned because this host has lost its path.
+  bool abandoned_for_detour = false;
   // A backend server may have run the request.
   bool may_have_run = false;
   // A token of the workspace's rate must be taken before the first attempt.
--- /dev/null
+++ b/programs/fleet_host/entry_request_detour.cc
@@ -0,0 +1,197 @@
+#include <utility>
+
+#include "programs/fleet_host/entry_request_context.h"
+#include "programs/fleet_host/entry_request_handler.h"
+#include "sapphirebank/fleet/detour_hosts.h"
+#include "sapphirebank/transport/http_guards.h"
+#include "sapphirebank/transport/process_clock.h"
+#include "sapphirebank/transport/signed_field.h"
+
+// Requests that this host sends to another entry host because it reaches no
+// backend server, and those that it gets from others.
+namespace sapphirebank {
+namespace {
+
+namespace asio = boost::asio;
+
+// Entry hosts are a few milliseconds apart.
+constexpr Duration kDetourConnectTimeout = std::chrono::milliseconds(100);
+
+// The other host answers at the request's deadline; its answer takes this time.
+constexpr Duration kDetourSlack = std::chrono::milliseconds(20);
+
+// Answers up to this size in bytes are buffered in full before they are
+// passed on; longer ones are streamed.
+constexpr std::uint64_t kBufferLimit = std::uint64_t{1} << 20U;
+
+}  // namespace
+
+asio::awaitable<HttpAnswer> EntryRequestHandler::HandleDetour(
+    HttpRequest request) {
+  RequestContext context;
+  context.arrival_time = MonotonicNow();
+  context.request = std::move(request);
+  HttpRequestHead& head = context.request.head;
+  const auto detour =
+      ReadDetourFields(secret_, self_, head, context.request.body);
+  // Refusals are marked as this host's.
+  context.detour = detour.value_or(DetourRequest());
+  if (!detour) {
+    log_.Write(LogLevel::kWarning, "detour_rejected",
+               {{"cause", detour.error().detail}});
+    co_return RefuseNotRun(context, detour.error().kind);
+  }
+  RemoveSignedField(head.fields);
+  context.attempts_received = detour->attempts_received;
+  context.may_have_run = detour->may_have_run;
+  context.charge_retry_budget = detour->is_retry;
+  if (detours_in_progress_ >= kMaxDetoursInProgress) {
+    co_return RefuseNotRun(context, ErrorKind::kQueueFull);
+  }
+  const ScopedCount counted(detours_in_progress_);
+  co_return co_await Serve(context);
+}
+
+// Names the server to the host that sent the request here. What the server may
+// have put into the fields between entry hosts is removed.
+void EntryRequestHandler::MarkServerAnswer(HttpAnswer& answer,
+                                           const BackendId& server) {
+  std::erase_if(answer.fields, [](const HeaderField& field) {
+    return field.name == kRefusalField || field.name == kServerField;
+  });
+  answer.fields.push_back({std::string(kServerField), server.value()});
+}
+
+bool EntryRequestHandler::ShouldDetour(const RequestContext& context) const {
+  DetourQuery query;
+  query.path_is_lost = state_.path().IsLost();
+  query.unreachable_attempts = context.unreachable_attempts;
+  query.came_by_detour = context.detour.has_value();
+  query.must_not_run_again = context.may_have_run && !context.route->idempotent;
+  query.detours_tried = static_cast<int>(context.detour_hosts.size());
+  return TakesDetour(query) &&
+         !state_.detour_hosts()
+              .Choose(MonotonicNow(), context.detour_hosts)
+              .empty();
+}
+
+HttpExchange EntryRequestHandler::MakeDetour(const RequestContext& context,
+                                             const std::string& host,
+                                             Instant now) const {
+  HttpExchange exchange;
+  // The list has the addresses for callers.
+  exchange.to = EndpointFromString(host).value_or(Endpoint());
+  exchange.to.port = fleet_port_;
+  DetourRequest detour;
+  detour.to = ToString(exchange.to);
+  detour.time_left = context.deadline - now;
+  detour.caller_time_left = context.caller_deadline - now;
+  detour.plan_version = context.plan->version();
+  detour.attempts_received = context.attempts_received;
+  detour.may_have_run = context.may_have_run;
+  detour.is_retry = context.charge_retry_budget;
+  detour.has_token = !context.needs_token;
+  HttpRequestHead head = context.request.head;
+  StripConnectionFields(head.fields);
+  RemoveSignedField(head.fields);
+  AddDetourFields(secret_, detour, head, context.request.body);
+  exchange.method = std::move(head.method);
+  exchange.target = std::move(head.target);
+  exchange.fields = std::move(head.fields);
+  exchange.host = context.info.host;
+  exchange.body = context.request.body;
+  exchange.connect_timeout =
+      std::min(kDetourConnectTimeout, context.deadline - now);
+  exchange.answer_timeout = context.deadline - now + kDetourSlack;
+  exchange.max_buffered_bytes = kBufferLimit;
+  exchange.matches_request =
+      [this, id = context.info.id](const HeaderFields& fields) {
+        return codec_.matches_request(fields, id);
+      };
+  if (context.workspace != nullptr) {
+    exchange.may_send = [this] {
+      return state_.view().IsCurrent(MonotonicNow());
+    };
+  }
+  return exchange;
+}
+
+asio::awaitable<std::optional<HttpAnswer>> EntryRequestHandler::TakeDetour(
+    RequestContext& context, AttemptResult& last) {
+  const Instant now = MonotonicNow();
+  const std::string host =
+      state_.detour_hosts().Choose(now, context.detour_hosts);
+  context.detour_hosts.push_back(host);
+  HttpExchange exchange = MakeDetour(context, host, now);
+  // Only idempotent requests are aborted when the caller disconnects.
+  std::shared_ptr<CallerWatch> watch;
+  if (context.route->idempotent) {
+    watch = std::make_shared<CallerWatch>();
+    context.request.watch->set_on_hang_up([watch] { watch->HangUp(); });
+  }
+  ExchangeResult result = co_await client_.Exchange(std::move(exchange), watch);
+  context.request.watch->set_on_hang_up(nullptr);
+  context.backend_time += MonotonicNow() - now;
+  co_return ClassifyDetour(context, std::move(result), host, last);
+}
+
+std::optional<HttpAnswer> EntryRequestHandler::ClassifyDetour(
+    RequestContext& context, ExchangeResult result, const std::string& host,
+    AttemptResult& last) {
+  const Instant now = MonotonicNow();
+  last = AttemptResult();
+  if (const auto* failure = std::get_if<AttemptFailure>(&result.outcome)) {
+    const bool is_sent = failure->stage == AttemptStage::kSent;
+    const bool timed_out = failure->timed_out && now >= context.deadline;
+    if (!timed_out && !context.request.watch->hung_up()) {
+      state_.detour_hosts().RecordFailure(now, host);
+    }
+    log_.Write(LogLevel::kInfo, "detour_failed",
+               {{"request_id", context.info.id.value()},
+                {"host", host},
+                {"stage", is_sent ? "sent" : "not_connected"},
+                {"timed_out", failure->timed_out}});
+    last.received_by_server = is_sent;
+    last.may_retry = !is_sent || context.route->idempotent;
+    last.failure = !is_sent             ? ErrorKind::kBackendUnreachable
+                   : failure->timed_out ? ErrorKind::kBackendTimeout
+                                        : ErrorKind::kBackendBroken;
+    if (!is_sent) return std::nullopt;
+    ++context.attempts_received;
+    context.may_have_run = true;
+    return std::nullopt;
+  }
+  HttpAnswer answer = std::move(std::get<HttpAnswer>(result.outcome));
+  const std::string refusal(FieldValue(answer.fields, kRefusalField));
+  if (refusal.empty()) {
+    StripConnectionFields(answer.fields);
+    const BackendId id(std::string(FieldValue(answer.fields, kServerField)));
+    const KnownServerPtr server = state_.view().Find(id);
+    const BackendResponseInfo info = codec_.read_response_info(answer, now);
+    if (server && info.leaving) state_.RecordLeaving(now, *server);
+    std::erase_if(answer.fields, [](const HeaderField& field) {
+      return field.name == kServerField;
+    });
+    return answer;
+  }
+  const ErrorKind kind =
+      ErrorKindFromName(refusal).value_or(ErrorKind::kInternal);
+  const ErrorAnswer& row = AnswerFor(kind);
+  last.failure = kind;
+  if (row.execution == Execution::kUnknown) {
+    context.may_have_run = true;
+    return Refuse(context, kind, Duration::zero());
+  }
+  // Another host may be able to help.
+  constexpr int kUnavailableStatus = 503;
+  const bool is_final = row.http_status != kUnavailableStatus;
+  if (is_final && !context.may_have_run) return RefuseNotRun(context, kind);
+  if (is_final) {
+    return Refuse(context, ErrorKind::kBackendBroken, Duration::zero());
+  }
+  state_.detour_hosts().RecordFailure(now, host);
+  last.may_retry = true;
+  return std::nullopt;
+}
+
+}  // namespace sapphirebank
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -7,7 +7,9 @@
 
 #include "programs/fleet_host/entry_request_context.h"
 #include "sapphirebank/core/hash.h"
+#include "sapphirebank/fleet/detour_hosts.h"
 #include "sapphirebank/transport/process_clock.h"
+#include "sapphirebank/transport/signed_field.h"
 
 namespace sapphirebank {
 namespace {
@@ -41,12 +43,16 @@
 
 EntryRequestHandler::EntryRequestHandler(asio::io_context& loop,
                                          EntryState& state, EntryCodec codec,
+                                         Endpoint self, FleetSecret secret,
                                          LogWriter& log, FleetMetrics& metrics)
     : state_(state),
       codec_(std::move(codec)),
       log_(log),
       metrics_(metrics),
       loop_(loop),
+      self_(ToString(self)),
+      secret_(std::move(secret)),
+      fleet_port_(self.port),
       client_(loop, ClientSettings()),
       path_prober_(loop, state, client_, log, RandomSeed()) {}
 
@@ -61,11 +67,17 @@
   RequestContext context;
   context.arrival_time = MonotonicNow();
   context.request = std::move(request);
+  co_return co_await Serve(context);
+}
+
+asio::awaitable<HttpAnswer> EntryRequestHandler::Serve(
+    RequestContext& context) {
   const Result<void> admitted = Admit(context);
   HttpAnswer answer;
   if (admitted) {
+    const bool has_token = context.detour && context.detour->has_token;
     context.needs_token = context.workspace != nullptr &&
-                          context.workspace->rate > 0 &&
+                          context.workspace->rate > 0 && !has_token &&
                           !state_.TryTakeToken(context.workspace->id);
     answer = co_await Forward(context);
   } else {
@@ -86,6 +98,11 @@
   context.info = std::move(*info);
   context.plan = view.plan();
   if (!context.plan) return Fail(ErrorKind::kNoConfiguration, "no plan yet");
+  if (context.detour &&
+      context.plan->version() < context.detour->plan_version) {
+    return Fail(ErrorKind::kNoConfiguration,
+                "the plan is older than that of the sending host");
+  }
   const bool is_current = view.IsCurrent(context.arrival_time);
   context.route = context.plan->FindRoute(context.info.host, head.target);
   if (context.route == nullptr) {
@@ -100,11 +117,7 @@
       return Fail(ErrorKind::kKeyUnknown, "unknown key");
     }
   }
-  context.caller_deadline =
-      context.arrival_time +
-      context.info.caller_timeout.value_or(context.route->timeout);
-  context.deadline = std::min(context.caller_deadline,
-                              context.arrival_time + context.route->timeout);
+  SetDeadlines(context);
   std::string fingerprint_input =
       head.method + ' ' + head.target + ' ' + context.info.key;
   context.fingerprint =
@@ -116,6 +129,18 @@
   return {};
 }
 
+void EntryRequestHandler::SetDeadlines(RequestContext& context) const {
+  const Duration caller_timeout =
+      context.detour
+          ? context.detour->caller_time_left
+          : context.info.caller_timeout.value_or(context.route->timeout);
+  const Duration timeout =
+      context.detour ? context.detour->time_left : context.route->timeout;
+  context.caller_deadline = context.arrival_time + caller_timeout;
+  context.deadline =
+      std::min(context.caller_deadline, context.arrival_time + timeout);
+}
+
 asio::awaitable<Result<void>> EntryRequestHandler::AcquireRateToken(
     RequestContext& context) {
   const TokenOutcome token = co_await state_.TakeToken(
@@ -150,7 +175,8 @@
 asio::awaitable<HttpAnswer> EntryRequestHandler::Forward(
     RequestContext& context) {
   context.service = ChooseService(context);
-  state_.CountRequest(context.service->id);
+  // The host that callers sent the request to has counted it.
+  if (!context.detour) state_.CountRequest(context.service->id);
   AttemptResult last;
   last.failure = ErrorKind::kNoBackendServer;
   // An error answer of a server is passed on unless a retry gets another
@@ -164,6 +190,23 @@
                                           : ErrorKind::kQueueTimeout;
       break;
     }
+    if (ShouldDetour(context)) {
+      const bool is_charged_next = context.charge_retry_budget;
+      auto answer = co_await TakeDetour(context, last);
+      if (answer) co_return std::move(*answer);
+      if (!MayRetry(context, last, MonotonicNow())) break;
+      context.charge_retry_budget =
+          context.charge_retry_budget || is_charged_next;
+      continue;
+    }
+    // Without a detour left, the request is not held for a path that is known
+    // to be lost.
+    if (state_.path().IsLost() &&
+        (context.detour ||
+         context.unreachable_attempts >= kMaxUnreachableAttempts)) {
+      last.failure = ErrorKind::kBackendUnreachable;
+      break;
+    }
     const Result<EntryState::Choice> choice = co_await ChooseServer(context);
     if (!choice) co_return RefuseNotRun(context, choice.error().kind);
     if (!choice->server) break;
@@ -256,11 +299,18 @@
                                        Duration retry_after) {
   context.refusal_kind = kind;
   const Error error(kind, std::string(AnswerFor(kind).title));
-  return codec_.refusal(error, context.info.id, retry_after);
+  HttpAnswer answer = codec_.refusal(error, context.info.id, retry_after);
+  if (context.detour) {
+    answer.fields.push_back(
+        {std::string(kRefusalField), std::string(AnswerFor(kind).name)});
+  }
+  return answer;
 }
 
 // Requests without a route are counted under an empty service id.
 void EntryRequestHandler::RecordMetrics(const RequestContext& context) {
+  // Counted by the host that callers sent the request to.
+  if (context.detour) return;
   const ServiceId service =
       context.service != nullptr ? context.service->id : ServiceId();
   if (context.refusal_kind) {
@@ -292,6 +342,8 @@
        {"service",
         context.service != nullptr ? context.service->id.value() : ""},
        {"servers", std::move(servers)},
+       {"detours", context.detour_hosts},
+       {"by_detour", context.detour.has_value()},
        {"refusal", context.refusal_kind
                        ? std::string(AnswerFor(*context.refusal_kind).name)
                        : std::string()},
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -12,6 +12,7 @@
 #include "programs/fleet_host/server_path_prober.h"
 #include "sapphirebank/telemetry/fleet_metrics.h"
 #include "sapphirebank/telemetry/log_writer.h"
+#include "sapphirebank/transport/fleet_secret.h"
 #include "sapphirebank/transport/http_client.h"
 
 namespace sapphirebank {
@@ -21,8 +22,11 @@
 // calls must come from the thread of its event loop.
 class EntryRequestHandler {
  public:
+  // `self` is the address at which this host gets requests of other entry
+  // hosts.
   EntryRequestHandler(boost::asio::io_context& loop, EntryState& state,
-                      EntryCodec codec, LogWriter& log, FleetMetrics& metrics);
+                      EntryCodec codec, Endpoint self, FleetSecret secret,
+                      LogWriter& log, FleetMetrics& metrics);
 
   // Returns the maximum size of the request body in bytes: that of the plan, or
   // the default before a plan is in force.
@@ -35,6 +39,10 @@
   // Handles a request whose body has been received.
   boost::asio::awaitable<HttpAnswer> Handle(HttpRequest request);
 
+  // Handles a caller's request that another entry host sent here, as that host
+  // reaches no backend server. It is not sent on to a third host.
+  boost::asio::awaitable<HttpAnswer> HandleDetour(HttpRequest request);
+
  private:
   struct RequestContext;
 
@@ -56,7 +64,9 @@
         AssignmentOutcome::kInconclusive;
   };
 
+  boost::asio::awaitable<HttpAnswer> Serve(RequestContext& context);
   Result<void> Admit(RequestContext& context) const;
+  void SetDeadlines(RequestContext& context) const;
   boost::asio::awaitable<Result<void>> AcquireRateToken(
       RequestContext& context);
   Result<void> TakeLocalToken(const RequestContext& context);
@@ -69,6 +79,22 @@
                                 const EntryState::Choice& choice,
                                 const AttemptFailure& failure,
                                 bool blames_server);
+
+  // entry_request_detour.cc
+  bool ShouldDetour(const RequestContext& context) const;
+  // Sends the request to another entry host. Returns the answer for the caller,
+  // or nothing when another attempt of any kind may follow; `last` is set to
+  // the result then.
+  boost::asio::awaitable<std::optional<HttpAnswer>> TakeDetour(
+      RequestContext& context, AttemptResult& last);
+  HttpExchange MakeDetour(const RequestContext& context,
+                          const std::string& host, Instant now) const;
+  static void MarkServerAnswer(HttpAnswer& answer, const BackendId& server);
+  std::optional<HttpAnswer> ClassifyDetour(RequestContext& context,
+                                           ExchangeResult result,
+                                           const std::string& host,
+                                           AttemptResult& last);
+
   void LogFailedAttempt(const RequestContext& context,
                         const KnownServer& server,
                         const AttemptFailure& failure);
@@ -108,6 +134,10 @@
   LogWriter& log_;
   FleetMetrics& metrics_;
   boost::asio::io_context& loop_;
+  std::string self_;
+  FleetSecret secret_;
+  std::uint16_t fleet_port_;
+  std::size_t detours_in_progress_ = 0;
   HttpClient client_;
   ServerPathProber path_prober_;
   bool draining_ = false;
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -46,6 +46,7 @@
   }
   auto applied = view_.Apply(now, asked_at, update);
   retries_.SetShareCount(update.entry_hosts);
+  if (update.shared_state) detour_hosts_.Set(update.detour_hosts);
   ApplyGrants(asked_at.value_or(now), update);
   return applied;
 }
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "sapphirebank/core/random.h"
+#include "sapphirebank/fleet/detour_hosts.h"
 #include "sapphirebank/fleet/entry_view.h"
 #include "sapphirebank/fleet/hub_circuit_breaker.h"
 #include "sapphirebank/fleet/retry_budget_share.h"
@@ -76,6 +77,9 @@
   void RecordUnreachable(Instant now, KnownServer& server,
                          UnansweredAttempt attempt);
 
+  // Entry hosts that requests may be sent to when this host reaches no server.
+  DetourHosts& detour_hosts() { return detour_hosts_; }
+
   // This host's path to the servers.
   const ServerPathMonitor& path() const { return path_; }
 
@@ -157,6 +161,7 @@
   boost::asio::io_context& loop_;
   EntryView view_;
   ServerPathMonitor path_;
+  DetourHosts detour_hosts_;
   RetryBudgetShare retries_;
   Random random_;
   ServerChooser chooser_;
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -138,6 +138,11 @@
   // relay that does.
   std::vector<ReadyHost> ReadyHosts(Instant now) const;
 
+  // Sets the ready hosts of the whole fleet, as the authority lists them. Entry
+  // hosts are told at once when one that they may send requests to has left or
+  // lost its path.
+  void SetFleetHosts(std::vector<ReadyHost> hosts);
+
   // Applies timeouts and periodic updates.
   void Tick(Instant now);
 
@@ -221,6 +226,7 @@
   std::set<ZoneId> zones_out_;
   std::map<HostId, Reporter> reporters_;
   std::map<std::string, InheritedHost> inherited_ready_;
+  std::vector<ReadyHost> fleet_hosts_;
   std::vector<HubHost> hubs_;
   // Requests per second, smoothed over about 1.5 s.
   std::map<ServiceId, double> request_rates_;
--- a/sapphirebank/fleet/fleet_hub_updates.cc
+++ b/sapphirebank/fleet/fleet_hub_updates.cc
@@ -1,6 +1,9 @@
 #include <algorithm>
+#include <set>
+#include <string_view>
 #include <utility>
 
+#include "sapphirebank/fleet/detour_hosts.h"
 #include "sapphirebank/fleet/fleet_hub.h"
 
 // What a hub sends: updates to the hosts that report to it, and a relay's
@@ -84,6 +87,12 @@
     update.quarantined = quarantined_;
     update.entry_hosts = TotalEntryHosts();
     update.hubs = hubs_;
+    if (!reporter.is_relay) {
+      const ReadyHost self = reporter.ready_hosts.empty()
+                                 ? ReadyHost{"", self_.zone}
+                                 : reporter.ready_hosts.front();
+      update.detour_hosts = ChooseDetourHosts(fleet_hosts_, self, kDetourHosts);
+    }
   }
   update.granted = std::exchange(reporter.pending_grants, {});
   return update;
@@ -172,6 +181,20 @@
   }
 }
 
+void FleetHub::SetFleetHosts(std::vector<ReadyHost> hosts) {
+  std::set<std::string_view> sound;
+  for (const ReadyHost& host : hosts) {
+    if (host.reaches_servers) sound.insert(host.address);
+  }
+  const bool one_was_lost = std::any_of(
+      fleet_hosts_.begin(), fleet_hosts_.end(), [&](const ReadyHost& host) {
+        return host.reaches_servers && !sound.contains(host.address);
+      });
+  const bool is_first = fleet_hosts_.empty() && !hosts.empty();
+  fleet_hosts_ = std::move(hosts);
+  if (one_was_lost || is_first) ++shared_state_version_;
+}
+
 void FleetHub::InheritReadyHosts(Instant now,
                                  const std::vector<ReadyHost>& ready) {
   for (const ReadyHost& host : ready)
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -60,6 +60,7 @@
   for (const HubHost& hub : update.hubs) {
     out["hubs"].push_back({hub.address, hub.zone.value()});
   }
+  if (!update.detour_hosts.empty()) out["detours"] = update.detour_hosts;
   return out;
 }
 
@@ -81,6 +82,7 @@
           {hub.at(0).get<std::string>(), ZoneId(hub.at(1).get<std::string>())});
     }
   }
+  ReadOptional(in, "detours", update.detour_hosts);
 }
 
 }  // namespace
@@ -107,12 +109,13 @@
 }
 
 void to_json(json& out, const ReadyHost& host) {
-  out = json::array({host.address, host.zone.value()});
+  out = json::array({host.address, host.zone.value(), host.reaches_servers});
 }
 
 void from_json(const json& in, ReadyHost& host) {
   in.at(0).get_to(host.address);
   host.zone = ZoneId(in.at(1).get<std::string>());
+  in.at(2).get_to(host.reaches_servers);
 }
 
 void to_json(json& out, const EntryReport& report) {
--- a/sapphirebank/fleet/fleet_messages.h
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -23,6 +23,8 @@
 struct ReadyHost {
   std::string address;  // "ip:port".
   ZoneId zone;
+  // The host has not lost its path to the backend servers.
+  bool reaches_servers = true;
 
   friend bool operator==(const ReadyHost&, const ReadyHost&) = default;
 };
@@ -124,6 +126,9 @@
   // Number of entry hosts among which shares are divided.
   std::uint32_t entry_hosts = 1;
   std::vector<HubHost> hubs;
+  // Addresses of the entry hosts that the receiver may send requests to when it
+  // reaches no server, best ones first.
+  std::vector<std::string> detour_hosts;
   std::map<WorkspaceId, TokenGrant> granted;
 };
 
--- a/sapphirebank/transport/forward_fields.cc
+++ b/sapphirebank/transport/forward_fields.cc
@@ -4,8 +4,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include "sapphirebank/request/route_table.h"
-
 namespace sapphirebank {
 namespace {
 
@@ -13,45 +11,30 @@
 
 constexpr std::string_view kPurpose = "forward";
 
-std::string SignedText(const HttpRequestHead& head, std::string_view forward,
-                       std::string_view body) {
-  return fmt::format("{} {}\n{}\n{}", head.method, head.target, forward,
-                     Sha256Hex(body));
-}
-
 }  // namespace
 
 void AddForwardFields(const FleetSecret& secret,
                       const ForwardedRequest& forwarded, HttpRequestHead& head,
                       std::string_view body) {
-  const json fields = {{"id", forwarded.id.value()},
+  const json values = {{"id", forwarded.id.value()},
                        {"workspace", forwarded.workspace.value()},
                        {"left_us", forwarded.time_left.count()},
                        {"weight", forwarded.weight}};
-  const std::string forward = fields.dump(-1, ' ', true);
-  const std::string signature =
-      secret.SignHex(kPurpose, SignedText(head, forward, body));
-  head.fields.push_back({std::string(kForwardField), forward});
-  head.fields.push_back({std::string(kSignatureField), signature});
+  AddSignedField(secret, kPurpose, values, head, body);
 }
 
 Result<ForwardedRequest> ReadForwardFields(const FleetSecret& secret,
                                            const HttpRequestHead& head,
                                            std::string_view body) {
-  const std::string_view forward = FieldValue(head.fields, kForwardField);
-  const std::string_view signature = FieldValue(head.fields, kSignatureField);
-  if (!secret.VerifyHex(kPurpose, SignedText(head, forward, body), signature)) {
-    return Fail(ErrorKind::kPeerRejected,
-                "the signature of the forwarded request does not match");
-  }
+  const Result<json> values = ReadSignedField(secret, kPurpose, head, body);
+  if (!values) return tl::unexpected(values.error());
   try {
-    const json fields = json::parse(forward);
     ForwardedRequest forwarded;
-    forwarded.id = RequestId(fields.at("id").get<std::string>());
+    forwarded.id = RequestId(values->at("id").get<std::string>());
     forwarded.workspace =
-        WorkspaceId(fields.at("workspace").get<std::string>());
-    forwarded.time_left = Duration(fields.at("left_us").get<Duration::rep>());
-    forwarded.weight = fields.at("weight").get<double>();
+        WorkspaceId(values->at("workspace").get<std::string>());
+    forwarded.time_left = Duration(values->at("left_us").get<Duration::rep>());
+    forwarded.weight = values->at("weight").get<double>();
     return forwarded;
   } catch (const json::exception& e) {
     return Fail(ErrorKind::kMalformedRequest,
--- a/sapphirebank/transport/forward_fields.h
+++ b/sapphirebank/transport/forward_fields.h
@@ -8,6 +8,7 @@
 #include "sapphirebank/core/time.h"
 #include "sapphirebank/transport/fleet_secret.h"
 #include "sapphirebank/transport/http_message.h"
+#include "sapphirebank/transport/signed_field.h"
 
 namespace sapphirebank {
 
@@ -20,14 +21,6 @@
   double weight = 1;      // Fair-queueing weight of the workspace.
 };
 
-// Header fields that entry hosts exchange.
-inline constexpr std::string_view kForwardField = "x-sapphirebank-forward";
-inline constexpr std::string_view kSignatureField = "x-sapphirebank-signature";
-// Set on answers that an entry host generated itself: the name of the
-// ErrorKind. Distinguishes a refusal by a host from an answer of a backend
-// server.
-inline constexpr std::string_view kRefusalField = "x-sapphirebank-refusal";
-
 // Adds `forwarded` and its signature to the header fields of `head`. The
 // signature covers method, target, the forward field and the body.
 void AddForwardFields(const FleetSecret& secret,
--- /dev/null
+++ b/unit_tests/fleet_host/entry_detour_test.cc
@@ -0,0 +1,139 @@
+#include <catch2/catch.hpp>
+#include <thread>
+
+#include "sapphirebank/transport/detour_fields.h"
+#include "sapphirebank/transport/signed_field.h"
+#include "unit_tests/fleet_host/entry_hosts.h"
+
+namespace sapphirebank {
+namespace {
+
+// Two entry hosts, of which the first reaches no server.
+struct CutOffHosts {
+  explicit CutOffHosts(ScriptedBackend::Script script = ScriptedBackend::Answer)
+      : backend(loop, std::move(script)),
+        sound(loop, "127.0.0.2"),
+        cut_off(loop, "127.0.0.1", sound.fleet_port()) {
+    sound.Update({backend.endpoint()}, {});
+    cut_off.Update(Closed(), {"127.0.0.2:80"});
+  }
+  std::vector<Endpoint> Closed() const {
+    return {closed[0].endpoint(), closed[1].endpoint(), closed[2].endpoint()};
+  }
+
+  LoopThread loop;
+  ClosedPort closed[3];
+  ScriptedBackend backend;
+  TestEntryHost sound;
+  TestEntryHost cut_off;
+};
+
+// Guards against callers of a host without a path that are refused although
+// other hosts reach the servers.
+TEST_CASE("requests at a host without a path are served through another one",
+          "[fleet_host]") {
+  CutOffHosts hosts;
+  for (int i = 0; i < 10; ++i) {
+    const HttpAnswer order =
+        hosts.cut_off.Send("/order/1", fmt::format("o{}", i));
+    CHECK(order.status == 200);
+    CHECK(order.body == "ran body");
+    CHECK(FieldValue(order.fields, "sapphirebank-server-stamp") == "stamp");
+    CHECK(FieldValue(order.fields, kServerField).empty());
+    CHECK(hosts.cut_off.Send("/lookup/1", fmt::format("l{}", i)).status == 200);
+  }
+  CHECK(hosts.backend.requests() == 20);
+  CHECK(hosts.cut_off.path_is_lost());
+  // Nothing is put down to servers that others reach.
+  CHECK(hosts.cut_off.TakeReport().outcomes.empty());
+  // The path is back.
+  hosts.cut_off.Update({hosts.backend.endpoint()}, {"127.0.0.2:80"});
+  for (int i = 0; i < 100 && hosts.cut_off.path_is_lost(); ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  const int detours = hosts.sound.detours();
+  CHECK(hosts.cut_off.Send("/order/1", "o20").status == 200);
+  CHECK(hosts.sound.detours() == detours);
+}
+
+// Guards against requests that go round between hosts without a path.
+TEST_CASE("a request is refused as not run when no host has a path",
+          "[fleet_host]") {
+  CutOffHosts hosts;
+  hosts.sound.Update(hosts.Closed(), {"127.0.0.1:80"});
+  for (const char* path : {"/order/1", "/lookup/1"}) {
+    for (int i = 0; i < 3; ++i) {
+      const HttpAnswer answer = hosts.cut_off.Send(path);
+      CHECK(answer.status == 503);
+      CHECK(FieldValue(answer.fields, kRefusalField).empty());
+    }
+  }
+  CHECK(hosts.cut_off.detours() == 0);
+  CHECK(hosts.backend.requests() == 0);
+}
+
+// Guards against 'not run' for a request that ran behind the second host.
+TEST_CASE("a request whose answer is lost behind another host is not repeated",
+          "[fleet_host]") {
+  CutOffHosts hosts([](const HttpRequest& request) {
+    HttpAnswer answer = ScriptedBackend::Answer(request);
+    answer.stream_length_known = true;
+    answer.stream_length = 1000;
+    struct Broken : BodyStream {
+      boost::asio::awaitable<Result<std::string>> Next() override {
+        co_return Fail(ErrorKind::kInternal, "cut");
+      }
+    };
+    answer.stream = std::make_shared<Broken>();
+    return answer;
+  });
+  CHECK(hosts.cut_off.Send("/order/1").status == 502);
+  CHECK(hosts.backend.requests() == 1);
+}
+
+// Guards against a newer plan that is not in force for requests that take a
+// detour.
+TEST_CASE("a host with an older plan does not handle requests of another one",
+          "[fleet_host]") {
+  CutOffHosts hosts;
+  hosts.cut_off.Update(hosts.Closed(), {"127.0.0.2:80"}, 2);
+  CHECK(hosts.cut_off.Send("/order/1").status == 503);
+  CHECK(hosts.sound.detours() == 1);
+  CHECK(hosts.backend.requests() == 0);
+  hosts.sound.Update({hosts.backend.endpoint()}, {}, 2);
+  std::this_thread::sleep_for(std::chrono::milliseconds(1100));
+  CHECK(hosts.cut_off.Send("/order/1").status == 200);
+}
+
+// Guards against a server that passes for an entry host.
+TEST_CASE("fields between entry hosts are not taken from a server's answer",
+          "[fleet_host]") {
+  CutOffHosts hosts([](const HttpRequest& request) {
+    HttpAnswer answer = ScriptedBackend::Answer(request);
+    answer.fields.push_back({std::string(kRefusalField), "queue_full"});
+    return answer;
+  });
+  CHECK(hosts.cut_off.Send("/order/1").status == 200);
+  CHECK(hosts.backend.requests() == 1);
+}
+
+// Guards against a failing server that goes unnoticed because its failures are
+// taken for those of the path.
+TEST_CASE("a server that refuses connections is put down to the server",
+          "[fleet_host]") {
+  LoopThread loop;
+  const ClosedPort closed;
+  ScriptedBackend backend(loop);
+  TestEntryHost host(loop, "127.0.0.1");
+  host.Update({closed.endpoint(), backend.endpoint(), backend.endpoint()}, {});
+  for (int i = 0; i < 20; ++i) {
+    CHECK(host.Send("/lookup/1", fmt::format("q{}", i)).status == 200);
+  }
+  CHECK_FALSE(host.path_is_lost());
+  const EntryReport report = host.TakeReport();
+  REQUIRE(report.outcomes.contains(BackendId("s0")));
+  CHECK(report.outcomes.at(BackendId("s0")).hard_failures > 0);
+}
+
+}  // namespace
+}  // namespace sapphirebank
--- /dev/null
+++ b/unit_tests/fleet_host/entry_hosts.h
@@ -0,0 +1,211 @@
+#pragma once
+
+#include <fmt/format.h>
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "platform/plan_codec.h"
+#include "platform/request_codec.h"
+#include "programs/fleet_host/entry_request_handler.h"
+#include "sapphirebank/core/compression.h"
+#include "sapphirebank/transport/http_server.h"
+#include "sapphirebank/transport/process_clock.h"
+#include "unit_tests/fleet/fleet_fixtures.h"
+#include "unit_tests/transport/loop_thread.h"
+
+namespace sapphirebank {
+
+// A backend server at a loopback address that answers by a script.
+class ScriptedBackend {
+ public:
+  using Script = std::function<HttpAnswer(const HttpRequest&)>;
+
+  explicit ScriptedBackend(LoopThread& loop, Script script = Answer)
+      : script_(std::move(script)) {
+    HttpServer::Hooks hooks;
+    hooks.accept_head = [](const HttpRequestHead&) -> Result<std::uint64_t> {
+      return std::uint64_t{1} << 20U;
+    };
+    hooks.handle =
+        [this](HttpRequest request) -> boost::asio::awaitable<HttpAnswer> {
+      ++requests_;
+      co_return script_(request);
+    };
+    server_.emplace(
+        HttpServer::Listen(loop.loop(), HttpServerSettings(), std::move(hooks))
+            .value());
+  }
+
+  int requests() const { return requests_; }
+  Endpoint endpoint() const { return {"127.0.0.1", server_->port()}; }
+
+  // Answers with status 200 and the body of the request.
+  static HttpAnswer Answer(const HttpRequest& request) {
+    HttpAnswer answer;
+    answer.fields.push_back(
+        {"sapphirebank-request-id",
+         std::string(
+             FieldValue(request.head.fields, "sapphirebank-request-id"))});
+    answer.fields.push_back({"sapphirebank-server-stamp", "stamp"});
+    answer.body = "ran " + request.body;
+    return answer;
+  }
+
+ private:
+  Script script_;
+  std::atomic<int> requests_ = 0;
+  std::optional<HttpServer> server_;
+};
+
+// An entry host without its links: the part that handles requests, with a port
+// for those of other entry hosts. It chooses servers itself.
+class TestEntryHost {
+ public:
+  // `fleet_port` is 0 for any; all hosts of a test use the same.
+  TestEntryHost(LoopThread& loop, const std::string& ip,
+                std::uint16_t fleet_port = 0)
+      : loop_(loop) {
+    HttpServerSettings settings;
+    settings.ip = ip;
+    settings.port = fleet_port;
+    HttpServer::Hooks hooks;
+    hooks.accept_head = [](const HttpRequestHead&) -> Result<std::uint64_t> {
+      return std::uint64_t{1} << 20U;
+    };
+    hooks.handle = [this](HttpRequest request) {
+      ++detours_;
+      return handler_->HandleDetour(std::move(request));
+    };
+    server_.emplace(
+        HttpServer::Listen(loop.loop(), settings, std::move(hooks)).value());
+    log_ = LogWriter::Create({.host = ip}, WallNow, [](std::string_view) {
+           }).value();
+    metrics_ = FleetMetrics::Create({HostId(ip), ZoneId("kochi")}).value();
+    EntryState::Hooks state_hooks;
+    state_hooks.report_now = [] {};
+    state_hooks.request_server = [](std::uint64_t, const DispatchQuery&) {
+      return false;
+    };
+    state_hooks.end_assignment = [](std::uint64_t, AssignmentOutcome) {};
+    state_ = std::make_unique<EntryState>(
+        loop.loop(), ReadPlanDocument,
+        ServerPathMonitor::Create(ServerPathSettings()).value(),
+        std::chrono::seconds(60), 60, ZoneId("kochi"), 1,
+        std::move(state_hooks));
+    handler_ = std::make_unique<EntryRequestHandler>(
+        loop.loop(), *state_, PlatformEntryCodec(),
+        Endpoint{ip, server_->port()}, FleetSecret("secret"), *log_, *metrics_);
+  }
+
+  std::uint16_t fleet_port() const { return server_->port(); }
+  int detours() const { return detours_; }
+
+  // Tells the host the plan, the addresses of its servers and the entry hosts
+  // that it may send requests to.
+  void Update(const std::vector<Endpoint>& servers,
+              std::vector<std::string> detour_hosts, int plan_version = 1) {
+    FleetUpdate update;
+    update.full_registry = true;
+    for (const Endpoint& server : servers) {
+      ServerAnnouncement announcement =
+          MakeServer(fmt::format("s{}", update.servers.size()));
+      announcement.endpoint = server;
+      update.servers.push_back({announcement});
+    }
+    PlanUpdate plan;
+    plan.version = static_cast<PlanVersion>(plan_version);
+    plan.compressed_text = Compress(PlanText(plan_version));
+    update.plan = std::move(plan);
+    update.shared_state = true;
+    update.detour_hosts = std::move(detour_hosts);
+    RunOnLoop([&] {
+      const Instant now = MonotonicNow();
+      return state_->Apply(now, now, update).has_value();
+    });
+  }
+
+  // Handles a caller's request. Paths below /order/ must run once.
+  HttpAnswer Send(const std::string& path, const std::string& id = "q1") {
+    HttpRequest request;
+    request.head = {path.starts_with("/order/") ? "POST" : "GET",
+                    path,
+                    {{"host", "desk.example"},
+                     {"sapphirebank-request-id", id},
+                     {"sapphirebank-deadline-ms", "2000"}}};
+    if (request.head.method == "POST") request.body = "body";
+    request.watch = std::make_shared<CallerWatch>();
+    return loop_.Run(handler_->Handle(std::move(request)));
+  }
+
+  // Returns the report to the hub since the last one.
+  EntryReport TakeReport() {
+    EntryReport report;
+    RunOnLoop([&] {
+      state_->FillReport(report, false);
+      return true;
+    });
+    return report;
+  }
+
+  bool path_is_lost() {
+    return RunOnLoop([&] { return state_->path().IsLost(); });
+  }
+
+ private:
+  bool RunOnLoop(std::function<bool()> work) {
+    return loop_.Run(Invoke(std::move(work)));
+  }
+  static boost::asio::awaitable<bool> Invoke(std::function<bool()> work) {
+    co_return work();
+  }
+
+  static std::string PlanText(int version) {
+    const auto route = [](const char* prefix, const char* kind) {
+      return nlohmann::json{{"host", "desk.example"}, {"pathPrefix", prefix},
+                            {"kind", kind},           {"timeout", "2s"},
+                            {"targetLatency", "1s"},  {"service", "desk"},
+                            {"maxAttempts", 3}};
+    };
+    return nlohmann::json{
+        {"version", fmt::format("r{}", version)},
+        {"routes",
+         {{"lookup", route("/lookup/", "safe")},
+          {"order", route("/order/", "unsafe")}}},
+        {"services", {{"desk", {{"warmup", "1s"}, {"warmupPerS", 5}}}}},
+        {"limits", {{"idleTimeout", "15s"}}}}
+        .dump();
+  }
+
+  LoopThread& loop_;
+  std::atomic<int> detours_ = 0;
+  std::optional<HttpServer> server_;
+  std::unique_ptr<LogWriter> log_;
+  std::unique_ptr<FleetMetrics> metrics_;
+  std::unique_ptr<EntryState> state_;
+  std::unique_ptr<EntryRequestHandler> handler_;
+};
+
+// An address that refuses connections.
+class ClosedPort {
+ public:
+  ClosedPort() : socket_(loop_) {
+    socket_.open(boost::asio::ip::tcp::v4());
+    socket_.bind({boost::asio::ip::address_v4::loopback(), 0});
+  }
+  Endpoint endpoint() const {
+    return {"127.0.0.1", socket_.local_endpoint().port()};
+  }
+
+ private:
+  boost::asio::io_context loop_;
+  boost::asio::ip::tcp::socket socket_;
+};
+
+}  // namespace sapphirebank
