A busy link is not taken for a lost path

Cause: a timeout that does not know what it waits for. Ruled out: the processor of entry hosts (0.0096 of 0.1 cores) and the bound of 32 requests.

Change: a round of probes also connects to the entry hosts that requests would be sent to. When one of those has accepted, the link is free, and the servers have 0.1 s more; without one, the round lasts a second. Requests wait 0.2 s at most for it. Connections between entry hosts have 0.4 s. Hosts take turns in the detours, and a host obeys a departure that a server told behind another host: its id was removed with the fields between hosts before it was read ("a host obeys what a server said behind another host" sends a second request there without that).

Not checked: how often paths are still judged lost without a cut.

--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -242,7 +242,10 @@
   }
   context.may_have_run = true;
   StripConnectionFields(answer.fields);
-  if (context.detour) MarkServerAnswer(answer, server.state.announcement.id);
+  if (context.detour) {
+    const BackendId& id = server.state.announcement.id;
+    answer.fields.push_back({std::string(kServerField), id.value()});
+  }
   const bool failed = answer.status >= kFirstServerError;
   attempt.assignment_outcome =
       failed ? AssignmentOutcome::kFailed : AssignmentOutcome::kServed;
--- a/programs/fleet_host/entry_request_detour.cc
+++ b/programs/fleet_host/entry_request_detour.cc
@@ -14,8 +14,8 @@
 
 namespace asio = boost::asio;
 
-// Entry hosts are a few milliseconds apart.
-constexpr Duration kDetourConnectTimeout = std::chrono::milliseconds(100);
+// Entry hosts are a few milliseconds apart, but a link may be busy with a body.
+constexpr Duration kDetourConnectTimeout = std::chrono::milliseconds(400);
 
 // The other host answers at the request's deadline; its answer takes this time.
 constexpr Duration kDetourSlack = std::chrono::milliseconds(20);
@@ -41,7 +41,6 @@
                {{"cause", detour.error().detail}});
     co_return RefuseNotRun(context, detour.error().kind);
   }
-  RemoveSignedField(head.fields);
   context.attempts_received = detour->attempts_received;
   context.may_have_run = detour->may_have_run;
   context.charge_retry_budget = detour->is_retry;
@@ -52,16 +51,6 @@
   co_return co_await Serve(context);
 }
 
-// Names the server to the host that sent the request here. What the server may
-// have put into the fields between entry hosts is removed.
-void EntryRequestHandler::MarkServerAnswer(HttpAnswer& answer,
-                                           const BackendId& server) {
-  std::erase_if(answer.fields, [](const HeaderField& field) {
-    return field.name == kRefusalField || field.name == kServerField;
-  });
-  answer.fields.push_back({std::string(kServerField), server.value()});
-}
-
 bool EntryRequestHandler::ShouldDetour(const RequestContext& context) const {
   DetourQuery query;
   query.path_is_lost = state_.path().IsLost();
@@ -70,9 +59,7 @@
   query.must_not_run_again = context.may_have_run && !context.route->idempotent;
   query.detours_tried = static_cast<int>(context.detour_hosts.size());
   return TakesDetour(query) &&
-         !state_.detour_hosts()
-              .Choose(MonotonicNow(), context.detour_hosts)
-              .empty();
+         state_.detour_hosts().HasOne(MonotonicNow(), context.detour_hosts);
 }
 
 HttpExchange EntryRequestHandler::MakeDetour(const RequestContext& context,
@@ -93,7 +80,6 @@
   detour.has_token = !context.needs_token;
   HttpRequestHead head = context.request.head;
   StripConnectionFields(head.fields);
-  RemoveSignedField(head.fields);
   AddDetourFields(secret_, detour, head, context.request.body);
   exchange.method = std::move(head.method);
   exchange.target = std::move(head.target);
@@ -120,7 +106,7 @@
     RequestContext& context, AttemptResult& last) {
   const Instant now = MonotonicNow();
   const std::string host =
-      state_.detour_hosts().Choose(now, context.detour_hosts);
+      state_.detour_hosts().Take(now, context.detour_hosts);
   context.detour_hosts.push_back(host);
   HttpExchange exchange = MakeDetour(context, host, now);
   // Only idempotent requests are aborted when the caller disconnects.
@@ -164,14 +150,12 @@
   HttpAnswer answer = std::move(std::get<HttpAnswer>(result.outcome));
   const std::string refusal(FieldValue(answer.fields, kRefusalField));
   if (refusal.empty()) {
-    StripConnectionFields(answer.fields);
     const BackendId id(std::string(FieldValue(answer.fields, kServerField)));
     const KnownServerPtr server = state_.view().Find(id);
     const BackendResponseInfo info = codec_.read_response_info(answer, now);
+    // The caller gets the answer from this host, which is bound by it as well.
     if (server && info.leaving) state_.RecordLeaving(now, *server);
-    std::erase_if(answer.fields, [](const HeaderField& field) {
-      return field.name == kServerField;
-    });
+    StripConnectionFields(answer.fields);
     return answer;
   }
   const ErrorKind kind =
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -43,8 +43,9 @@
 
 EntryRequestHandler::EntryRequestHandler(asio::io_context& loop,
                                          EntryState& state, EntryCodec codec,
-                                         Endpoint self, FleetSecret secret,
-                                         LogWriter& log, FleetMetrics& metrics)
+                                         const Endpoint& self,
+                                         FleetSecret secret, LogWriter& log,
+                                         FleetMetrics& metrics)
     : state_(state),
       codec_(std::move(codec)),
       log_(log),
@@ -54,7 +55,7 @@
       secret_(std::move(secret)),
       fleet_port_(self.port),
       client_(loop, ClientSettings()),
-      path_prober_(loop, state, client_, log, RandomSeed()) {}
+      path_prober_(loop, state, client_, self.port, log, RandomSeed()) {}
 
 Result<std::uint64_t> EntryRequestHandler::AcceptHead(
     const HttpRequestHead& /*head*/) const {
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -25,8 +25,9 @@
   // `self` is the address at which this host gets requests of other entry
   // hosts.
   EntryRequestHandler(boost::asio::io_context& loop, EntryState& state,
-                      EntryCodec codec, Endpoint self, FleetSecret secret,
-                      LogWriter& log, FleetMetrics& metrics);
+                      EntryCodec codec, const Endpoint& self,
+                      FleetSecret secret, LogWriter& log,
+                      FleetMetrics& metrics);
 
   // Returns the maximum size of the request body in bytes: that of the plan, or
   // the default before a plan is in force.
@@ -89,7 +90,6 @@
       RequestContext& context, AttemptResult& last);
   HttpExchange MakeDetour(const RequestContext& context,
                           const std::string& host, Instant now) const;
-  static void MarkServerAnswer(HttpAnswer& answer, const BackendId& server);
   std::optional<HttpAnswer> ClassifyDetour(RequestContext& context,
                                            ExchangeResult result,
                                            const std::string& host,
--- a/programs/fleet_host/server_path_prober.cc
+++ b/programs/fleet_host/server_path_prober.cc
@@ -28,19 +28,26 @@
 
 // Connections that are being opened in parallel.
 struct ServerPathProber::Round {
-  explicit Round(asio::io_context& loop) : done(loop) {}
+  Round(asio::io_context& loop, std::size_t servers, Instant end)
+      : changed(loop), pending(servers), deadline(end) {}
 
-  asio::steady_timer done;  // Cancelled by the first success or last failure.
-  std::size_t pending = 0;
+  bool IsDecided(Instant now) const {
+    return connected || pending == 0 || now >= deadline;
+  }
+
+  asio::steady_timer changed;  // Cancelled when something below has changed.
+  std::size_t pending;         // Servers whose answer is awaited.
   bool connected = false;
+  Instant deadline;
 };
 
 ServerPathProber::ServerPathProber(asio::io_context& loop, EntryState& state,
-                                   HttpClient& client, LogWriter& log,
-                                   std::uint64_t seed)
+                                   HttpClient& client, std::uint16_t fleet_port,
+                                   LogWriter& log, std::uint64_t seed)
     : loop_(loop),
       state_(state),
       client_(client),
+      fleet_port_(fleet_port),
       log_(log),
       random_(seed),
       verdict_(loop),
@@ -49,7 +56,7 @@
 void ServerPathProber::Start() {
   if (is_running_ || !state_.path().NeedsProbes()) return;
   is_running_ = true;
-  verdict_.expires_after(2 * state_.path().settings().probe_timeout);
+  verdict_.expires_after(state_.path().settings().max_verdict_wait);
   asio::co_spawn(loop_, Run(), asio::detached);
 }
 
@@ -86,23 +93,44 @@
 // Connects to several servers at once. Returns whether one of them accepted, or
 // false when there is none to try.
 asio::awaitable<bool> ServerPathProber::ProbeServers() {
-  const std::vector<Endpoint> servers = ChooseServers(MonotonicNow());
-  const auto round = std::make_shared<Round>(loop_);
-  round->pending = servers.size();
-  round->done.expires_after(2 * state_.path().settings().probe_timeout);
+  const Instant now = MonotonicNow();
+  const std::vector<Endpoint> servers = ChooseServers(now);
+  const auto round = std::make_shared<Round>(
+      loop_, servers.size(), now + state_.path().settings().probe_timeout);
   for (const Endpoint& server : servers) {
-    asio::co_spawn(loop_, Probe(server, round), asio::detached);
+    asio::co_spawn(loop_, ProbeServer(server, round), asio::detached);
+  }
+  for (const std::string& host : state_.detour_hosts().hosts()) {
+    auto endpoint = EndpointFromString(host);
+    if (!endpoint) continue;
+    endpoint->port = fleet_port_;
+    asio::co_spawn(loop_, ProbeReference(*endpoint, round), asio::detached);
+  }
+  while (!round->IsDecided(MonotonicNow())) {
+    round->changed.expires_after(round->deadline - MonotonicNow());
+    co_await Await(round->changed);
   }
-  if (!servers.empty()) co_await Await(round->done);
   co_return round->connected;
 }
 
-asio::awaitable<void> ServerPathProber::Probe(Endpoint server,
-                                              std::shared_ptr<Round> round) {
+asio::awaitable<void> ServerPathProber::ProbeServer(
+    Endpoint server, std::shared_ptr<Round> round) {
   const bool connected = co_await client_.OpenIdleConnection(
       server, state_.path().settings().probe_timeout);
   round->connected = round->connected || connected;
-  if (--round->pending == 0 || connected) round->done.cancel();
+  --round->pending;
+  round->changed.cancel();
+}
+
+asio::awaitable<void> ServerPathProber::ProbeReference(
+    Endpoint host, std::shared_ptr<Round> round) {
+  const ServerPathSettings& settings = state_.path().settings();
+  if (!co_await client_.OpenIdleConnection(host, settings.probe_timeout)) {
+    co_return;
+  }
+  round->deadline =
+      std::min(round->deadline, MonotonicNow() + settings.reference_grace);
+  round->changed.cancel();
 }
 
 // Returns random servers, those that this host does not avoid first.
--- a/programs/fleet_host/server_path_prober.h
+++ b/programs/fleet_host/server_path_prober.h
@@ -14,12 +14,14 @@
 namespace sapphirebank {
 
 // Verifies an entry host's path to the backend servers with new connections, so
-// that no caller waits for it. The connections are kept for requests. Not
-// thread-safe: all calls must come from the thread of its event loop.
+// that no caller waits for it. Connections to other entry hosts tell a lost
+// path from a busy link. All are kept for requests. Not thread-safe: all calls
+// must come from the thread of its event loop.
 class ServerPathProber {
  public:
   ServerPathProber(boost::asio::io_context& loop, EntryState& state,
-                   HttpClient& client, LogWriter& log, std::uint64_t seed);
+                   HttpClient& client, std::uint16_t fleet_port, LogWriter& log,
+                   std::uint64_t seed);
 
   // Probes servers until the path is known to be sound. Call after an attempt
   // has failed; no effect while probes run or none are needed.
@@ -37,8 +39,10 @@
 
   boost::asio::awaitable<void> Run();
   boost::asio::awaitable<bool> ProbeServers();
-  boost::asio::awaitable<void> Probe(Endpoint server,
-                                     std::shared_ptr<Round> round);
+  boost::asio::awaitable<void> ProbeServer(Endpoint server,
+                                           std::shared_ptr<Round> round);
+  boost::asio::awaitable<void> ProbeReference(Endpoint host,
+                                              std::shared_ptr<Round> round);
   std::vector<Endpoint> ChooseServers(Instant now);
   void LogVerdict(bool was_lost);
   void WatchSilence();
@@ -46,6 +50,7 @@
   boost::asio::io_context& loop_;
   EntryState& state_;
   HttpClient& client_;
+  std::uint16_t fleet_port_;
   LogWriter& log_;
   Random random_;
   bool is_running_ = false;
--- a/sapphirebank/fleet/detour_hosts.cc
+++ b/sapphirebank/fleet/detour_hosts.cc
@@ -61,16 +61,25 @@
          query.unreachable_attempts >= kMaxUnreachableAttempts;
 }
 
-std::string DetourHosts::Choose(Instant now,
-                                std::span<const std::string> tried) const {
-  const auto was_tried = [&](const std::string& host) {
-    return std::find(tried.begin(), tried.end(), host) != tried.end();
-  };
-  for (const std::string& host : hosts_) {
-    const auto failed = avoid_until_.find(host);
-    const bool is_avoided =
-        failed != avoid_until_.end() && now < failed->second;
-    if (!is_avoided && !was_tried(host)) return host;
+bool DetourHosts::IsUsable(Instant now, std::span<const std::string> tried,
+                           const std::string& host) const {
+  const auto failed = avoid_until_.find(host);
+  const bool is_avoided = failed != avoid_until_.end() && now < failed->second;
+  return !is_avoided &&
+         std::find(tried.begin(), tried.end(), host) == tried.end();
+}
+
+bool DetourHosts::HasOne(Instant now,
+                         std::span<const std::string> tried) const {
+  return std::any_of(
+      hosts_.begin(), hosts_.end(),
+      [&](const std::string& host) { return IsUsable(now, tried, host); });
+}
+
+std::string DetourHosts::Take(Instant now, std::span<const std::string> tried) {
+  for (std::size_t i = 0; i < hosts_.size(); ++i) {
+    const std::string& host = hosts_[next_++ % hosts_.size()];
+    if (IsUsable(now, tried, host)) return host;
   }
   return std::string();
 }
--- a/sapphirebank/fleet/detour_hosts.h
+++ b/sapphirebank/fleet/detour_hosts.h
@@ -57,16 +57,25 @@
  public:
   void Set(std::vector<std::string> hosts) { hosts_ = std::move(hosts); }
 
-  // Returns the host for the next request that is not among `tried`: the best
-  // one that has not failed a short while ago. Returns an empty string without
-  // any.
-  std::string Choose(Instant now, std::span<const std::string> tried) const;
+  const std::vector<std::string>& hosts() const { return hosts_; }
+
+  // Returns whether there is a host that is not among `tried` and has not
+  // failed a short while ago.
+  bool HasOne(Instant now, std::span<const std::string> tried) const;
+
+  // Returns such a host for the next request, in turn, or an empty string
+  // without any.
+  std::string Take(Instant now, std::span<const std::string> tried);
 
   // Records that a host could not be reached or could not help.
   void RecordFailure(Instant now, const std::string& host);
 
  private:
+  bool IsUsable(Instant now, std::span<const std::string> tried,
+                const std::string& host) const;
+
   std::vector<std::string> hosts_;
+  std::size_t next_ = 0;
   std::map<std::string, Instant> avoid_until_;
 };
 
--- a/sapphirebank/fleet/server_path_monitor.h
+++ b/sapphirebank/fleet/server_path_monitor.h
@@ -37,8 +37,14 @@
   // Servers that a round of probes connects to. One reachable server shows that
   // the path is sound; a single one may be down itself.
   std::size_t probes_per_round = 3;
-  // Time for a probe to connect: hosts of a site are 1 to 2 ms apart.
-  Duration probe_timeout = std::chrono::milliseconds(100);
+  // Longest time for a probe to connect. Hosts of a site are 1 to 2 ms apart,
+  // but a body of some 100 KB keeps the link of a small host busy for a second.
+  Duration probe_timeout = std::chrono::seconds(1);
+  // Once another entry host has accepted a connection that was opened with the
+  // probes, so that the link is known to be free, the servers have this time.
+  Duration reference_grace = std::chrono::milliseconds(100);
+  // Longest time that a request waits until the path is known.
+  Duration max_verdict_wait = std::chrono::milliseconds(200);
   // Time between rounds while the path is lost, and until the round that
   // confirms that it is back.
   Duration probe_period = std::chrono::milliseconds(300);
--- a/sapphirebank/transport/signed_field.cc
+++ b/sapphirebank/transport/signed_field.cc
@@ -3,7 +3,6 @@
 #include <fmt/format.h>
 
 #include <string>
-#include <vector>
 
 #include "sapphirebank/request/route_table.h"
 
@@ -48,10 +47,4 @@
   }
 }
 
-void RemoveSignedField(HeaderFields& fields) {
-  std::erase_if(fields, [](const HeaderField& field) {
-    return field.name == kForwardField || field.name == kSignatureField;
-  });
-}
-
 }  // namespace sapphirebank
--- a/sapphirebank/transport/signed_field.h
+++ b/sapphirebank/transport/signed_field.h
@@ -9,7 +9,8 @@
 
 namespace sapphirebank {
 
-// Header fields that entry hosts exchange.
+// Header fields that entry hosts exchange; StripConnectionFields() removes
+// them.
 inline constexpr std::string_view kForwardField = "x-sapphirebank-forward";
 inline constexpr std::string_view kSignatureField = "x-sapphirebank-signature";
 // Set on answers that an entry host generated itself: the name of the
@@ -32,7 +33,4 @@
                                        const HttpRequestHead& head,
                                        std::string_view body);
 
-// Removes both fields.
-void RemoveSignedField(HeaderFields& fields);
-
 }  // namespace sapphirebank
--- a/unit_tests/fleet/detour_hosts_test.cc
+++ b/unit_tests/fleet/detour_hosts_test.cc
@@ -20,6 +20,7 @@
 // Hosts of a zone, of which the first `lost` have lost their path.
 std::vector<ReadyHost> MakeHosts(const std::string& zone, int count, int lost) {
   std::vector<ReadyHost> hosts;
+  hosts.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     hosts.push_back(
         {fmt::format("{}-{}:80", zone, i), ZoneId(zone), i >= lost});
@@ -86,14 +87,20 @@
 
 TEST_CASE("a host that could not help is avoided for a while", "[fleet]") {
   DetourHosts hosts;
-  CHECK(hosts.Choose(kStart, {}).empty());
+  CHECK_FALSE(hosts.HasOne(kStart, {}));
+  CHECK(hosts.Take(kStart, {}).empty());
   hosts.Set({"a", "b"});
-  CHECK(hosts.Choose(kStart, {}) == "a");
+  const std::string first = hosts.Take(kStart, {});
+  CHECK(hosts.Take(kStart, {}) != first);
   const std::vector<std::string> tried = {"a"};
-  CHECK(hosts.Choose(kStart, tried) == "b");
+  CHECK(hosts.Take(kStart, tried) == "b");
   hosts.RecordFailure(kStart, "a");
-  CHECK(hosts.Choose(kStart + milliseconds(900), {}) == "b");
-  CHECK(hosts.Choose(kStart + seconds(1), {}) == "a");
+  for (int i = 0; i < 3; ++i) {
+    CHECK(hosts.Take(kStart + milliseconds(900), {}) == "b");
+  }
+  const std::vector<std::string> other = {"b"};
+  CHECK_FALSE(hosts.HasOne(kStart + milliseconds(900), other));
+  CHECK(hosts.HasOne(kStart + seconds(1), other));
 }
 
 // Guards against hosts that go on sending requests to one that has lost its
--- a/unit_tests/fleet_host/entry_detour_test.cc
+++ b/unit_tests/fleet_host/entry_detour_test.cc
@@ -48,9 +48,7 @@
   CHECK(hosts.cut_off.TakeReport().outcomes.empty());
   // The path is back.
   hosts.cut_off.Update({hosts.backend.endpoint()}, {"127.0.0.2:80"});
-  for (int i = 0; i < 100 && hosts.cut_off.path_is_lost(); ++i) {
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-  }
+  hosts.cut_off.AwaitPath();
   const int detours = hosts.sound.detours();
   CHECK(hosts.cut_off.Send("/order/1", "o20").status == 200);
   CHECK(hosts.sound.detours() == detours);
@@ -117,6 +115,22 @@
   CHECK(hosts.backend.requests() == 1);
 }
 
+// Guards against requests at a server that said that it leaves in an answer
+// that took a detour.
+TEST_CASE("a host obeys what a server said behind another host",
+          "[fleet_host]") {
+  CutOffHosts hosts([](const HttpRequest& request) {
+    HttpAnswer answer = ScriptedBackend::Answer(request);
+    answer.fields.push_back({"server-leaving", "1"});
+    return answer;
+  });
+  CHECK(hosts.cut_off.Send("/order/1").status == 200);
+  hosts.cut_off.Update({hosts.backend.endpoint()}, {});
+  hosts.cut_off.AwaitPath();
+  CHECK(hosts.cut_off.Send("/order/2", "q2").status == 503);
+  CHECK(hosts.backend.requests() == 1);
+}
+
 // Guards against a failing server that goes unnoticed because its failures are
 // taken for those of the path.
 TEST_CASE("a server that refuses connections is put down to the server",
--- a/unit_tests/fleet_host/entry_hosts.h
+++ b/unit_tests/fleet_host/entry_hosts.h
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -154,6 +155,13 @@
     return report;
   }
 
+  // Waits at most two seconds until the path is not lost.
+  void AwaitPath() {
+    for (int i = 0; i < 100 && path_is_lost(); ++i) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+  }
+
   bool path_is_lost() {
     return RunOnLoop([&] { return state_->path().IsLost(); });
   }
--- a/unit_tests/transport/detour_fields_test.cc
+++ b/unit_tests/transport/detour_fields_test.cc
@@ -39,7 +39,7 @@
   CHECK(read->may_have_run);
   CHECK(read->is_retry);
   CHECK(read->has_token);
-  RemoveSignedField(head.fields);
+  StripConnectionFields(head.fields);
   CHECK(head.fields.size() == 1);
 }
 
