Callers are sent to entry hosts that reach servers while those are enough

What callers saw: hosts without a path stayed listed, so that each of their requests used the links of two entry hosts.

The list for callers knew whether a host is ready, not whether it reaches servers.

Change: the list leaves out hosts without a path as long as the others get at most four times their usual requests; beyond that all are listed, and the bound on detours holds. Such hosts stay ready: open connections and callers with an old answer are served by detours.

Test: "callers are sent to hosts with a path while those are enough".

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "sapphirebank/consensus/posix_file_system.h"
+#include "sapphirebank/fleet/detour_hosts.h"
 #include "sapphirebank/transport/process_clock.h"
 
 namespace sapphirebank {
@@ -365,7 +366,7 @@
   if (ready_hosts_ == listed_hosts_) return;
   listed_hosts_ = ready_hosts_;
   auto addresses = std::make_shared<AddressesByZone>();
-  for (const ReadyHost& host : listed_hosts_) {
+  for (const ReadyHost& host : HostsForCallers(listed_hosts_)) {
     (*addresses)[host.zone].push_back(host.address);
   }
   std::atomic_store(&published_addresses_,
--- a/sapphirebank/fleet/detour_hosts.cc
+++ b/sapphirebank/fleet/detour_hosts.cc
@@ -1,6 +1,7 @@
 #include "sapphirebank/fleet/detour_hosts.h"
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 
 #include "sapphirebank/core/hash.h"
@@ -11,6 +12,10 @@
 // Hosts without a path for which one host of their zone stands in.
 constexpr std::size_t kMaxLostPerHost = 3;
 
+// Callers are not sent to the sound hosts alone when those would get more than
+// this many times their usual requests.
+constexpr std::size_t kMaxLoadFactor = 4;
+
 // A host that failed is avoided for this time. The hub's list follows within a
 // second.
 constexpr Duration kFailedHostBackoff = std::chrono::seconds(1);
@@ -54,6 +59,14 @@
   return hosts;
 }
 
+std::vector<ReadyHost> HostsForCallers(std::span<const ReadyHost> ready) {
+  std::vector<ReadyHost> sound;
+  std::copy_if(ready.begin(), ready.end(), std::back_inserter(sound),
+               [](const ReadyHost& host) { return host.reaches_servers; });
+  if (sound.size() * kMaxLoadFactor >= ready.size()) return sound;
+  return {ready.begin(), ready.end()};
+}
+
 bool TakesDetour(const DetourQuery& query) {
   if (query.came_by_detour || query.must_not_run_again) return false;
   if (query.detours_tried >= kMaxDetours) return false;
--- a/sapphirebank/fleet/detour_hosts.h
+++ b/sapphirebank/fleet/detour_hosts.h
@@ -37,6 +37,10 @@
                                            const ReadyHost& self,
                                            std::size_t count);
 
+// Returns the hosts of `ready` that are listed to callers: those that reach the
+// servers while they are enough to serve all callers, otherwise all.
+std::vector<ReadyHost> HostsForCallers(std::span<const ReadyHost> ready);
+
 // State of a request that decides whether it is sent to another entry host.
 struct DetourQuery {
   bool path_is_lost = false;
--- a/unit_tests/fleet/detour_hosts_test.cc
+++ b/unit_tests/fleet/detour_hosts_test.cc
@@ -103,6 +103,15 @@
   CHECK(hosts.HasOne(kStart + seconds(1), other));
 }
 
+// Guards against callers that are all sent to the few hosts with a path.
+TEST_CASE("callers are sent to hosts with a path while those are enough",
+          "[fleet]") {
+  CHECK(HostsForCallers(MakeHosts("kochi", 8, 0)).size() == 8);
+  CHECK(HostsForCallers(MakeHosts("kochi", 8, 6)).size() == 2);
+  CHECK(HostsForCallers(MakeHosts("kochi", 8, 7)).size() == 8);
+  CHECK(HostsForCallers({}).empty());
+}
+
 // Guards against hosts that go on sending requests to one that has lost its
 // path too.
 TEST_CASE("entry hosts are told at once which hosts have lost their path",
