One odd entry no longer makes hosts refuse the messages that carry it

Cause: two places with different ideas of what is valid. The codec at the door let through what the codec between hosts refuses, and that one refuses a message, not an entry. The same class: slots were cut to 32 bits, port 0 and addresses that are no IP number were accepted, and a sequence or start time near 2^63 kept out the true entries of that server.

Change: CheckAnnouncement states the ranges once, next to the type, and the door refuses with 400 what it does not allow; ParseDocument bounds the depth of heartbeats, leave calls and plans.

Evidence: "an entry that is accepted is read by all hosts of the fleet" and "deeply nested documents are refused" fail on the code before (the former with the text above) and pass now. Open: messages between hosts are CBOR, read by recursion; who reaches the fleet port can send a deep one before the handshake.

--- a/sapphirebank/core/endpoint.cc
+++ b/sapphirebank/core/endpoint.cc
@@ -1,5 +1,6 @@
 #include "sapphirebank/core/endpoint.h"
 
+#include <arpa/inet.h>
 #include <fmt/format.h>
 
 #include <charconv>
@@ -13,6 +14,12 @@
   return fmt::format("[{}]:{}", endpoint.ip, endpoint.port);
 }
 
+bool IsIpNumber(const std::string& text) {
+  in6_addr address{};
+  return ::inet_pton(AF_INET, text.c_str(), &address) == 1 ||
+         ::inet_pton(AF_INET6, text.c_str(), &address) == 1;
+}
+
 Result<Endpoint> EndpointFromString(std::string_view text) {
   const auto colon = text.rfind(':');
   Endpoint endpoint;
--- a/sapphirebank/core/endpoint.h
+++ b/sapphirebank/core/endpoint.h
@@ -19,6 +19,9 @@
 // Returns "ip:port", with brackets around an IPv6 number.
 std::string ToString(const Endpoint& endpoint);
 
+// Returns whether `text` is an IP number, version 4 or 6.
+bool IsIpNumber(const std::string& text);
+
 // Reads what ToString() wrote. Fails with kMalformedRequest.
 Result<Endpoint> EndpointFromString(std::string_view text);
 
--- a/sapphirebank/core/json_read.h
+++ b/sapphirebank/core/json_read.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
+#include <string_view>
 
 #include "sapphirebank/core/time.h"
 
@@ -14,6 +15,23 @@
 // std::out_of_range or nlohmann's exceptions on anything unfit; the codec that
 // calls them turns these into an Error.
 
+// Depth of nesting up to which documents of other parties are read. Copying and
+// writing such a document takes a stack frame for each level.
+inline constexpr int kMaxDocumentDepth = 32;
+
+// Parses a document of another party. Throws nlohmann's parse error, or
+// std::out_of_range when it is nested more than kMaxDocumentDepth deep.
+inline nlohmann::json ParseDocument(std::string_view text) {
+  return nlohmann::json::parse(
+      text, [](int depth, nlohmann::json::parse_event_t, nlohmann::json&) {
+        if (depth > kMaxDocumentDepth) {
+          throw std::out_of_range(
+              fmt::format("nested more than {} deep", kMaxDocumentDepth));
+        }
+        return true;
+      });
+}
+
 // Returns whether `value` is a whole number that is not negative. Such a number
 // is a signed one in a message that stays in the process and an unsigned one
 // after CBOR.
--- a/sapphirebank/fleet/server_announcement.h
+++ b/sapphirebank/fleet/server_announcement.h
@@ -30,6 +30,12 @@
                          const ServerAnnouncement&) = default;
 };
 
+// Checks that an announcement names a server that can be used and that all
+// hosts of the fleet can read: names without control characters, an IP number
+// and a port, and numbers in the ranges of the messages between hosts. Fails
+// with kMalformedRequest and names the field.
+Result<void> CheckAnnouncement(const ServerAnnouncement& server);
+
 // Health of a backend server as tracked by the leading control host.
 enum class ServerHealth : std::uint8_t {
   kUp,
--- a/unit_tests/platform/call_codec_test.cc
+++ b/unit_tests/platform/call_codec_test.cc
@@ -1,9 +1,13 @@
 #include "platform/call_codec.h"
 
+#include <fmt/format.h>
+
 #include <catch2/catch.hpp>
+#include <limits>
 #include <nlohmann/json.hpp>
 
 #include "platform/plan_codec.h"
+#include "sapphirebank/fleet/fleet_messages.h"
 
 namespace sapphirebank {
 namespace {
@@ -126,6 +130,84 @@
       MakeCall("/api/rpc?call=instances.heartbeat", HeartbeatJson().dump())));
 }
 
+// Guards against one odd entry that stops hosts, or makes them refuse the
+// messages of others that carry it.
+TEST_CASE("an entry that is accepted is read by all hosts of the fleet",
+          "[platform]") {
+  struct Row {
+    const char* field;
+    json value;
+    bool accepted;
+  };
+  const Row rows[] = {
+      {"warmupLeft", "86400s", true},
+      {"warmupLeft", "86401s", false},
+      {"warmupLeft", "1e308s", false},
+      {"address", "10.0.0.1:0", false},
+      {"address", "10.0.0.1:65536", false},
+      {"address", "10.0.0.300:80", false},
+      {"address", "[fd00::1]:80", true},
+      {"address", "host:80", false},
+      {"slots", 0, false},
+      {"slots", 100'000, true},
+      {"slots", (std::uint64_t{1} << 32U) + 2, false},
+      {"slots", 1e30, false},
+      {"seq", std::uint64_t{1} << 53U, true},
+      {"seq", std::numeric_limits<std::uint64_t>::max(), false},
+      {"seq", std::numeric_limits<std::int64_t>::max(), false},
+      {"born", std::uint64_t{1} << 53U, true},
+      {"born", std::numeric_limits<std::int64_t>::max(), false},
+      {"born", std::numeric_limits<std::uint64_t>::max(), false},
+      {"zone", std::string(257, 'z'), false},
+      {"zone", "a\nb", false},
+      {"service", "", false},
+      {"service", json::object(), false},
+  };
+  for (const Row& row : rows) {
+    json heartbeat = HeartbeatJson();
+    heartbeat[row.field] = row.value;
+    CAPTURE(row.field, row.value.dump().substr(0, 40));
+    const auto call = kCodec.read_call(
+        MakeCall("/api/rpc?call=instances.heartbeat&of=i-1", heartbeat.dump()));
+    CHECK(call.has_value() == row.accepted);
+    if (!call) continue;
+    // To the leader, to another hub and to an entry host.
+    const ServerAnnouncement& server = std::get<HeartbeatCall>(*call).server;
+    EntryReport report;
+    report.known_servers.push_back(server);
+    EntryReport read_report;
+    REQUIRE_NOTHROW(
+        read_report =
+            json::from_cbor(json::to_cbor(report)).get<EntryReport>());
+    CHECK(read_report.known_servers.front() == server);
+    FleetUpdate update;
+    update.servers.push_back({server, ServerHealth::kUp, server.warm_up_left});
+    CHECK_NOTHROW(json::from_cbor(json::to_cbor(update)).get<FleetUpdate>());
+  }
+}
+
+// Guards against a document whose nesting uses up the stack of each host that
+// reads it, again after a restart.
+TEST_CASE("deeply nested documents are refused", "[platform]") {
+  constexpr std::size_t kDepth = 200'000;
+  const std::string deep = std::string(kDepth, '[') + std::string(kDepth, ']');
+  std::string heartbeat = HeartbeatJson().dump();
+  heartbeat.insert(1, "\"extra\":" + deep + ",");
+  for (const std::string& body : {deep, heartbeat}) {
+    for (const char* call : {"heartbeat", "leave"}) {
+      CHECK_FALSE(kCodec.read_call(MakeCall(
+          fmt::format("/api/rpc?call=instances.{}&of=i-1", call), body)));
+    }
+  }
+  std::string configuration = ConfigurationJson().dump();
+  configuration.insert(1, "\"extra\":" + deep + ",");
+  CHECK_FALSE(
+      kCodec.read_call(MakeCall("/api/rpc?call=config.put", configuration)));
+  json shallow = ConfigurationJson();
+  shallow["extra"] = json::parse("[[[[[[]]]]]]");
+  CHECK(kCodec.read_call(MakeCall("/api/rpc?call=config.put", shallow.dump())));
+}
+
 TEST_CASE("invalid configurations are refused with a 4xx status",
           "[platform]") {
   const std::vector<std::function<void(json&)>> corruptions = {
