A server's refusal behind another host is not that host's fault

What callers would see: at a host without a path, one request that a full server turned away behind the other host made that host avoided for a second, so that the next requests were refused although servers had room.

Cause: any refusal with status 503 counted as a failure of the host that gave it, and that host had no retries of its own, as requests of others did not add to its share of the retry budget. Besides, attempts that servers had received behind that host were not known to the first one, which could send the request to a third server without charging the budget.

Change: only a host without path, plan or current keys is avoided; a refusal tells the attempts so far, which are charged and count towards the route's maximum; the share of the host that sends the attempts grows with them.

--- a/programs/fleet_host/entry_request_detour.cc
+++ b/programs/fleet_host/entry_request_detour.cc
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <charconv>
+#include <string>
 #include <utility>
 
 #include "programs/fleet_host/entry_request_context.h"
@@ -24,6 +27,14 @@
 // passed on; longer ones are streamed.
 constexpr std::uint64_t kBufferLimit = std::uint64_t{1} << 20U;
 
+// Returns whether a host that refuses a request so would refuse others too,
+// rather than the servers or the workspace being at their limits.
+bool CannotServe(ErrorKind kind) {
+  return kind == ErrorKind::kBackendUnreachable ||
+         kind == ErrorKind::kNoConfiguration ||
+         kind == ErrorKind::kKeyUnverifiable;
+}
+
 }  // namespace
 
 asio::awaitable<HttpAnswer> EntryRequestHandler::HandleDetour(
@@ -90,10 +101,6 @@
       std::min(kDetourConnectTimeout, context.deadline - now);
   exchange.answer_timeout = context.deadline - now + kDetourSlack;
   exchange.max_buffered_bytes = kBufferLimit;
-  exchange.matches_request =
-      [this, id = context.info.id](const HeaderFields& fields) {
-        return codec_.matches_request(fields, id);
-      };
   if (context.workspace != nullptr) {
     exchange.may_send = [this] {
       return state_.view().IsCurrent(MonotonicNow());
@@ -158,6 +165,11 @@
     StripConnectionFields(answer.fields);
     return answer;
   }
+  const std::string_view attempts = FieldValue(answer.fields, kAttemptsField);
+  int received = context.attempts_received;
+  std::from_chars(attempts.data(), attempts.data() + attempts.size(), received);
+  last.received_by_server = received > context.attempts_received;
+  context.attempts_received = std::max(context.attempts_received, received);
   const ErrorKind kind =
       ErrorKindFromName(refusal).value_or(ErrorKind::kInternal);
   const ErrorAnswer& row = AnswerFor(kind);
@@ -173,7 +185,7 @@
   if (is_final) {
     return Refuse(context, ErrorKind::kBackendBroken, Duration::zero());
   }
-  state_.detour_hosts().RecordFailure(now, host);
+  if (CannotServe(kind)) state_.detour_hosts().RecordFailure(now, host);
   last.may_retry = true;
   return std::nullopt;
 }
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -176,8 +176,12 @@
 asio::awaitable<HttpAnswer> EntryRequestHandler::Forward(
     RequestContext& context) {
   context.service = ChooseService(context);
-  // The host that callers sent the request to has counted it.
-  if (!context.detour) state_.CountRequest(context.service->id);
+  if (context.detour) {
+    // The host that callers sent the request to has reported it.
+    state_.retries().CountRequest(context.service->id);
+  } else {
+    state_.CountRequest(context.service->id);
+  }
   AttemptResult last;
   last.failure = ErrorKind::kNoBackendServer;
   // An error answer of a server is passed on unless a retry gets another
@@ -304,6 +308,8 @@
   if (context.detour) {
     answer.fields.push_back(
         {std::string(kRefusalField), std::string(AnswerFor(kind).name)});
+    answer.fields.push_back({std::string(kAttemptsField),
+                             std::to_string(context.attempts_received)});
   }
   return answer;
 }
--- a/sapphirebank/transport/detour_fields.h
+++ b/sapphirebank/transport/detour_fields.h
@@ -33,6 +33,10 @@
 // Set on answers of backend servers: the id of the server.
 inline constexpr std::string_view kServerField = "x-sapphirebank-server";
 
+// Set on refusals by a host: attempts that backend servers have received, with
+// those before the request came to it.
+inline constexpr std::string_view kAttemptsField = "x-sapphirebank-attempts";
+
 // Adds `detour` and its signature to the header fields of `head`.
 void AddDetourFields(const FleetSecret& secret, const DetourRequest& detour,
                      HttpRequestHead& head, std::string_view body);
