An answer without an id on a used connection proves nothing

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that ran. It can happen here when the copy has no id: an answer without one was taken for the answer to the request that was sent last. Copies that repeat the earlier id were skipped already.

Cause: a default that trusts. The codec counted a missing id as a match, with the reason that a server may refuse a request before it has read the id.

Change: the codec tells own, other and unknown apart. An unknown answer is taken only as the first one on a new connection, where no earlier answer can be; on a used one the attempt ends without an answer, the connection is closed, and a request that must run once gets 502, which promises nothing. The check that an answer without an id matches is replaced by the stricter one that it is unknown.

--- a/programs/fleet_host/entry_codec.h
+++ b/programs/fleet_host/entry_codec.h
@@ -55,7 +55,8 @@
   std::function<HeaderFields(HeaderFields, const BackendRequestInfo&)>
       backend_fields;
   // Returns whether an answer belongs to the request with this id.
-  std::function<bool(const HeaderFields&, const RequestId&)> matches_request;
+  std::function<AnswerMatch(const HeaderFields&, const RequestId&)>
+      match_request;
   // Reads the signals of a backend server's answer received at `now`.
   std::function<BackendResponseInfo(const HttpAnswer&, Instant now)>
       read_response_info;
--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -108,8 +108,8 @@
   exchange.answer_timeout = context.deadline - now;
   exchange.max_buffered_bytes = kBufferLimit;
   const RequestId& id = context.info.id;
-  exchange.matches_request = [this, id](const HeaderFields& fields) {
-    return codec_.matches_request(fields, id);
+  exchange.match_request = [this, id](const HeaderFields& fields) {
+    return codec_.match_request(fields, id);
   };
   // The server may leave, or the process may be suspended, while the request
   // waits for a connection.
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -326,8 +326,14 @@
     if (is_informational && ++informational > kMaxInformationalAnswers) {
       co_return Failure(AttemptStage::kSent, error, reused);
     }
-    is_stray = !is_informational && exchange.matches_request &&
-               !exchange.matches_request(AnswerOf(parser->get()).fields);
+    const AnswerMatch match =
+        is_informational || !exchange.match_request
+            ? AnswerMatch::kOwn
+            : exchange.match_request(AnswerOf(parser->get()).fields);
+    if (match == AnswerMatch::kUnknown && (reused || strays > 0)) {
+      co_return Failure(AttemptStage::kSent, error, reused);
+    }
+    is_stray = match == AnswerMatch::kOther;
     if (!is_stray) continue;
     parser->body_limit(exchange.max_buffered_bytes);
     co_await http::async_read(connection->stream, connection->buffer, *parser,
--- a/unit_tests/platform/request_codec_test.cc
+++ b/unit_tests/platform/request_codec_test.cc
@@ -126,10 +126,12 @@
 
 TEST_CASE("an answer with another request id does not match", "[platform]") {
   const RequestId id("9c41");
-  CHECK(kCodec.matches_request({{"sapphirebank-request-id", "9c41"}}, id));
-  CHECK_FALSE(
-      kCodec.matches_request({{"sapphirebank-request-id", "9c42"}}, id));
-  CHECK(kCodec.matches_request({}, id));
+  const auto match = [&](const HeaderFields& fields) {
+    return kCodec.match_request(fields, id);
+  };
+  CHECK(match({{"sapphirebank-request-id", "9c41"}}) == AnswerMatch::kOwn);
+  CHECK(match({{"sapphirebank-request-id", "9c42"}}) == AnswerMatch::kOther);
+  CHECK(match({}) == AnswerMatch::kUnknown);
 }
 
 TEST_CASE("only refusals with status 429 or 503 carry Retry-After",
--- a/unit_tests/transport/http_client_test.cc
+++ b/unit_tests/transport/http_client_test.cc
@@ -1,11 +1,10 @@
 #include "sapphirebank/transport/http_client.h"
 
-#include <boost/asio/read_until.hpp>
 #include <catch2/catch.hpp>
-#include <functional>
 #include <thread>
 
 #include "unit_tests/transport/loop_thread.h"
+#include "unit_tests/transport/scripted_server.h"
 
 namespace sapphirebank {
 namespace {
@@ -14,57 +13,6 @@
 using asio::ip::tcp;
 using std::chrono::milliseconds;
 
-// A server that accepts one connection at a time and runs a script on each.
-class ScriptedServer {
- public:
-  // Called with the connection and the number of connections before it.
-  using Script = std::function<void(tcp::socket&, int)>;
-
-  explicit ScriptedServer(Script script)
-      : acceptor_(loop_, {asio::ip::address_v4::loopback(), 0}),
-        thread_([this, script = std::move(script)] {
-          boost::system::error_code error;
-          for (int number = 0;; ++number) {
-            tcp::socket socket(loop_);
-            acceptor_.accept(socket, error);
-            if (error || stop_) return;
-            script(socket, number);
-          }
-        }) {}
-  ~ScriptedServer() {
-    stop_ = true;
-    tcp::socket wake(loop_);
-    boost::system::error_code ignored;
-    wake.connect(acceptor_.local_endpoint(), ignored);
-    thread_.join();
-  }
-  ScriptedServer(const ScriptedServer&) = delete;
-  ScriptedServer& operator=(const ScriptedServer&) = delete;
-
-  Endpoint endpoint() const {
-    return {"127.0.0.1", acceptor_.local_endpoint().port()};
-  }
-
-  // Reads one request without a body. Returns false when the connection ends.
-  static bool ReadRequest(tcp::socket& socket) {
-    std::string head;
-    boost::system::error_code error;
-    asio::read_until(socket, asio::dynamic_buffer(head), "\r\n\r\n", error);
-    return !error;
-  }
-
-  static void Write(tcp::socket& socket, const std::string& bytes) {
-    boost::system::error_code ignored;
-    asio::write(socket, asio::buffer(bytes), ignored);
-  }
-
- private:
-  asio::io_context loop_;
-  tcp::acceptor acceptor_;
-  std::atomic<bool> stop_ = false;
-  std::thread thread_;
-};
-
 std::string OkResponse(const std::string& body) {
   return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
          "\r\n\r\n" + body;
@@ -285,8 +233,9 @@
   exchange.method = "GET";
   exchange.target = "/";
   exchange.answer_timeout = std::chrono::seconds(20);
-  exchange.matches_request = [](const HeaderFields& fields) {
-    return FieldValue(fields, "x-id") != "other";
+  exchange.match_request = [](const HeaderFields& fields) {
+    return FieldValue(fields, "x-id") == "other" ? AnswerMatch::kOther
+                                                 : AnswerMatch::kOwn;
   };
   const auto started = std::chrono::steady_clock::now();
   const ExchangeResult result = loop.Run(client.Exchange(exchange, nullptr));
