--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -25,10 +25,6 @@
 constexpr double kAttemptTimeoutFraction = 0.6;
 constexpr double kBusyAttemptTimeoutFraction = 1.0;
 
-// Answers up to this size in bytes are buffered in full before they are
-// passed on; longer ones are streamed.
-constexpr std::uint64_t kBufferLimit = std::uint64_t{1} << 20U;
-
 constexpr int kFirstServerError = 500;
 
 }  // namespace
@@ -106,7 +102,7 @@
   exchange.body = context.request.body;
   exchange.connect_timeout = std::min(kConnectTimeout, context.deadline - now);
   exchange.answer_timeout = context.deadline - now;
-  exchange.max_buffered_bytes = kBufferLimit;
+  exchange.max_buffered_bytes = kMaxBufferedAnswer;
   const RequestId& id = context.info.id;
   exchange.match_request = [this, id](const HeaderFields& fields) {
     return codec_.match_request(fields, id);
--- a/programs/fleet_host/entry_request_context.h
+++ b/programs/fleet_host/entry_request_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <vector>
@@ -9,6 +10,10 @@
 
 namespace sapphirebank {
 
+// Answers up to this size in bytes are buffered in full before they are passed
+// on; longer ones are streamed.
+inline constexpr std::uint64_t kMaxBufferedAnswer = std::uint64_t{1} << 20U;
+
 // State of a request from its arrival to its answer.
 struct EntryRequestHandler::RequestContext {
   HttpRequest request;
--- a/programs/fleet_host/entry_request_detour.cc
+++ b/programs/fleet_host/entry_request_detour.cc
@@ -23,10 +23,6 @@
 // The other host answers at the request's deadline; its answer takes this time.
 constexpr Duration kDetourSlack = std::chrono::milliseconds(20);
 
-// Answers up to this size in bytes are buffered in full before they are
-// passed on; longer ones are streamed.
-constexpr std::uint64_t kBufferLimit = std::uint64_t{1} << 20U;
-
 // Returns whether a host that refuses a request so would refuse others too,
 // rather than the servers or the workspace being at their limits.
 bool CannotServe(ErrorKind kind) {
@@ -55,10 +51,11 @@
   context.attempts_received = detour->attempts_received;
   context.may_have_run = detour->may_have_run;
   context.charge_retry_budget = detour->is_retry;
-  if (detours_in_progress_ >= kMaxDetoursInProgress) {
+  const std::shared_ptr<std::size_t> in_progress = detours_in_progress_;
+  if (*in_progress >= kMaxDetoursInProgress) {
     co_return RefuseNotRun(context, ErrorKind::kQueueFull);
   }
-  const ScopedCount counted(detours_in_progress_);
+  const ScopedCount counted(*in_progress);
   co_return co_await Serve(context);
 }
 
@@ -100,7 +97,7 @@
   exchange.connect_timeout =
       std::min(kDetourConnectTimeout, context.deadline - now);
   exchange.answer_timeout = context.deadline - now + kDetourSlack;
-  exchange.max_buffered_bytes = kBufferLimit;
+  exchange.max_buffered_bytes = kMaxBufferedAnswer;
   if (context.workspace != nullptr) {
     exchange.may_send = [this] {
       return state_.view().IsCurrent(MonotonicNow());
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -137,7 +137,9 @@
   std::string self_;
   FleetSecret secret_;
   std::uint16_t fleet_port_;
-  std::size_t detours_in_progress_ = 0;
+  // Shared with the coroutines that are counted, which may be destroyed later.
+  std::shared_ptr<std::size_t> detours_in_progress_ =
+      std::make_shared<std::size_t>(0);
   HttpClient client_;
   ServerPathProber path_prober_;
   bool draining_ = false;
--- a/sapphirebank/transport/http_client.h
+++ b/sapphirebank/transport/http_client.h
@@ -32,8 +32,8 @@
   // Value of the Host field; empty for the address in `to`.
   std::string host;
   // Returns, from an answer's header fields, whether it answers this request.
-  // Late answers to earlier requests are skipped. An answer that does not say is
-  // accepted as the first one on a new connection; later, the exchange fails
+  // Late answers to earlier requests are skipped. An answer that does not say
+  // is accepted as the first one on a new connection; later, the exchange fails
   // with AttemptStage::kSent. Null accepts all.
   std::function<AnswerMatch(const HeaderFields&)> match_request;
   // Called right before the first byte is sent, as establishing a connection
--- a/unit_tests/fleet_host/entry_hosts.h
+++ b/unit_tests/fleet_host/entry_hosts.h
@@ -105,6 +105,11 @@
         Endpoint{ip, server_->port()}, FleetSecret("secret"), *log_, *metrics_);
   }
 
+  // Coroutines of the host may run until the loop has stopped.
+  ~TestEntryHost() { loop_.Stop(); }
+  TestEntryHost(const TestEntryHost&) = delete;
+  TestEntryHost& operator=(const TestEntryHost&) = delete;
+
   std::uint16_t fleet_port() const { return server_->port(); }
   int detours() const { return detours_; }
 
--- a/unit_tests/platform/request_codec_test.cc
+++ b/unit_tests/platform/request_codec_test.cc
@@ -80,7 +80,10 @@
   CHECK(read(503, {{"retry-after", "0.25"}}).pause == milliseconds(250));
   CHECK_FALSE(read(200, {{"retry-after", "2"}}).pause);
   CHECK_FALSE(read(503, {}).pause);
-  for (const char* wrong : {"", "-1", "nan", "inf", "soon", "1 s"}) {
+  // A huge time is bounded, a date is not used on the platform.
+  CHECK(read(503, {{"retry-after", "1e300"}}).pause == std::chrono::hours(1));
+  for (const char* wrong : {"", "-1", "nan", "inf", "soon", "1 s", "1e999",
+                            "Sat, 05 Dec 2026 04:00:00 GMT"}) {
     CAPTURE(wrong);
     CHECK_FALSE(read(503, {{"retry-after", wrong}}).pause);
   }
--- a/unit_tests/transport/loop_thread.h
+++ b/unit_tests/transport/loop_thread.h
@@ -20,15 +20,18 @@
  public:
   LoopThread()
       : guard_(loop_.get_executor()), thread_([this] { loop_.run(); }) {}
-  ~LoopThread() {
-    loop_.stop();
-    thread_.join();
-  }
+  ~LoopThread() { Stop(); }
   LoopThread(const LoopThread&) = delete;
   LoopThread& operator=(const LoopThread&) = delete;
 
   boost::asio::io_context& loop() { return loop_; }
 
+  // Ends the thread, so that objects that work on the loop may be destroyed.
+  void Stop() {
+    loop_.stop();
+    if (thread_.joinable()) thread_.join();
+  }
+
   // Runs a coroutine on the loop, waits for it and returns its result.
   template <typename T>
   T Run(boost::asio::awaitable<T> work) {
