--- a/unit_tests/fleet_host/entry_detour_test.cc
+++ b/unit_tests/platform/entry_detour_test.cc
@@ -3,7 +3,7 @@
 
 #include "sapphirebank/transport/detour_fields.h"
 #include "sapphirebank/transport/signed_field.h"
-#include "unit_tests/fleet_host/entry_hosts.h"
+#include "unit_tests/platform/entry_hosts.h"
 
 namespace sapphirebank {
 namespace {
@@ -31,7 +31,7 @@
 // Guards against callers of a host without a path that are refused although
 // other hosts reach the servers.
 TEST_CASE("requests at a host without a path are served through another one",
-          "[fleet_host]") {
+          "[platform]") {
   CutOffHosts hosts;
   for (int i = 0; i < 10; ++i) {
     const HttpAnswer order =
@@ -56,7 +56,7 @@
 
 // Guards against requests that go round between hosts without a path.
 TEST_CASE("a request is refused as not run when no host has a path",
-          "[fleet_host]") {
+          "[platform]") {
   CutOffHosts hosts;
   hosts.sound.Update(hosts.Closed(), {"127.0.0.1:80"});
   for (const char* path : {"/order/1", "/lookup/1"}) {
@@ -72,7 +72,7 @@
 
 // Guards against 'not run' for a request that ran behind the second host.
 TEST_CASE("a request whose answer is lost behind another host is not repeated",
-          "[fleet_host]") {
+          "[platform]") {
   CutOffHosts hosts([](const HttpRequest& request) {
     HttpAnswer answer = ScriptedBackend::Answer(request);
     answer.stream_length_known = true;
@@ -92,7 +92,7 @@
 // Guards against a newer plan that is not in force for requests that take a
 // detour.
 TEST_CASE("a host with an older plan does not handle requests of another one",
-          "[fleet_host]") {
+          "[platform]") {
   CutOffHosts hosts;
   hosts.cut_off.Update(hosts.Closed(), {"127.0.0.2:80"}, 2);
   CHECK(hosts.cut_off.Send("/order/1").status == 503);
@@ -105,7 +105,7 @@
 
 // Guards against a server that passes for an entry host.
 TEST_CASE("fields between entry hosts are not taken from a server's answer",
-          "[fleet_host]") {
+          "[platform]") {
   CutOffHosts hosts([](const HttpRequest& request) {
     HttpAnswer answer = ScriptedBackend::Answer(request);
     answer.fields.push_back({std::string(kRefusalField), "queue_full"});
@@ -117,8 +117,7 @@
 
 // Guards against requests at a server that said that it leaves in an answer
 // that took a detour.
-TEST_CASE("a host obeys what a server said behind another host",
-          "[fleet_host]") {
+TEST_CASE("a host obeys what a server said behind another host", "[platform]") {
   CutOffHosts hosts([](const HttpRequest& request) {
     HttpAnswer answer = ScriptedBackend::Answer(request);
     answer.fields.push_back({"server-leaving", "1"});
@@ -134,7 +133,7 @@
 // Guards against a failing server that goes unnoticed because its failures are
 // taken for those of the path.
 TEST_CASE("a server that refuses connections is put down to the server",
-          "[fleet_host]") {
+          "[platform]") {
   LoopThread loop;
   const ClosedPort closed;
   ScriptedBackend backend(loop);
--- a/unit_tests/fleet_host/odd_answers_test.cc
+++ b/unit_tests/platform/odd_answers_test.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "unit_tests/fleet_host/entry_hosts.h"
+#include "unit_tests/platform/entry_hosts.h"
 #include "unit_tests/transport/scripted_server.h"
 
 namespace sapphirebank {
@@ -21,7 +21,7 @@
 // Guards against 'not run, try again' for a request that runs, because a server
 // wrote an earlier refusal once more on the same connection.
 TEST_CASE("a repeated refusal does not count for the next request",
-          "[fleet_host]") {
+          "[platform]") {
   for (const char* repeated_id : {"q1", ""}) {
     CAPTURE(repeated_id);
     std::atomic<int> runs = 0;
@@ -54,7 +54,7 @@
 
 // Guards against an empty or short answer that looks complete because the
 // server stopped in the middle of its head.
-TEST_CASE("a head that ends in the middle is no answer", "[fleet_host]") {
+TEST_CASE("a head that ends in the middle is no answer", "[platform]") {
   const std::string whole =
       "HTTP/1.1 200 OK\r\nSapphirebank-Request-Id: q1\r\n"
       "Sapphirebank-Server-Stamp: s\r\nContent-Length: 4\r\n\r\nbody";
--- a/unit_tests/fleet_host/server_pause_test.cc
+++ b/unit_tests/platform/server_pause_test.cc
@@ -1,7 +1,7 @@
 #include <catch2/catch.hpp>
 #include <thread>
 
-#include "unit_tests/fleet_host/entry_hosts.h"
+#include "unit_tests/platform/entry_hosts.h"
 
 namespace sapphirebank {
 namespace {
@@ -9,7 +9,7 @@
 // Guards against requests at a server that turned this host away with a time to
 // wait, and against servers that are given up for good.
 TEST_CASE("a server that names a time to wait gets nothing until it is over",
-          "[fleet_host]") {
+          "[platform]") {
   for (const bool by_detour : {false, true}) {
     CAPTURE(by_detour);
     LoopThread loop;
