What a data folder holds is durable before it is used

A host that was started again, or one whose sync had failed, took records for durable that were in the page cache only: the process may have ended between a write and its sync, and after a failed sync Linux reports later ones as done without writing the pages. It could acknowledge entries, or remember a vote, that a loss of power then took away.

Opening now writes the last log file and the hard state anew and syncs them before anything is read from them. A sync of the old files was weighed: it does not cover pages dropped by a failed sync. Earlier log files need nothing, as a new one begins only after every sync of the one before has succeeded.

Test: 'what is read after a failed write or sync survives a crash' lets each single operation fail in turn, with the file system of the tests dropping pages after a failed sync.

Class: durability assumed from a read.

--- a/sapphirebank/consensus/log_storage.cc
+++ b/sapphirebank/consensus/log_storage.cc
@@ -62,6 +62,10 @@
   if (!names) return tl::unexpected(names.error());
   auto hard_state = ReadCborFile<HardState>(files, kHardStateFile);
   if (!hard_state) return tl::unexpected(hard_state.error());
+  // The rename that made this the hard state may not be on the disk.
+  auto written = ReplaceRecordFile(files, kHardStateFile,
+                                   EncodeCbor(nlohmann::json(*hard_state)));
+  if (!written) return tl::unexpected(written.error());
   auto snapshot = ReadSnapshot(files, *names);
   if (!snapshot) return tl::unexpected(snapshot.error());
   auto log = SegmentLog::Open(files, StableHash(node->value()), snapshot->last,
--- a/sapphirebank/consensus/record_frame.cc
+++ b/sapphirebank/consensus/record_frame.cc
@@ -94,23 +94,27 @@
   return false;
 }
 
-Result<void> ReplaceRecordFile(FileSystem& files, std::string_view name,
-                               std::string_view payload) {
+Result<void> ReplaceFile(FileSystem& files, std::string_view name,
+                         std::string_view content) {
   const std::string temporary =
       std::string(name) + std::string(kTemporarySuffix);
-  const std::string frame = FrameRecord(payload, StableHash(name), 0);
   auto names = files.List();
   if (!names) return tl::unexpected(names.error());
   for (const std::string& existing : *names) {
     if (existing != temporary) continue;
     if (auto done = files.Remove(temporary); !done) return done;
   }
-  return files.Append(temporary, frame)
+  return files.Append(temporary, content)
       .and_then([&] { return files.SyncFile(temporary); })
       .and_then([&] { return files.Rename(temporary, name); })
       .and_then([&] { return files.SyncFolder(); });
 }
 
+Result<void> ReplaceRecordFile(FileSystem& files, std::string_view name,
+                               std::string_view payload) {
+  return ReplaceFile(files, name, FrameRecord(payload, StableHash(name), 0));
+}
+
 Result<std::string> ReadRecordFile(FileSystem& files, std::string_view name) {
   auto content = files.Read(name);
   if (!content) return content;
--- a/sapphirebank/consensus/record_frame.h
+++ b/sapphirebank/consensus/record_frame.h
@@ -40,8 +40,12 @@
 bool HasValidFrameAfter(std::string_view file, std::uint64_t file_seed,
                         std::size_t offset);
 
-// Atomically replaces the file `name` with a single record of `payload`: after
-// a crash it has either the old content or the new one.
+// Atomically replaces the file `name` with one that has `content`: after a
+// crash it has either the old content or the new one.
+Result<void> ReplaceFile(FileSystem& files, std::string_view name,
+                         std::string_view content);
+
+// Atomically replaces the file `name` with a single record of `payload`.
 Result<void> ReplaceRecordFile(FileSystem& files, std::string_view name,
                                std::string_view payload);
 
--- a/sapphirebank/consensus/segment_log.cc
+++ b/sapphirebank/consensus/segment_log.cc
@@ -88,10 +88,6 @@
       if (!is_last || HasValidFrameAfter(*content, seed, segment.size)) {
         return DamageAt(number, segment.size, "the record is corrupt");
       }
-      auto cut = files_->Truncate(name, segment.size).and_then([&] {
-        return files_->SyncFile(name);
-      });
-      if (!cut) return cut;
       break;
     }
     auto replayed = ReplayRecord(view.payload, snapshot, segment);
@@ -100,7 +96,13 @@
     segment.size = view.next_offset;
   }
   segments_.push_back(segment);
-  return {};
+  if (!is_last) return {};
+  // The last records may be in the page cache only: the process may have ended
+  // before their sync, or the sync failed. A sync of the same file may then
+  // succeed without writing them (Rebello et al., "Can Applications Recover
+  // from fsync Failures?", USENIX ATC 2020).
+  return ReplaceFile(*files_, name,
+                     std::string_view(*content).substr(0, segment.size));
 }
 
 Result<void> SegmentLog::ReplayRecord(std::string_view payload,
--- a/unit_tests/consensus/log_storage_test.cc
+++ b/unit_tests/consensus/log_storage_test.cc
@@ -145,6 +145,31 @@
   }
 }
 
+// Guards against data that a failed sync left in the page cache only and that
+// is taken for durable when the folder is opened again.
+TEST_CASE("what is read after a failed write or sync survives a crash",
+          "[consensus]") {
+  MemoryFileSystem reference;
+  RunSteps(reference);
+  for (std::uint64_t at = 0; at <= reference.operations(); ++at) {
+    for (std::uint64_t seed = 0; seed < 12; ++seed) {
+      CAPTURE(at, seed);
+      Random random(seed);
+      MemoryFileSystem files;
+      files.FailFor(at, 1);
+      RunSteps(files);
+      files.EndFailure();
+      auto reopened = OpenFolder(files);
+      REQUIRE(reopened);
+      const ExpectedState read = TakeRecoveredState(*reopened);
+      files.Crash(random);
+      auto storage = OpenFolder(files);
+      if (!storage) FAIL(storage.error().detail);
+      CHECK(TakeRecoveredState(*storage) == read);
+    }
+  }
+}
+
 TEST_CASE("a damaged folder is rejected, naming file and offset",
           "[consensus]") {
   struct Row {
--- a/unit_tests/consensus/memory_file_system.cc
+++ b/unit_tests/consensus/memory_file_system.cc
@@ -27,6 +27,15 @@
 
 }  // namespace
 
+std::string MemoryFileSystem::File::WritableContent() const {
+  std::string writable = content;
+  for (std::size_t i = synced.size(); i < std::min(dropped_until, content.size());
+       ++i) {
+    writable[i] = '\0';
+  }
+  return writable;
+}
+
 void MemoryFileSystem::Crash(Random& random) {
   std::set<std::string> all;
   for (const auto& [name, file] : names_) all.insert(name);
@@ -40,23 +49,28 @@
   std::set<File*> done;
   for (const auto& [name, file] : survivors) {
     if (!done.insert(file.get()).second) continue;
-    file->content = ContentAfterCrash(file->content, file->synced, random);
+    file->content =
+        ContentAfterCrash(file->WritableContent(), file->synced, random);
     file->synced = file->content;
+    file->dropped_until = 0;
   }
   names_ = survivors;
   synced_names_ = survivors;
-  operations_left_ = kNever;
+  EndFailure();
 }
 
 void MemoryFileSystem::Wipe() {
   names_.clear();
   synced_names_.clear();
-  operations_left_ = kNever;
+  EndFailure();
 }
 
 Result<void> MemoryFileSystem::CountOperation() {
-  if (operations_left_ == 0)
+  if (operations_left_ == 0) {
+    ++failed_operations_;
+    if (failures_left_ != kNever && --failures_left_ == 0) EndFailure();
     return Fail(ErrorKind::kStorageFailed, "injected failure");
+  }
   if (operations_left_ != kNever) --operations_left_;
   ++operations_;
   return {};
@@ -83,9 +97,13 @@
 }
 
 Result<void> MemoryFileSystem::SyncFile(std::string_view name) {
-  if (auto counted = CountOperation(); !counted) return counted;
   File& file = *names_.at(std::string(name));
-  file.synced = file.content;
+  if (auto counted = CountOperation(); !counted) {
+    file.dropped_until = file.content.size();
+    return counted;
+  }
+  file.synced = file.WritableContent();
+  file.dropped_until = 0;
   return {};
 }
 
--- a/unit_tests/consensus/memory_file_system.h
+++ b/unit_tests/consensus/memory_file_system.h
@@ -22,7 +22,20 @@
 
   // Lets `count` more modifying operations succeed. The next one is carried out
   // in part and fails, as do all later ones.
-  void FailAfter(std::uint64_t count) { operations_left_ = count; }
+  void FailAfter(std::uint64_t count) { FailFor(count, kNever); }
+
+  // Lets `count` more modifying operations succeed, the `failures` after them
+  // fail, and later ones succeed again.
+  void FailFor(std::uint64_t count, std::uint64_t failures) {
+    operations_left_ = count;
+    failures_left_ = failures;
+  }
+
+  // Lets operations succeed again.
+  void EndFailure() {
+    operations_left_ = kNever;
+    failures_left_ = kNever;
+  }
 
   // Returns whether the limit set by FailAfter is used up.
   bool HasFailed() const { return operations_left_ == 0; }
@@ -40,6 +53,9 @@
   // Returns the number of modifying operations that succeeded.
   std::uint64_t operations() const { return operations_; }
 
+  // Returns the number of those that failed.
+  std::uint64_t failed_operations() const { return failed_operations_; }
+
   // Returns the content of a file, for tests to corrupt.
   std::string& Content(const std::string& name) {
     return names_.at(name)->content;
@@ -58,6 +74,13 @@
   struct File {
     std::string content;
     std::string synced;
+    // Content between the end of `synced` and this offset has been dropped from
+    // the pages to be written, as Linux does when a sync fails: it can be read,
+    // but later syncs do not write it.
+    std::size_t dropped_until = 0;
+
+    // Returns the content that the next sync makes durable.
+    std::string WritableContent() const;
   };
   using Names = std::map<std::string, std::shared_ptr<File>, std::less<>>;
 
@@ -66,7 +89,9 @@
   Names names_;
   Names synced_names_;
   std::uint64_t operations_left_ = kNever;
+  std::uint64_t failures_left_ = kNever;
   std::uint64_t operations_ = 0;
+  std::uint64_t failed_operations_ = 0;
   std::string unreadable_file_;
 };
 
