A control host returns to its group when its data folder works again

Cause: ControlHost::Halt kept the first failure for good, and only a restart of the process, which nobody asks for, opened the folder again. Besides, a leader that had halted went on as leader of its hub, since its node never ticked again.

Halting at once is right, as nobody knows what is on the disk then. So the host still leaves the group, has no leader and is none, and opens the folder again after 0.1 s, with pauses doubled up to 0.8 s. It comes back by the way of a start; only the state of applied commands is kept, as these are committed, and the folder must hold them. Weighed: ending the process (costs its hub and links, and the exits are priced) and writing on (unknown contents).

Class: a transient fault made permanent by a latch. sapphirebankd has the same control host.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -196,6 +196,11 @@
     log_.Write(LogLevel::kError, "data_folder_failed",
                {{"cause", effects.failure->detail}});
   }
+  if (effects.recovered) {
+    log_.Write(LogLevel::kInfo, "data_folder_recovered",
+               {{"term", host_.raft().term()},
+                {"last_index", host_.raft().log().last().index}});
+  }
   if (effects.fleet_changed) ApplyRecord(now);
   for (Completion& completion : effects.completions) {
     const auto callback = completions_.extract(completion.token);
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -52,6 +52,8 @@
 }
 
 bool ControlProcess::IsElectingLeader(Instant now) const {
+  // It does not vote, and other hubs have newer updates.
+  if (host_.HasFailed()) return false;
   if (LeaderIsSettled(now, known_leader_.has_value(), leader_changed_at_)) {
     return false;
   }
--- a/programs/sapphirebankd/control_daemon.cc
+++ b/programs/sapphirebankd/control_daemon.cc
@@ -199,6 +199,11 @@
     log_.Write(LogLevel::kError, "data_folder_failed",
                {{"cause", effects.failure->detail}});
   }
+  if (effects.recovered) {
+    log_.Write(LogLevel::kInfo, "data_folder_recovered",
+               {{"term", host_.raft().term()},
+                {"last_index", host_.raft().log().last().index}});
+  }
 }
 
 void ControlDaemon::Send(const std::vector<PeerEnvelope>& messages) {
--- a/sapphirebank/consensus/control_host.cc
+++ b/sapphirebank/consensus/control_host.cc
@@ -62,6 +62,21 @@
     return tl::unexpected(valid.error());
   }
   Random random(seed);
+  auto folder = OpenFolder(settings, files, 0, now, random);
+  if (!folder) return tl::unexpected(folder.error());
+  ControlState state;
+  if (const auto& data = folder->node.snapshot().data) {
+    auto restored = ControlState::Restore(*data);
+    if (!restored) return tl::unexpected(restored.error());
+    state = std::move(*restored);
+  }
+  return ControlHost(std::move(settings), files, std::move(*folder),
+                     std::move(state), random);
+}
+
+Result<ControlHost::OpenedFolder> ControlHost::OpenFolder(
+    const ControlHostSettings& settings, FileSystem& files,
+    LogIndex known_commit, Instant now, Random& random) {
   const NodeId new_node = Contains(settings.founders, settings.host)
                               ? FounderNodeId(settings.host)
                               : RandomNodeId(random);
@@ -69,32 +84,29 @@
       LogStorage::Open(files, settings.host, new_node, settings.storage);
   if (!storage) return tl::unexpected(storage.error());
   RaftState recovered = storage->TakeRecovered();
-  ControlState state;
-  if (recovered.snapshot.data) {
-    auto restored = ControlState::Restore(*recovered.snapshot.data);
-    if (!restored) return tl::unexpected(restored.error());
-    state = std::move(*restored);
-  }
+  recovered.known_commit = known_commit;
   auto node =
       RaftNode::Create(settings.raft, storage->node(), std::move(recovered),
                        now, random.Below(kRandomBound));
   if (!node) return tl::unexpected(node.error());
-  return ControlHost(std::move(settings), std::move(*storage), std::move(*node),
-                     std::move(state));
+  return OpenedFolder{std::move(*storage), std::move(*node)};
 }
 
-ControlHost::ControlHost(ControlHostSettings settings, LogStorage storage,
-                         RaftNode node, ControlState state)
+ControlHost::ControlHost(ControlHostSettings settings, FileSystem& files,
+                         OpenedFolder folder, ControlState state, Random random)
     : settings_(std::move(settings)),
-      storage_(std::move(storage)),
-      node_(std::move(node)),
+      files_(&files),
+      random_(random),
+      storage_(std::move(folder.storage)),
+      node_(std::move(folder.node)),
       state_(std::move(state)),
       presence_(settings_.host, settings_.control_hosts),
       applied_(node_.snapshot().last) {
-  if (Contains(settings_.founders, settings_.host)) BootstrapFromFounders();
+  BootstrapFromFounders();
 }
 
 void ControlHost::BootstrapFromFounders() {
+  if (!Contains(settings_.founders, settings_.host)) return;
   if (!node_.IsEmpty() || node_.self() != FounderNodeId(settings_.host)) return;
   std::vector<GroupMember> members;
   members.reserve(settings_.founders.size());
@@ -106,8 +118,9 @@
 }
 
 void ControlHost::Tick(Instant now, WallTime wall) {
-  if (failure_) return;
   wall_time_ = wall;
+  if (failure_ && now >= reopen_at_) Reopen(now);
+  if (failure_) return;
   node_.Tick(now);
   if (IsLeader()) RunLeaderTasks(now);
   SendHellos(now);
@@ -260,7 +273,7 @@
       return ApplyCommitted();
     });
     if (!done) {
-      Halt(done.error());
+      Halt(now, done.error());
       break;
     }
     std::move(raft.messages.begin(), raft.messages.end(),
@@ -380,8 +393,11 @@
   }
 }
 
-void ControlHost::Halt(const Error& error) {
+// Leaves the group until the data folder can be opened again.
+void ControlHost::Halt(Instant now, const Error& error) {
   failure_ = error;
+  reopen_delay_ = settings_.reopen_delay;
+  reopen_at_ = now + reopen_delay_;
   effects_.messages.clear();
   effects_.failure = error;
   for (const auto& [index, proposal] : proposals_) {
@@ -394,6 +410,41 @@
   reads_.clear();
 }
 
+// Returns to the group as after a start, with what is proven to be on the disk.
+// The state of the applied commands is kept: they are committed.
+void ControlHost::Reopen(Instant now) {
+  auto folder = OpenFolder(settings_, *files_, applied_.index, now, random_);
+  Result<void> opened;
+  if (!folder) {
+    opened = tl::unexpected(folder.error());
+  } else if (folder->node.snapshot().last.index > applied_.index) {
+    opened = RestoreState(folder->node.snapshot());
+  } else {
+    opened = CheckAppliedEntries(folder->node);
+  }
+  if (!opened) {
+    failure_ = opened.error();
+    reopen_delay_ =
+        std::min<Duration>(2 * reopen_delay_, settings_.max_reopen_delay);
+    reopen_at_ = now + reopen_delay_;
+    return;
+  }
+  storage_ = std::move(folder->storage);
+  node_ = std::move(folder->node);
+  failure_.reset();
+  effects_.recovered = true;
+  BootstrapFromFounders();
+}
+
+// Fails when the data folder lacks an entry that was synced and applied.
+Result<void> ControlHost::CheckAppliedEntries(const RaftNode& node) const {
+  if (node.log().TermAt(applied_.index) == applied_.term) return {};
+  return Fail(ErrorKind::kStorageFailed,
+              fmt::format("the data folder has lost the entry at index {}, "
+                          "which was synced",
+                          applied_.index));
+}
+
 void ControlHost::Complete(RequestToken token, Result<CommandResult> result) {
   effects_.completions.push_back(
       {token, std::move(result), state_.declarations().revision(), leader()});
@@ -404,6 +455,7 @@
 }
 
 std::optional<HostId> ControlHost::leader() const {
+  if (failure_) return std::nullopt;
   const auto& node = node_.leader();
   if (!node) return std::nullopt;
   const GroupMember* member = node_.membership().Find(*node);
--- a/sapphirebank/consensus/control_host.h
+++ b/sapphirebank/consensus/control_host.h
@@ -17,6 +17,7 @@
 #include "sapphirebank/consensus/peer_presence.h"
 #include "sapphirebank/consensus/raft_node.h"
 #include "sapphirebank/core/error.h"
+#include "sapphirebank/core/random.h"
 #include "sapphirebank/core/time.h"
 
 namespace sapphirebank {
@@ -94,6 +95,11 @@
   Duration stamp_interval = std::chrono::seconds(1);
   Duration clock_interval = std::chrono::seconds(30);
   Duration hello_interval = std::chrono::seconds(1);
+
+  // Pause before the data folder is opened again after a failure, doubled up to
+  // the maximum with each failed attempt.
+  Duration reopen_delay = std::chrono::milliseconds(100);
+  Duration max_reopen_delay = std::chrono::milliseconds(800);
 };
 
 // Proof that a majority followed this leader at `issued_at`: no revision later
@@ -129,24 +135,27 @@
   // Whether the FleetRecord changed.
   bool fleet_changed = false;
   std::optional<FreshnessStamp> stamp;
-  // Set when the data folder failed. This host takes no further part in the
-  // group; it must be opened again.
+  // Set when the data folder failed. This host takes no part in the group until
+  // the folder has been opened again, which Tick attempts.
   std::optional<Error> failure;
+  // Set when the folder has been opened again.
+  bool recovered = false;
 };
 
 // One control host: combines the replicated log, its storage and the control
 // state.
 class ControlHost {
  public:
-  // Opens the data folder, or formats an empty one. `seed` must differ between
-  // all starts on all hosts, since the id of a new data folder is derived from
-  // it. Fails with kInvalidSettings or kStorageFailed.
+  // Opens the data folder, or formats an empty one. `files` must outlive the
+  // host. `seed` must differ between all starts on all hosts, since the id of a
+  // new data folder is derived from it. Fails with kInvalidSettings or
+  // kStorageFailed.
   static Result<ControlHost> Create(ControlHostSettings settings,
                                     FileSystem& files, Instant now,
                                     std::uint64_t seed);
 
-  // Runs the periodic work of the node and, on the leader, of the group. `wall`
-  // is used only for times shown to people, the retention of claims and the
+  // Runs the periodic work of the node and, on the leader, of the group. Opens
+  // the data folder again when that is due after a failure. `wall` is used only for times shown to people, the retention of claims and the
   // first term of a new group.
   void Tick(Instant now, WallTime wall);
 
@@ -173,10 +182,16 @@
   const ControlState& state() const { return state_; }
   const RaftNode& raft() const { return node_; }
 
+  // Returns whether the data folder failed and has not been opened again.
+  bool HasFailed() const { return failure_.has_value(); }
+
   // Returns whether this host is the leader, as far as it knows.
-  bool IsLeader() const { return node_.role() == ControlRole::kLeader; }
+  bool IsLeader() const {
+    return !failure_ && node_.role() == ControlRole::kLeader;
+  }
 
-  // Returns the host of the current leader, as far as is known.
+  // Returns the host of the current leader, as far as is known; nothing while
+  // the data folder has failed.
   std::optional<HostId> leader() const;
 
  private:
@@ -192,8 +207,21 @@
     WallTime requested_at;
   };
 
-  ControlHost(ControlHostSettings settings, LogStorage storage, RaftNode node,
-              ControlState state);
+  // What is read from the data folder.
+  struct OpenedFolder {
+    LogStorage storage;
+    RaftNode node;
+  };
+
+  ControlHost(ControlHostSettings settings, FileSystem& files,
+              OpenedFolder folder, ControlState state, Random random);
+
+  static Result<OpenedFolder> OpenFolder(const ControlHostSettings& settings,
+                                         FileSystem& files,
+                                         LogIndex known_commit, Instant now,
+                                         Random& random);
+  void Reopen(Instant now);
+  Result<void> CheckAppliedEntries(const RaftNode& node) const;
 
   void RunLeaderTasks(Instant now);
   void ProposeMembershipChange(Instant now);
@@ -211,11 +239,13 @@
   Result<void> RestoreState(const Snapshot& snapshot);
   void CompleteConfirmedReads();
   void FailLostRequests();
-  void Halt(const Error& error);
+  void Halt(Instant now, const Error& error);
   void Complete(RequestToken token, Result<CommandResult> result);
   bool IsFull() const;
 
   ControlHostSettings settings_;
+  FileSystem* files_;
+  Random random_;
   LogStorage storage_;
   RaftNode node_;
   ControlState state_;
@@ -230,6 +260,8 @@
   std::map<LogIndex, PendingProposal> proposals_;
   std::deque<PendingRead> reads_;
   std::optional<Error> failure_;
+  Instant reopen_at_;
+  Duration reopen_delay_{};
   ControlEffects effects_;
 };
 
--- a/sapphirebank/consensus/raft_node.cc
+++ b/sapphirebank/consensus/raft_node.cc
@@ -40,7 +40,7 @@
       hard_state_(std::move(state.hard_state)),
       snapshot_(std::move(state.snapshot)),
       log_(snapshot_.last, {}),
-      commit_(snapshot_.last.index),
+      commit_(std::max(snapshot_.last.index, state.known_commit)),
       last_leader_contact_(now),
       next_heartbeat_(now),
       leader_since_(now) {
--- a/sapphirebank/consensus/raft_node.h
+++ b/sapphirebank/consensus/raft_node.h
@@ -44,6 +44,9 @@
   HardState hard_state;
   Snapshot snapshot;
   std::vector<LogEntry> entries;
+  // Lower bound of the commit index, for a node that is created again while its
+  // process runs.
+  LogIndex known_commit = 0;
 };
 
 // The states of charts/control_role.json, in the same order.
--- a/unit_tests/consensus/control_group.cc
+++ b/unit_tests/consensus/control_group.cc
@@ -39,10 +39,11 @@
     settings.control_hosts.push_back(HostIdOf(i));
   }
   if (configure_) configure_(settings);
+  const std::uint64_t failures = hosts_[host].files->failed_operations();
   auto created = ControlHost::Create(settings, *hosts_[host].files, now_,
                                      seed_ + random_.Below(1UL << 40U));
   if (!created) {
-    if (hosts_[host].files->HasFailed()) return Crash(host);
+    if (hosts_[host].files->failed_operations() > failures) return Crash(host);
     violations_.push_back("host did not start: " + created.error().detail);
     return;
   }
@@ -127,7 +128,7 @@
     }
   }
   if (effects.stamp) stamps_.push_back(*effects.stamp);
-  if (effects.failure) {
+  if (effects.failure && crashes_with_disk_) {
     Crash(host);
     return;
   }
--- a/unit_tests/consensus/control_group.h
+++ b/unit_tests/consensus/control_group.h
@@ -41,6 +41,9 @@
   void LoseDisk(std::size_t host);
   bool IsUp(std::size_t host) const { return hosts_[host].host.has_value(); }
 
+  // Keeps processes running whose data folder fails; otherwise they crash.
+  void KeepHostsWithFailedDisks() { crashes_with_disk_ = false; }
+
   // Starts or stops dropping everything that `from` sends to `to`.
   void BlockLink(std::size_t from, std::size_t to, bool is_blocked = true);
   void Isolate(std::size_t host);
@@ -109,6 +112,7 @@
   std::vector<Packet> packets_;
   std::set<std::pair<std::size_t, std::size_t>> blocked_links_;
   Instant now_{std::chrono::hours(1)};
+  bool crashes_with_disk_ = true;
   RequestToken last_token_ = 0;
   std::map<RequestToken, Completion> completions_;
   std::map<Term, NodeId> leaders_;
--- a/unit_tests/consensus/control_recovery_test.cc
+++ b/unit_tests/consensus/control_recovery_test.cc
@@ -157,5 +157,35 @@
   CHECK(group.violations().empty());
 }
 
+// Guards against control hosts that stay out of the group for good after their
+// disks were full for a while, until no majority is left.
+TEST_CASE("hosts whose disks were full in turn return to the group",
+          "[consensus]") {
+  for (const bool leader_first : {true, false}) {
+    CAPTURE(leader_first);
+    ControlGroup group(5, 11);
+    group.KeepHostsWithFailedDisks();
+    group.AwaitLeader();
+    REQUIRE(AwaitComplete(group));
+    Revision revision = 0;
+    for (std::size_t turn = 0; turn < group.size(); ++turn) {
+      const std::size_t leader = group.AwaitLeader();
+      const std::size_t host =
+          leader_first ? leader : (leader + 1 + turn % 4) % group.size();
+      group.files(host).FailAfter(0);
+      MakeChanges(group, revision, 3);
+      group.Run(seconds(2));
+      group.files(host).EndFailure();
+      MakeChanges(group, revision + 3, 3);
+      revision += 6;
+      group.Run(2 * ControlHostSettings().max_reopen_delay);
+      CHECK_FALSE(group.at(host).HasFailed());
+      CHECK(AwaitComplete(group));
+    }
+    CHECK(AllHaveRevision(group, revision));
+    CHECK(group.violations().empty());
+  }
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/consensus/fault_schedule_test.cc
+++ b/unit_tests/consensus/fault_schedule_test.cc
@@ -54,6 +54,12 @@
     RestoreAndSettle();
   }
 
+  // Failed disks recover after a while, and their hosts keep running.
+  void UseDisksThatRecover() {
+    disks_recover_ = true;
+    group_.KeepHostsWithFailedDisks();
+  }
+
   std::size_t accepted() const { return accepted_changes_.size(); }
 
   void CheckOutcome() {
@@ -108,7 +114,12 @@
         }
         break;
       case 8:
-        group_.files(RandomHost()).FailAfter(random.Below(20));
+        if (disks_recover_) {
+          group_.files(RandomHost())
+              .FailFor(random.Below(20), 1 + random.Below(8));
+        } else {
+          group_.files(RandomHost()).FailAfter(random.Below(20));
+        }
         break;
       case 9:
         // At most one disk is lost before the group is complete again.
@@ -228,6 +239,7 @@
   }
 
   ControlGroup group_;
+  bool disks_recover_ = false;
   std::map<std::string, SentChange> changes_;
   std::map<Revision, std::string> accepted_changes_;
   std::vector<SentClaim> claims_;
@@ -251,5 +263,22 @@
   CHECK(accepted > 10 * kSeeds);
 }
 
+// Guards against a promise that is forgotten when a host goes on after a failed
+// write or sync.
+TEST_CASE("accepted changes are kept when hosts outlive failures of their disks",
+          "[consensus]") {
+  std::size_t accepted = 0;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    const std::size_t hosts = seed % 4 == 0 ? 5 : 3;
+    CAPTURE(seed, hosts);
+    FaultSchedule schedule(hosts, seed);
+    schedule.UseDisksThatRecover();
+    schedule.Run();
+    schedule.CheckOutcome();
+    accepted += schedule.accepted();
+  }
+  CHECK(accepted > 10 * kSeeds);
+}
+
 }  // namespace
 }  // namespace sapphirebank
