A leader whose disk fails hands over at once

A leader that could not write fell silent, and its followers waited one to two election timeouts (0.8 s to 1.6 s on the platform) for the next one; changes, rate tokens and health judgments waited with them.

The leader now asks the voter with the longest log that it heard last to stand, which needs no disk.

--- a/sapphirebank/consensus/control_host.cc
+++ b/sapphirebank/consensus/control_host.cc
@@ -393,12 +393,14 @@
   }
 }
 
-// Leaves the group until the data folder can be opened again.
+// Leaves the group until the data folder can be opened again. A leader that
+// cannot write resigns, as its followers would otherwise wait for an election
+// timeout.
 void ControlHost::Halt(Instant now, const Error& error) {
   failure_ = error;
   reopen_delay_ = settings_.reopen_delay;
   reopen_at_ = now + reopen_delay_;
-  effects_.messages.clear();
+  effects_.messages = node_.Resign();
   effects_.failure = error;
   for (const auto& [index, proposal] : proposals_) {
     Complete(proposal.token, tl::unexpected(error));
--- a/sapphirebank/consensus/raft_leader.cc
+++ b/sapphirebank/consensus/raft_leader.cc
@@ -254,6 +254,29 @@
   ContinueTransfer(now);
 }
 
+std::vector<PeerEnvelope> RaftNode::Resign() {
+  if (role_ != ControlRole::kLeader) return {};
+  const GroupMember* successor = nullptr;
+  std::pair<LogIndex, Instant> longest;
+  for (const auto& [node, progress] : progress_) {
+    const GroupMember* member = membership().Find(node);
+    if (member == nullptr || !member->voter) continue;
+    // Of voters with equal logs, the one heard last is the likeliest to run.
+    const std::pair candidate(progress.match_index, progress.last_contact);
+    if (successor != nullptr && candidate <= longest) continue;
+    successor = member;
+    longest = candidate;
+  }
+  std::vector<PeerEnvelope> messages;
+  if (successor != nullptr) {
+    messages.push_back(
+        {successor->host,
+         {self_, successor->node, hard_state_.term, TimeoutNow{}}});
+  }
+  ApplyEvent(Event::kQuorumLost);
+  return messages;
+}
+
 void RaftNode::ContinueTransfer(Instant now) {
   if (!transfer_deadline_) return;
   if (now >= *transfer_deadline_) {
--- a/sapphirebank/consensus/raft_node.h
+++ b/sapphirebank/consensus/raft_node.h
@@ -120,6 +120,11 @@
   // refused until the transfer is done or one election timeout has passed.
   void TransferLeadership(Instant now);
 
+  // Gives up the leadership at once, whether or not another voter holds the
+  // whole log, and returns the message that asks the voter with the longest one
+  // to start an election. Returns nothing when this node does not lead.
+  std::vector<PeerEnvelope> Resign();
+
   // Returns the append requests that a leader may send before its own disk has
   // synced the same entries, so that the followers write in parallel with it.
   std::vector<PeerEnvelope> TakeEarlyMessages(Instant now);
--- a/unit_tests/consensus/control_recovery_test.cc
+++ b/unit_tests/consensus/control_recovery_test.cc
@@ -187,5 +187,29 @@
   }
 }
 
+// Guards against an election timeout without a leader while the one that cannot
+// write any more keeps its followers waiting.
+TEST_CASE("a leader whose disk is full hands over at once", "[consensus]") {
+  // Followers that get no message wait for one to two election timeouts.
+  const Duration hand_over_time = RaftSettings().election_timeout / 2;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    ControlGroup group(3, seed);
+    group.KeepHostsWithFailedDisks();
+    const std::size_t leader = group.AwaitLeader();
+    REQUIRE(AwaitComplete(group));
+    group.files(leader).FailAfter(0);
+    static_cast<void>(group.Propose(leader, ChangeOf(0, "c", "x", 1)));
+    const Instant failed_at = group.now();
+    REQUIRE(group.RunUntil([&] {
+      const auto next = group.Leader();
+      return next && *next != leader;
+    }));
+    CHECK(group.now() - failed_at <= hand_over_time);
+    CHECK_FALSE(group.at(leader).IsLeader());
+    CHECK(group.violations().empty());
+  }
+}
+
 }  // namespace
 }  // namespace sapphirebank
