A draining host takes only what it can answer, and answers what it took

Reported by other operators: requests that came late in the grace time of a planned stop were taken, passed on and cut without an answer at its end, among them requests that must run once.

Cause: acceptance and the end of the process were bounded, and nothing bound the requests between the two. A request taken 3 s after the signal had 2.5 s, whatever its route allows; bodies that were half sent and requests of other entry hosts were taken at any time.

Now a request is accepted by what it may need and what is left, others are refused as not run (host_leaving), and at seven eighths of the grace time the attempts still running are ended and their requests answered: 504 where a server may have run them, 503 where none has.

The check that the old schedule had on the end of the process holds now for the earlier time of the answers.

--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -200,32 +200,35 @@
   const Instant now = MonotonicNow();
   caller_server_->DisableKeepAlive();
   detour_server_->DisableKeepAlive();
-  requests_.BeginDrain();
-  link_.ReportNow();
   const DrainSchedule schedule = MakeDrainSchedule(settings_.grace);
+  requests_.BeginDrain(now, schedule);
+  link_.ReportNow();
   timer_.expires_after(schedule.accept_time);
-  const Instant end = now + schedule.end_time;
-  timer_.async_wait(
-      [this, end, done = std::move(done)](boost::system::error_code error) {
-        if (error) return;
-        caller_server_->Drain();
-        detour_server_->Drain();
-        AwaitIdle(end, done);
-      });
+  timer_.async_wait([this, now, schedule,
+                     done = std::move(done)](boost::system::error_code error) {
+    if (error) return;
+    caller_server_->Drain();
+    detour_server_->Drain();
+    AwaitIdle(now, schedule, done);
+  });
 }
 
-void EntryProcess::AwaitIdle(Instant until, std::function<void()> done) {
+void EntryProcess::AwaitIdle(Instant signal, const DrainSchedule& schedule,
+                             std::function<void()> done) {
   const std::size_t active =
       caller_server_->active_requests() + detour_server_->active_requests();
-  if (active == 0 || MonotonicNow() >= until) {
+  const Duration elapsed = MonotonicNow() - signal;
+  if (active == 0 || elapsed >= schedule.end_time) {
+    log_.Write(LogLevel::kInfo, "drained", {{"in_work", active}});
     done();
     return;
   }
+  if (elapsed >= schedule.answer_time) requests_.EndAttempts();
   timer_.expires_after(kIdleCheckPeriod);
-  timer_.async_wait(
-      [this, until, done = std::move(done)](boost::system::error_code error) {
-        if (!error) AwaitIdle(until, done);
-      });
+  timer_.async_wait([this, signal, schedule,
+                     done = std::move(done)](boost::system::error_code error) {
+    if (!error) AwaitIdle(signal, schedule, done);
+  });
 }
 
 }  // namespace sapphirebank
--- a/programs/fleet_host/entry_process.h
+++ b/programs/fleet_host/entry_process.h
@@ -11,6 +11,7 @@
 #include "programs/fleet_host/entry_request_handler.h"
 #include "programs/fleet_host/entry_state.h"
 #include "programs/fleet_host/metrics_server.h"
+#include "sapphirebank/fleet/drain_schedule.h"
 #include "sapphirebank/fleet/fleet_settings.h"
 #include "sapphirebank/transport/http_server.h"
 
@@ -30,7 +31,8 @@
 
   // Shuts down gracefully within the grace time: reports itself as not ready,
   // serves callers for a part of that time since they cache addresses, then
-  // finishes the requests in progress and calls `done`.
+  // finishes the requests in progress, answers those that are still running
+  // near its end, and calls `done`.
   void Drain(std::function<void()> done);
 
  private:
@@ -46,7 +48,10 @@
   Result<void> ApplyUpdate(std::optional<Instant> asked_at,
                            const FleetUpdate& update);
   bool IsReady() const;
-  void AwaitIdle(Instant until, std::function<void()> done);
+  // Calls `done` when no request is active, at the latest when the schedule
+  // ends.
+  void AwaitIdle(Instant signal, const DrainSchedule& schedule,
+                 std::function<void()> done);
 
   boost::asio::io_context& loop_;
   FleetSettings settings_;
--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -111,15 +111,15 @@
   // waits for a connection.
   exchange.may_send = [this, server, has_key = context.workspace != nullptr] {
     const Instant at = MonotonicNow();
-    return state_.view().MayReceiveRequests(at, *server) &&
+    return !AttemptsAreOver() &&
+           state_.view().MayReceiveRequests(at, *server) &&
            (!has_key || state_.view().IsCurrent(at));
   };
-  // Only idempotent requests are aborted when the caller disconnects.
-  std::shared_ptr<CallerWatch> watch;
+  const std::shared_ptr<CallerWatch> watch = AddAttemptWatch();
   asio::steady_timer timer(loop_);
   std::shared_ptr<void> guard;
+  // Only idempotent requests are aborted when the caller disconnects.
   if (context.route->idempotent) {
-    watch = std::make_shared<CallerWatch>();
     context.request.watch->set_on_hang_up([watch] { watch->HangUp(); });
     guard = StartAttemptTimer(context, timer, watch, choice.is_busy);
   }
@@ -137,8 +137,9 @@
     const bool abandoned =
         (is_replaced || std::exchange(context.abandoned_for_detour, false)) &&
         !context.request.watch->hung_up();
-    failure->timed_out = failure->timed_out || abandoned;
-    const bool blames_server = !(abandoned && choice.is_busy);
+    const bool is_over = AttemptsAreOver();
+    failure->timed_out = failure->timed_out || abandoned || is_over;
+    const bool blames_server = !is_over && !(abandoned && choice.is_busy);
     AttemptResult attempt =
         ClassifyFailure(context, choice, *failure, blames_server);
     attempt.is_retry_charged = is_replaced;
@@ -167,7 +168,7 @@
   if (failure.stage == AttemptStage::kNotConnected) {
     attempt.failure = ErrorKind::kBackendUnreachable;
     attempt.may_retry = true;
-    if (context.request.watch->hung_up()) return attempt;
+    if (context.request.watch->hung_up() || AttemptsAreOver()) return attempt;
     ++context.unreachable_attempts;
     attempt.assignment_outcome.reset();
     state_.RecordUnreachable(now, server, std::move(unanswered));
--- a/programs/fleet_host/entry_request_detour.cc
+++ b/programs/fleet_host/entry_request_detour.cc
@@ -27,6 +27,7 @@
 // rather than the servers or the workspace being at their limits.
 bool CannotServe(ErrorKind kind) {
   return kind == ErrorKind::kBackendUnreachable ||
+         kind == ErrorKind::kHostLeaving ||
          kind == ErrorKind::kNoConfiguration ||
          kind == ErrorKind::kKeyUnverifiable;
 }
@@ -113,10 +114,9 @@
       state_.detour_hosts().Take(now, context.detour_hosts);
   context.detour_hosts.push_back(host);
   HttpExchange exchange = MakeDetour(context, host, now);
+  const std::shared_ptr<CallerWatch> watch = AddAttemptWatch();
   // Only idempotent requests are aborted when the caller disconnects.
-  std::shared_ptr<CallerWatch> watch;
   if (context.route->idempotent) {
-    watch = std::make_shared<CallerWatch>();
     context.request.watch->set_on_hang_up([watch] { watch->HangUp(); });
   }
   ExchangeResult result = co_await client_.Exchange(std::move(exchange), watch);
@@ -132,7 +132,8 @@
   last = AttemptResult();
   if (const auto* failure = std::get_if<AttemptFailure>(&result.outcome)) {
     const bool is_sent = failure->stage == AttemptStage::kSent;
-    const bool timed_out = failure->timed_out && now >= context.deadline;
+    const bool timed_out =
+        AttemptsAreOver() || (failure->timed_out && now >= context.deadline);
     if (!timed_out && !context.request.watch->hung_up()) {
       state_.detour_hosts().RecordFailure(now, host);
     }
@@ -143,9 +144,10 @@
                 {"timed_out", failure->timed_out}});
     last.received_by_server = is_sent;
     last.may_retry = !is_sent || context.route->idempotent;
-    last.failure = !is_sent             ? ErrorKind::kBackendUnreachable
-                   : failure->timed_out ? ErrorKind::kBackendTimeout
-                                        : ErrorKind::kBackendBroken;
+    last.failure = !is_sent ? ErrorKind::kBackendUnreachable
+                   : timed_out || failure->timed_out
+                       ? ErrorKind::kBackendTimeout
+                       : ErrorKind::kBackendBroken;
     if (!is_sent) return std::nullopt;
     ++context.attempts_received;
     context.may_have_run = true;
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -119,6 +119,10 @@
     }
   }
   SetDeadlines(context);
+  if (!FitsDrain(context)) {
+    return Fail(ErrorKind::kHostLeaving,
+                "the process may end before the request is answered");
+  }
   std::string fingerprint_input =
       head.method + ' ' + head.target + ' ' + context.info.key;
   context.fingerprint =
@@ -142,6 +146,30 @@
       std::min(context.caller_deadline, context.arrival_time + timeout);
 }
 
+bool EntryRequestHandler::FitsDrain(const RequestContext& context) const {
+  if (!drain_) return true;
+  const RequestTimes times = {context.route->latency_objective,
+                              context.deadline - context.arrival_time};
+  return AcceptsWhileDraining(drain_->schedule,
+                              context.arrival_time - drain_->started_at, times,
+                              context.route->idempotent);
+}
+
+std::shared_ptr<CallerWatch> EntryRequestHandler::AddAttemptWatch() {
+  std::erase_if(attempt_watches_,
+                [](const auto& watch) { return watch.expired(); });
+  auto watch = std::make_shared<CallerWatch>();
+  attempt_watches_.push_back(watch);
+  return watch;
+}
+
+void EntryRequestHandler::EndAttempts() {
+  if (!drain_ || std::exchange(drain_->attempts_are_over, true)) return;
+  for (const auto& attempt : std::exchange(attempt_watches_, {})) {
+    if (const auto watch = attempt.lock()) watch->HangUp();
+  }
+}
+
 asio::awaitable<Result<void>> EntryRequestHandler::AcquireRateToken(
     RequestContext& context) {
   const TokenOutcome token = co_await state_.TakeToken(
@@ -190,7 +218,8 @@
   while (true) {
     co_await path_prober_.AwaitVerdict();
     const Instant now = MonotonicNow();
-    if (now >= context.deadline || context.request.watch->hung_up()) {
+    if (now >= context.deadline || AttemptsAreOver() ||
+        context.request.watch->hung_up()) {
       last.failure = context.may_have_run ? ErrorKind::kBackendTimeout
                                           : ErrorKind::kQueueTimeout;
       break;
@@ -276,7 +305,8 @@
 
 bool EntryRequestHandler::MayRetry(RequestContext& context,
                                    const AttemptResult& last, Instant now) {
-  if (!last.may_retry || context.deadline - now < kMinTimeToRetry) return false;
+  if (!last.may_retry || AttemptsAreOver()) return false;
+  if (context.deadline - now < kMinTimeToRetry) return false;
   if (context.attempts_received >= context.route->max_tries) return false;
   // A retry is not charged when the attempt before reached no server, nor when
   // that attempt was abandoned, which has charged the budget already.
@@ -290,7 +320,7 @@
 bool EntryRequestHandler::MayAbandon(const RequestContext& context) const {
   const bool is_last =
       context.attempts_received + 1 >= context.route->max_tries;
-  return context.route->idempotent && !is_last && !draining_;
+  return context.route->idempotent && !is_last && !drain_;
 }
 
 // Refuses a request of which no server has received anything.
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -4,12 +4,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "programs/fleet_host/entry_codec.h"
 #include "programs/fleet_host/entry_state.h"
 #include "programs/fleet_host/server_path_prober.h"
+#include "sapphirebank/fleet/drain_schedule.h"
 #include "sapphirebank/telemetry/fleet_metrics.h"
 #include "sapphirebank/telemetry/log_writer.h"
 #include "sapphirebank/transport/fleet_secret.h"
@@ -33,9 +35,16 @@
   // the default before a plan is in force.
   Result<std::uint64_t> AcceptHead(const HttpRequestHead& head) const;
 
-  // Stops abandoning slow attempts: while the host drains, callers have no time
-  // to turn to another host.
-  void BeginDrain() { draining_ = true; }
+  // From now on accepts only requests that can be answered within the schedule,
+  // and stops abandoning slow attempts: callers have no time to turn to another
+  // host.
+  void BeginDrain(Instant now, const DrainSchedule& schedule) {
+    drain_ = Drain{now, schedule};
+  }
+
+  // Ends all attempts, so that requests are answered before the process ends:
+  // those that may have run as having an unknown outcome.
+  void EndAttempts();
 
   // Handles a request whose body has been received.
   boost::asio::awaitable<HttpAnswer> Handle(HttpRequest request);
@@ -65,9 +74,20 @@
         AssignmentOutcome::kInconclusive;
   };
 
+  // A drain in progress.
+  struct Drain {
+    Instant started_at;
+    DrainSchedule schedule;
+    bool attempts_are_over = false;
+  };
+
   boost::asio::awaitable<HttpAnswer> Serve(RequestContext& context);
   Result<void> Admit(RequestContext& context) const;
   void SetDeadlines(RequestContext& context) const;
+  bool FitsDrain(const RequestContext& context) const;
+  bool AttemptsAreOver() const { return drain_ && drain_->attempts_are_over; }
+  // Returns a watch by which EndAttempts() ends an attempt while it is held.
+  std::shared_ptr<CallerWatch> AddAttemptWatch();
   boost::asio::awaitable<Result<void>> AcquireRateToken(
       RequestContext& context);
   Result<void> TakeLocalToken(const RequestContext& context);
@@ -142,7 +162,8 @@
       std::make_shared<std::size_t>(0);
   HttpClient client_;
   ServerPathProber path_prober_;
-  bool draining_ = false;
+  std::optional<Drain> drain_;
+  std::vector<std::weak_ptr<CallerWatch>> attempt_watches_;
 };
 
 }  // namespace sapphirebank
--- a/unit_tests/fleet/drain_schedule_test.cc
+++ b/unit_tests/fleet/drain_schedule_test.cc
@@ -18,10 +18,54 @@
   constexpr Duration kLastAcceptance = seconds(3);
   const DrainSchedule schedule = MakeDrainSchedule(kGrace);
   CHECK(schedule.accept_time <= kLastAcceptance);
-  CHECK(schedule.end_time >= kGrace - kGrace / 6);
+  CHECK(schedule.answer_time >= kGrace - kGrace / 6);
+  CHECK(schedule.end_time > schedule.answer_time);
   // The process ends by itself before it is killed.
   CHECK(schedule.end_time <= kGrace - milliseconds(250));
 }
 
+// Guards against requests that must run once and are taken with less time left
+// than they may need.
+TEST_CASE("a draining host takes a request only with time to answer it",
+          "[fleet]") {
+  struct Row {
+    const char* name;
+    RequestTimes times;
+    bool is_idempotent;
+    // The last time after the signal at which it is taken; negative for never.
+    Duration last_taken;
+  };
+  const DrainSchedule schedule = MakeDrainSchedule(seconds(6));
+  const Duration end = schedule.answer_time;
+  const Row rows[] = {
+      {"short, once",
+       {milliseconds(600), seconds(8)},
+       false,
+       end - milliseconds(2400)},
+      {"short limit, once",
+       {milliseconds(400), seconds(1)},
+       false,
+       end - seconds(1)},
+      {"longer than the grace time",
+       {seconds(2), seconds(12)},
+       false,
+       milliseconds(-1)},
+      {"repeatable",
+       {milliseconds(600), seconds(8)},
+       true,
+       end - milliseconds(600)},
+  };
+  for (const Row& row : rows) {
+    CAPTURE(row.name);
+    const auto accepts = [&](Duration since_signal) {
+      return AcceptsWhileDraining(schedule, since_signal, row.times,
+                                  row.is_idempotent);
+    };
+    CHECK(accepts(Duration::zero()) == (row.last_taken >= Duration::zero()));
+    CHECK_FALSE(accepts(row.last_taken + milliseconds(1)));
+    if (row.last_taken > Duration::zero()) CHECK(accepts(row.last_taken));
+  }
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/platform/entry_hosts.h
+++ b/unit_tests/platform/entry_hosts.h
@@ -3,6 +3,9 @@
 #include <fmt/format.h>
 
 #include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -37,6 +40,9 @@
     hooks.handle =
         [this](HttpRequest request) -> boost::asio::awaitable<HttpAnswer> {
       ++requests_;
+      boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                      delay_.load());
+      co_await timer.async_wait(boost::asio::use_awaitable);
       co_return script_(request);
     };
     server_.emplace(
@@ -44,6 +50,9 @@
             .value());
   }
 
+  // Sets the time that each request takes.
+  void set_delay(Duration delay) { delay_ = delay; }
+
   int requests() const { return requests_; }
   Endpoint endpoint() const { return {"127.0.0.1", server_->port()}; }
 
@@ -61,6 +70,7 @@
 
  private:
   Script script_;
+  std::atomic<Duration> delay_ = Duration::zero();
   std::atomic<int> requests_ = 0;
   std::optional<HttpServer> server_;
 };
@@ -150,6 +160,26 @@
     return loop_.Run(handler_->Handle(std::move(request)));
   }
 
+  // Begins to drain as if the termination signal had come `ago` before now.
+  void BeginDrain(const DrainSchedule& schedule, Duration ago) {
+    RunOnLoop([&] {
+      handler_->BeginDrain(MonotonicNow() - ago, schedule);
+      return true;
+    });
+  }
+
+  // Ends the attempts of all requests after `delay`, without waiting for it.
+  void EndAttemptsAfter(Duration delay) {
+    RunOnLoop([&] {
+      auto timer =
+          std::make_shared<boost::asio::steady_timer>(loop_.loop(), delay);
+      timer->async_wait([this, timer](boost::system::error_code error) {
+        if (!error) handler_->EndAttempts();
+      });
+      return true;
+    });
+  }
+
   // Returns the report to the hub since the last one.
   EntryReport TakeReport() {
     EntryReport report;
