--- a/sapphirebank/consensus/control_host.h
+++ b/sapphirebank/consensus/control_host.h
@@ -155,8 +155,9 @@
                                     std::uint64_t seed);
 
   // Runs the periodic work of the node and, on the leader, of the group. Opens
-  // the data folder again when that is due after a failure. `wall` is used only for times shown to people, the retention of claims and the
-  // first term of a new group.
+  // the data folder again when that is due after a failure. `wall` is used only
+  // for times shown to people, the retention of claims and the first term of a
+  // new group.
   void Tick(Instant now, WallTime wall);
 
   void Receive(Instant now, const HostId& from, const PeerMessage& message);
--- a/sapphirebank/consensus/log_storage.h
+++ b/sapphirebank/consensus/log_storage.h
@@ -25,8 +25,9 @@
 class LogStorage {
  public:
   // Opens the data folder of `host`; an empty folder is formatted as the new
-  // node `new_node`. What is read is durable when the function returns. Fails with kStorageFailed when a file is damaged or
-  // missing, and with kInvalidSettings when the folder belongs to another host.
+  // node `new_node`. What is read is durable when the function returns. Fails
+  // with kStorageFailed when a file is damaged or missing, and with
+  // kInvalidSettings when the folder belongs to another host.
   static Result<LogStorage> Open(FileSystem& files, const HostId& host,
                                  const NodeId& new_node,
                                  const LogStorageSettings& settings);
--- a/sapphirebank/consensus/raft_election.cc
+++ b/sapphirebank/consensus/raft_election.cc
@@ -122,8 +122,8 @@
     hard_state_changed_ = true;
   }
   if (granted) ResetElectionDeadline(now);
-  // The leader that asked the candidate to stand is gone, and a leader is needed
-  // that has what this node has.
+  // The leader that asked the candidate to stand is gone, and a leader is
+  // needed that has what this node has.
   if (body.transfer && !is_up_to_date) {
     SetElectionDeadline(now, settings_.heartbeat_interval / 4);
   }
--- a/sapphirebank/consensus/segment_log.h
+++ b/sapphirebank/consensus/segment_log.h
@@ -20,8 +20,8 @@
   // Reads the files whose names start with "log-". `salt` makes the checksums
   // of this folder differ from those of other folders. Entries up to `snapshot`
   // may be missing; later ones must be complete. An incomplete record at the
-  // very end is dropped; any other damage fails with kStorageFailed, naming file
-  // and offset. Everything that is read is durable afterwards.
+  // very end is dropped; any other damage fails with kStorageFailed, naming
+  // file and offset. Everything that is read is durable afterwards.
   static Result<SegmentLog> Open(FileSystem& files, std::uint64_t salt,
                                  LogPosition snapshot,
                                  std::size_t segment_bytes);
--- a/unit_tests/consensus/fault_schedule_test.cc
+++ b/unit_tests/consensus/fault_schedule_test.cc
@@ -265,8 +265,9 @@
 
 // Guards against a promise that is forgotten when a host goes on after a failed
 // write or sync.
-TEST_CASE("accepted changes are kept when hosts outlive failures of their disks",
-          "[consensus]") {
+TEST_CASE(
+    "accepted changes are kept when hosts outlive failures of their disks",
+    "[consensus]") {
   std::size_t accepted = 0;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     const std::size_t hosts = seed % 4 == 0 ? 5 : 3;
--- a/unit_tests/consensus/memory_file_system.cc
+++ b/unit_tests/consensus/memory_file_system.cc
@@ -29,8 +29,8 @@
 
 std::string MemoryFileSystem::File::WritableContent() const {
   std::string writable = content;
-  for (std::size_t i = synced.size(); i < std::min(dropped_until, content.size());
-       ++i) {
+  for (std::size_t i = synced.size();
+       i < std::min(dropped_until, content.size()); ++i) {
     writable[i] = '\0';
   }
   return writable;
