Relays report to the leader only when it has answered the last report

Cause: a relay with something urgent sent a report every 4 ms for each hub, 76 ms with 19, whether or not the last one had been answered. A leader that was late once, after a plan for 441 hosts, got reports faster than it handled them. Each answer was older than the last, and the ages of all hubs grew until another leader took over. Class: open-loop load, a metastable failure.

Ruled out as the whole cause: hosts that search another hub, which were few from 17 s to 21 s while the ages grew on.

Now the next report waits for the answer to the last, at most 1 s, and carries what has come up meanwhile. A change of the leader or the loss of its link ends the wait.

Test: 'reports of relays do not queue up at a slow leader': 18 relays, 10 ms a report. Two older simulations had a leader that never answers or answers without a number; theirs answers now as the process does, with all their bounds as they were.

--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -266,11 +266,16 @@
 }
 
 void FleetHub::RemoveReporter(const HostId& host) {
+  if (host.value() == leader_) unanswered_report_at_.reset();
   reporters_.erase(host);
   dispatcher_.EndAssignmentsOf(host);
 }
 
 void FleetHub::SetHubs(std::vector<HubHost> hubs, const std::string& leader) {
+  if (leader != leader_) {
+    leader_ = leader;
+    unanswered_report_at_.reset();
+  }
   hubs.push_back(self_);
   std::sort(hubs.begin(), hubs.end(), [&](const HubHost& a, const HubHost& b) {
     return std::make_pair(a.address == leader, a.address) <
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -49,6 +49,8 @@
   // reports a second, with their answers, in a part of a small host's
   // processor.
   Duration min_report_interval_per_hub = std::chrono::milliseconds(4);
+  // A report that the leader did not answer within this time counts as lost.
+  Duration report_answer_timeout = std::chrono::milliseconds(1000);
   // Period of updates of request rates and of the number of hosts.
   Duration shared_state_period = std::chrono::milliseconds(1000);
 };
@@ -107,7 +109,8 @@
 
   // Relay only: returns whether to report to the leader now: after
   // settings.leader_report_period, or sooner when there is something urgent,
-  // but not so often that the leader is busy with the reports of all relays.
+  // but not so often that the leader is busy with the reports of all relays,
+  // and not while the last one is unanswered.
   bool LeaderReportIsDue(Instant now) const;
 
   // Relay only: applies the leader's update.
@@ -245,6 +248,8 @@
   std::uint64_t leader_registry_changes_ = 0;
   bool must_report_to_leader_ = false;
   Instant last_leader_report_at_;
+  std::optional<Instant> unanswered_report_at_;
+  std::string leader_;
   // Ready hosts as last sent to the leader, and when they are sent again.
   std::vector<ReadyHost> reported_ready_hosts_;
   Instant next_ready_hosts_at_;
--- a/sapphirebank/fleet/fleet_hub_updates.cc
+++ b/sapphirebank/fleet/fleet_hub_updates.cc
@@ -99,6 +99,12 @@
 }
 
 bool FleetHub::LeaderReportIsDue(Instant now) const {
+  // Reports are clocked by their answers (Jacobson, "Congestion Avoidance and
+  // Control", SIGCOMM 1988): a leader that is late gets fewer, larger ones.
+  const bool awaits_answer =
+      unanswered_report_at_ &&
+      now - *unanswered_report_at_ < settings_.report_answer_timeout;
+  if (awaits_answer) return false;
   const Duration interval =
       must_report_to_leader_
           ? std::min<Duration>(
@@ -111,6 +117,7 @@
 EntryReport FleetHub::BuildLeaderReport(Instant now, bool first) {
   must_report_to_leader_ = false;
   last_leader_report_at_ = now;
+  unanswered_report_at_ = now;
   EntryReport report = std::exchange(pending_report_, {});
   std::vector<ReadyHost> ready = ReadyHosts(now);
   const bool is_due = now >= next_ready_hosts_at_;
@@ -145,6 +152,7 @@
 }
 
 void FleetHub::ApplyLeaderUpdate(Instant now, const FleetUpdate& update) {
+  if (update.answered_report != 0) unanswered_report_at_.reset();
   std::set<BackendId> listed;
   for (const ServerUpdate& server_update : update.servers) {
     registry_.ApplyServerUpdate(now, server_update);
--- a/unit_tests/fleet/fleet_hub_load_test.cc
+++ b/unit_tests/fleet/fleet_hub_load_test.cc
@@ -1,9 +1,11 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "sapphirebank/fleet/hub_assignment.h"
 #include "unit_tests/fleet/leader_and_relay.h"
 
 // A hub and a leader when all hosts come at once or after a restart.
@@ -94,6 +96,9 @@
       relay.HandleReport(now, kEntry, false, report, record);
       if (!relay.LeaderReportIsDue(now)) continue;
       relay.BuildLeaderReport(now, false);
+      FleetUpdate answer;
+      answer.answered_report = 1;
+      relay.ApplyLeaderUpdate(now, answer);
       longest = std::max(longest, now - last);
       last = now;
       ++reports;
@@ -136,5 +141,97 @@
   CHECK(update.request_rates.at(desk) > 45);
 }
 
+// A leader that handles one report at a time and the relays that report to it,
+// by simulated time.
+class SlowLeaderSimulation {
+ public:
+  SlowLeaderSimulation(int relays, Duration report_time)
+      : report_time_(report_time) {
+    std::vector<HubHost> hubs = {{kLeader, ZoneId("kochi")}};
+    for (int i = 0; i < relays; ++i) hubs.push_back({Name(i), ZoneId("kochi")});
+    for (int i = 0; i < relays; ++i) {
+      relays_.emplace_back(FleetHubSettings(), 2 + i, hubs[1 + i], Random(2));
+      std::vector<HubHost> others = hubs;
+      others.erase(others.begin() + 1 + i);
+      relays_.back().SetHubs(std::move(others), kLeader);
+    }
+    leader_.BecomeLeader(now);
+  }
+
+  // Lets the leader stand still for `duration` from now on.
+  void Suspend(Duration duration) { idle_at_ = now + duration; }
+
+  // Runs until `end`, with a failure at a server in each step, which a relay
+  // reports at once.
+  void RunUntil(Instant end) {
+    constexpr Duration kStep = milliseconds(5);
+    for (; now < end; now += kStep) {
+      for (std::size_t i = 0; i < relays_.size(); ++i) ReportFailure(i);
+      while (!queue_.empty() && idle_at_ <= now) Answer();
+    }
+  }
+
+  // Time from the last answered report to its answer.
+  Duration answer_time{};
+  Instant now = kStart;
+
+ private:
+  struct Sent {
+    std::size_t relay = 0;
+    EntryReport report;
+    Instant at;
+  };
+
+  static std::string Name(int relay) {
+    return "10.0.1." + std::to_string(relay) + ":7";
+  }
+
+  void ReportFailure(std::size_t i) {
+    FleetHub& relay = relays_[i];
+    EntryReport failure;
+    failure.outcomes[BackendId("a")].hard_failures = 1;
+    relay.HandleReport(now, kEntry, false, failure, record_);
+    if (!relay.LeaderReportIsDue(now)) return;
+    EntryReport report = relay.BuildLeaderReport(now, false);
+    report.number = ++number_;
+    queue_.push_back({i, std::move(report), now});
+  }
+
+  void Answer() {
+    const Sent sent = std::move(queue_.front());
+    queue_.pop_front();
+    idle_at_ = now + report_time_;
+    FleetUpdate update =
+        leader_.HandleReport(now, HostId(Name(static_cast<int>(sent.relay))),
+                             true, sent.report, record_);
+    relays_[sent.relay].ApplyLeaderUpdate(now, update);
+    answer_time = now - sent.at;
+  }
+
+  static constexpr const char* kLeader = "10.0.0.1:7";
+  Duration report_time_;
+  FleetRecord record_;
+  FleetHub leader_{
+      FleetHubSettings(), 1, {kLeader, ZoneId("kochi")}, Random(1)};
+  std::deque<FleetHub> relays_;
+  std::deque<Sent> queue_;
+  std::uint64_t number_ = 0;
+  Instant idle_at_ = kStart;
+};
+
+// Guards against a leader that is late once and never again catches up, as its
+// relays send reports faster than it handles them.
+TEST_CASE("reports of relays do not queue up at a slow leader", "[fleet]") {
+  constexpr int kRelays = 18;
+  SlowLeaderSimulation group(kRelays, milliseconds(10));
+  group.RunUntil(kStart + seconds(10));
+  // Entry hosts look for another hub with an older update than this.
+  CHECK(group.answer_time < kMaxHubUpdateAge);
+  // The leader stands still, as when it is suspended, and catches up.
+  group.Suspend(seconds(3));
+  group.RunUntil(group.now + seconds(5));
+  CHECK(group.answer_time < kMaxHubUpdateAge);
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/fleet/rate_limited_servers_test.cc
+++ b/unit_tests/fleet/rate_limited_servers_test.cc
@@ -107,6 +107,7 @@
       hub.Tick(now);
       if (i == 0 || !hub.LeaderReportIsDue(now)) continue;
       EntryReport report = hub.BuildLeaderReport(now, !synced_[i]);
+      report.number = 1;
       synced_[i] = true;
       hub.ApplyLeaderUpdate(
           now, hubs_[0]->HandleReport(now, HostId("hub-" + std::to_string(i)),
