Hosts do not search another hub while no hub has a newer update

None of the hubs found was better off, and the leader became later still.

Cause: an old leader update was taken for a hub that is cut off. Class: a retry storm, by a symptom that all share.

Control hosts now tell each other the age of their leader update with the pings that they send anyway. A hub with an old update whose peers, a majority with itself, have no recent one either tells its hosts so, and they keep it. A leader that confirms its leadership reaches a majority, which has a voter in common with any other; and a hub that is cut off last heard of recent updates on the other side, or hears no majority. So hosts of such a hub search as before.

Earlier builds ignore the new member of pings and updates and send none, which counts as not known; hosts then search as before.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -174,6 +174,7 @@
   host_.Tick(now, WallNow());
   hub_.Tick(now);
   ConnectToOthers(now);
+  has_newest_update_ = HasNewestUpdate(now);
   UpdateMetrics(now);
   Flush();
 }
@@ -321,6 +322,7 @@
 void ControlProcess::SendUpdate(LinkId link, FleetUpdate update, Instant now) {
   update.quorum_age = StateAge(now);
   update.is_electing = IsElectingLeader(now);
+  update.has_newest_update = has_newest_update_;
   links_.Send(link, {{"t", "update"}, {"u", update}});
 }
 
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -18,6 +18,7 @@
 #include "sapphirebank/fleet/fleet_call.h"
 #include "sapphirebank/fleet/fleet_hub.h"
 #include "sapphirebank/fleet/fleet_settings.h"
+#include "sapphirebank/fleet/update_age.h"
 #include "sapphirebank/telemetry/log_writer.h"
 #include "sapphirebank/transport/decision_thread.h"
 #include "sapphirebank/transport/fleet_link.h"
@@ -56,6 +57,8 @@
     bool is_control = false;
     ZoneId zone;  // Of a control host; empty otherwise.
     Instant heard_at;
+    // Of a control host.
+    std::optional<ReportedUpdateAge> update_age;
   };
 
   // Addresses of the ready entry hosts.
@@ -92,6 +95,7 @@
   // Returns the time since `confirmed_as_of_`, at most one hour.
   Duration StateAge(Instant now) const;
   bool IsElectingLeader(Instant now) const;
+  bool HasNewestUpdate(Instant now) const;
   void SendUpdate(LinkId link, FleetUpdate update, Instant now);
   void PublishReady(Instant now);
   void LogHealthChanges();
@@ -160,6 +164,7 @@
   // The record contains every command accepted before this time. Advanced by
   // this host's own leadership confirmations, or by updates of the leader.
   Instant confirmed_as_of_;
+  bool has_newest_update_ = false;
   bool is_confirming_ = false;
   Instant next_confirm_;
   Instant next_connect_;
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -44,7 +44,7 @@
 
 void ControlProcess::OnUp(LinkId link, const HostId& host) {
   const Instant now = Now();
-  peers_[link] = {host, false, ZoneId(), now};
+  peers_[link] = {host, false, ZoneId(), now, std::nullopt};
   links_.Send(link, {{"t", "control"},
                      {"zone", settings_.zone.value()},
                      {"age", StateAge(now).count()},
@@ -72,6 +72,23 @@
                   membership.Quorum());
 }
 
+// Returns whether this host's leader update is old and no other control host
+// has a recent one.
+bool ControlProcess::HasNewestUpdate(Instant now) const {
+  if (StateAge(now) <= kRecentUpdateAge) return false;
+  const GroupMembership& membership = host_.raft().membership();
+  std::map<HostId, std::optional<ReportedUpdateAge>> latest;
+  for (const auto& [link, peer] : peers_) {
+    if (peer.is_control) latest[peer.host] = peer.update_age;
+  }
+  std::vector<std::optional<ReportedUpdateAge>> others;
+  for (const GroupMember& member : membership.members()) {
+    const auto found = latest.find(member.host);
+    if (member.voter && found != latest.end()) others.push_back(found->second);
+  }
+  return NoneHasRecentUpdate(now, others, membership.Quorum());
+}
+
 void ControlProcess::OnDown(LinkId link, const std::string& reason) {
   std::erase_if(connecting_,
                 [&](const auto& item) { return item.second == link; });
@@ -117,7 +134,7 @@
 void ControlProcess::ConnectToOthers(Instant now) {
   if (now >= next_ping_) {
     next_ping_ = now + kPingPeriod;
-    SendToControl({{"t", "ping"}});
+    SendToControl({{"t", "ping"}, {"age", StateAge(now).count()}});
     for (const auto& [link, peer] : peers_) {
       const Duration limit =
           peer.is_control ? kControlLinkTimeout : kEntryLinkTimeout;
@@ -173,6 +190,12 @@
       OnPeerCall(link, message);
     } else if (type == "done") {
       OnCallDone(message);
+    } else if (type == "ping") {
+      // Earlier builds send no age.
+      if (const auto age = message.find("age"); age != message.end()) {
+        peer.update_age = ReportedUpdateAge{ReadDuration(*age), peer.heard_at};
+      }
+      return;
     } else if (type == "ready" && !is_leader_) {
       ready_hosts_ = message.at("list").get<std::vector<ReadyHost>>();
       hub_.SetFleetHosts(ready_hosts_);
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -256,7 +256,7 @@
   // An update that is refused leaves the age of this host's information as it
   // is, which ends in a search for another hub.
   hooks_.update(asked_at, update);
-  selector_.RecordElection(update.is_electing);
+  selector_.RecordHubState(update.is_electing, update.has_newest_update);
   if (update.shared_state) {
     selector_.SetHubs(now, update.hubs, update.entry_hosts);
   }
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -185,6 +185,7 @@
          {"id", update.registry_id},
          {"b", update.registry_changes}};
   if (update.is_electing) out["electing"] = true;
+  if (update.has_newest_update) out["newest"] = true;
   if (update.full_registry) out["whole"] = true;
   if (update.wants_servers) out["wants"] = true;
   for (const ServerUpdate& server_update : update.servers) {
@@ -212,6 +213,7 @@
   in.at("id").get_to(update.registry_id);
   in.at("b").get_to(update.registry_changes);
   ReadOptional(in, "electing", update.is_electing);
+  ReadOptional(in, "newest", update.has_newest_update);
   ReadOptional(in, "whole", update.full_registry);
   ReadOptional(in, "wants", update.wants_servers);
   if (const auto found = in.find("servers"); found != in.end()) {
--- a/sapphirebank/fleet/fleet_messages.h
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -105,6 +105,8 @@
   // The sender takes part in an election of a leader, so that its quorum age
   // says nothing about its connections.
   bool is_electing = false;
+  // The hub's own leader update is old, and no other hub has a recent one.
+  bool has_newest_update = false;
   // Changes of the replicated record that the sender has applied.
   std::uint64_t record_changes = 0;
   std::uint64_t registry_id = 0;
--- a/sapphirebank/fleet/hub_assignment.h
+++ b/sapphirebank/fleet/hub_assignment.h
@@ -26,6 +26,11 @@
 // apply a plan that was accepted meanwhile.
 inline constexpr Duration kMaxHubUpdateAge = std::chrono::milliseconds(1200);
 
+// Maximum leader update age of a hub that a host changes to. Hubs that follow
+// the leader are confirmed several times a second; the updates of hubs that
+// lost it together differ by as much, so a slightly newer one says nothing.
+inline constexpr Duration kRecentUpdateAge = std::chrono::milliseconds(600);
+
 // Returns the addresses of the hubs among which the entry hosts and backend
 // servers of `zone` are divided: as many of the zone's first ones in `hubs` as
 // `entry_hosts`, the number in all zones, require. Every host computes the
--- a/sapphirebank/fleet/hub_selector.cc
+++ b/sapphirebank/fleet/hub_selector.cc
@@ -40,6 +40,7 @@
 }
 
 bool HubSelector::IsOutdated(Duration update_age) const {
+  if (hub_has_newest_update_) return false;
   return update_age > (hub_is_electing_ ? settings_.max_update_age_in_election
                                         : settings_.max_update_age);
 }
@@ -170,6 +171,7 @@
 void HubSelector::Adopt(Instant now, const std::string& address) {
   hub_ = address;
   hub_is_electing_ = false;
+  hub_has_newest_update_ = false;
   search_.reset();
   probing_.clear();
   next_search_at_ = now + settings_.first_update_time;
@@ -185,6 +187,7 @@
   backoff_until_[hub_] = now + settings_.failure_backoff;
   hub_.clear();
   hub_is_electing_ = false;
+  hub_has_newest_update_ = false;
   search_.reset();
   next_search_at_ = now;
 }
--- a/sapphirebank/fleet/hub_selector.h
+++ b/sapphirebank/fleet/hub_selector.h
@@ -26,10 +26,8 @@
   // The same while the hub takes part in an election: other hubs then have no
   // newer update either. Most elections are over within this time.
   Duration max_update_age_in_election = std::chrono::milliseconds(2000);
-  // Maximum update age of a hub that is chosen. Those that follow the leader
-  // are confirmed several times a second; the updates of hubs that lost it
-  // together differ by as much, so a slightly newer one says nothing.
-  Duration max_new_hub_age = std::chrono::milliseconds(600);
+  // Maximum update age of a hub that is chosen.
+  Duration max_new_hub_age = kRecentUpdateAge;
   // Time between the starts of two probes of one search.
   Duration probe_interval = std::chrono::milliseconds(50);
   // A hub that failed is probed again only after this time.
@@ -64,8 +62,10 @@
 // A search probes the other hubs, each once and in staggered order as in Happy
 // Eyeballs (RFC 8305), until one has a recent update. The host keeps its hub
 // meanwhile: when no hub is better off, as during an election, none of them
-// loses its hosts. A hub on the wrong side of a partition lists only hubs of
-// its own side, so those listed before remain candidates.
+// loses its hosts. No search begins while the hub knows that no other one is
+// better off: hundreds of hosts would search at once. A hub on the wrong side
+// of a partition lists only hubs of its own side, so those listed before remain
+// candidates.
 class HubSelector {
  public:
   // `zone` and `member` are the zone and the id of this entry host. `seeds`
@@ -90,8 +90,12 @@
   // Records that a probe failed.
   void RecordProbeFailure(Instant now, const std::string& address);
 
-  // Records whether the current hub takes part in an election.
-  void RecordElection(bool is_electing) { hub_is_electing_ = is_electing; }
+  // Records what the current hub says: whether it takes part in an election,
+  // and whether no other hub has a newer update, so that a search is in vain.
+  void RecordHubState(bool is_electing, bool has_newest_update) {
+    hub_is_electing_ = is_electing;
+    hub_has_newest_update_ = has_newest_update;
+  }
 
   // Records that the current hub was lost.
   void RecordHubFailure(Instant now);
@@ -132,6 +136,7 @@
   std::uint32_t entry_hosts_ = 1;
   std::string hub_;
   bool hub_is_electing_ = false;
+  bool hub_has_newest_update_ = false;
   std::map<std::string, Instant> backoff_until_;
   std::optional<Search> search_;
   std::set<std::string> probing_;
--- a/unit_tests/fleet/fleet_messages_test.cc
+++ b/unit_tests/fleet/fleet_messages_test.cc
@@ -38,6 +38,7 @@
   update.quorum_age = std::chrono::milliseconds(20);
   update.record_changes = 3;
   update.is_electing = true;
+  update.has_newest_update = true;
   update.full_registry = true;
   update.servers = {{MakeServer("a"), ServerHealth::kProbation,
                      std::chrono::seconds(2), true, 0.5},
--- a/unit_tests/fleet/hub_selector_test.cc
+++ b/unit_tests/fleet/hub_selector_test.cc
@@ -59,6 +59,7 @@
   // Hubs that do not respond to connections at all.
   std::set<std::string> silent;
   bool is_electing = false;
+  bool has_newest_update = false;
 
   Instant now = kStart;
   std::map<std::string, int> probes;
@@ -144,7 +145,7 @@
     }
     if (reply.hub != selector_.hub()) return;
     confirmed_as_of_ = std::max(confirmed_as_of_, now - HubAge(reply.hub));
-    selector_.RecordElection(is_electing);
+    selector_.RecordHubState(is_electing, has_newest_update);
     selector_.SetHubs(now, ListOf(reply.hub), kEntryHosts);
     if (!stranded.contains(reply.hub)) updated_at = now;
   }
@@ -263,6 +264,28 @@
   }
 }
 
+// Guards against hundreds of hosts that search all hubs at once while the
+// leader is late for all of them, which makes it later.
+TEST_CASE("hosts do not search while no hub has a newer update", "[fleet]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    HubSimulation fleet(19, 6, seed);
+    fleet.RunUntil(kStart + seconds(5));
+    const std::string hub = fleet.hub();
+    fleet.probes.clear();
+    fleet.StrandAll();
+    fleet.has_newest_update = true;
+    fleet.RunUntil(fleet.now + seconds(10));
+    CHECK(fleet.hub() == hub);
+    CHECK(fleet.probes.empty());
+    // The other hubs follow a leader again.
+    fleet.has_newest_update = false;
+    fleet.stranded = {hub};
+    fleet.RunUntil(fleet.now + seconds(2));
+    CHECK(fleet.hub() != hub);
+  }
+}
+
 TEST_CASE("a host returns to the hub that it belongs to after a partition",
           "[fleet]") {
   HubSimulation fleet(12, 4, 3);
@@ -318,7 +341,7 @@
   REQUIRE(first);
   CHECK(selector.RecordProbe(kStart, *first, {kUnknown, true}, kUnknown));
   // The hub is given the time of an election before others are probed.
-  selector.RecordElection(true);
+  selector.RecordHubState(true, false);
   for (Instant now = kStart; now < kStart + milliseconds(1990);
        now += milliseconds(50)) {
     CHECK_FALSE(selector.NextProbe(now, kUnknown));
