Lists of ready hosts are read without the member of later builds

While machines are replaced one after the other the directory would have no hosts.

Test: 'messages without the members of later builds are read'; the reader threw on such an entry before.

--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -115,7 +115,8 @@
 void from_json(const json& in, ReadyHost& host) {
   in.at(0).get_to(host.address);
   host.zone = ZoneId(in.at(1).get<std::string>());
-  in.at(2).get_to(host.reaches_servers);
+  // Earlier builds do not send it.
+  if (in.size() > 2) in.at(2).get_to(host.reaches_servers);
 }
 
 void to_json(json& out, const EntryReport& report) {
--- a/unit_tests/fleet/fleet_messages_test.cc
+++ b/unit_tests/fleet/fleet_messages_test.cc
@@ -55,6 +55,17 @@
   CHECK(RoundTrip(FleetUpdate()) == json(FleetUpdate()));
 }
 
+// Guards against hosts of one build that drop the messages of the build before
+// while they are replaced one after the other.
+TEST_CASE("messages without the members of later builds are read", "[fleet]") {
+  const ReadyHost host = json::array({"10.0.1.1:80", "kochi"}).get<ReadyHost>();
+  CHECK(host.address == "10.0.1.1:80");
+  CHECK(host.reaches_servers);
+  json update = FleetUpdate();
+  CHECK_FALSE(update.contains("newest"));
+  CHECK_FALSE(update.get<FleetUpdate>().has_newest_update);
+}
+
 TEST_CASE("a corrupt message is refused as a whole", "[fleet]") {
   FleetUpdate update;
   update.servers = {{MakeServer("a"), ServerHealth::kUp, {}, false}};
