Hosts without a hub search with growing pauses, fewer probes and more time

Cause: a host that has started knows three seeds. All 422 connected to all three every 0.6 s and gave up after 0.4 s. The seeds served 35 hosts each in the first second, and after that were busy with connections whose hosts had given up. Class: a retry storm without backoff, a metastable failure.

Now each search in vain doubles the pause (0.1 s to 1.6 s, varied by half), halves the probes of the next one and doubles the time for an answer (0.4 s to 1 s).

--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -18,10 +18,6 @@
 // and all servers, for which the link of a small host needs most of a second.
 constexpr Duration kFirstReportTimeout = std::chrono::milliseconds(2000);
 
-// Time for a probed hub to accept the link and send its state: hosts are a few
-// milliseconds apart.
-constexpr Duration kProbeTimeout = std::chrono::milliseconds(400);
-
 // Timer periods with a hub and while one is sought.
 constexpr Duration kConnectedTick = std::chrono::milliseconds(125);
 constexpr Duration kSearchTick = std::chrono::milliseconds(50);
@@ -114,7 +110,7 @@
 void EntryLink::DropOverdueProbes(Instant now) {
   for (auto next = probes_.begin(); next != probes_.end();) {
     const auto probe = next++;
-    if (now - probe->second.started_at <= kProbeTimeout) continue;
+    if (now - probe->second.started_at <= selector_.ProbeTimeout()) continue;
     links_.Close(probe->first);
     selector_.RecordProbeFailure(now, probe->second.address);
     probes_.erase(probe);
--- a/sapphirebank/fleet/hub_selector.cc
+++ b/sapphirebank/fleet/hub_selector.cc
@@ -9,6 +9,10 @@
 // Part of max_update_age from which the hub is asked more often.
 constexpr double kUrgentAgeFraction = 0.75;
 
+// Searches in vain after which pauses, timeouts and the number of probes of a
+// search do not change any more.
+constexpr int kMaxBackoffSteps = 5;
+
 // Report period at such an age.
 constexpr Duration kUrgentReportPeriod = kReportPeriod / 2;
 
@@ -131,8 +135,13 @@
   std::stable_sort(
       candidates.begin(), candidates.end(),
       [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
+  // Each search in vain halves the probes of the next one; the order differs,
+  // so that all hubs are probed in time.
+  const std::size_t count = std::max<std::size_t>(
+      candidates.size() >> static_cast<unsigned>(failed_searches_), 1);
   Search search;
   for (Candidate& candidate : candidates) {
+    if (search.size() == count) break;
     search.push_back(std::move(candidate.address));
   }
   return search;
@@ -141,10 +150,23 @@
 void HubSelector::EndSearchInVain(Instant now) {
   search_.reset();
   searched_in_vain_ = true;
+  if (!hub_.empty()) {
+    next_search_at_ = now + settings_.search_pause +
+                      settings_.search_pause_per_host * entry_hosts_;
+    return;
+  }
+  const Duration pause = std::min<Duration>(
+      settings_.search_pause_without_hub * (1 << failed_searches_),
+      settings_.max_search_pause_without_hub);
+  constexpr double kLeastFactor = 0.5;
   next_search_at_ =
-      now + (hub_.empty() ? settings_.search_pause_without_hub
-                          : settings_.search_pause +
-                                settings_.search_pause_per_host * entry_hosts_);
+      now + FromSeconds(ToSeconds(pause) * (kLeastFactor + random_.Unit()));
+  failed_searches_ = std::min(failed_searches_ + 1, kMaxBackoffSteps);
+}
+
+Duration HubSelector::ProbeTimeout() const {
+  return std::min<Duration>(settings_.probe_timeout * (1 << failed_searches_),
+                            settings_.max_probe_timeout);
 }
 
 bool HubSelector::RecordProbe(Instant now, const std::string& address,
@@ -170,6 +192,7 @@
 
 void HubSelector::Adopt(Instant now, const std::string& address) {
   hub_ = address;
+  failed_searches_ = 0;
   hub_is_electing_ = false;
   hub_has_newest_update_ = false;
   search_.reset();
--- a/sapphirebank/fleet/hub_selector.h
+++ b/sapphirebank/fleet/hub_selector.h
@@ -37,8 +37,16 @@
   // leader.
   Duration search_pause = std::chrono::milliseconds(1000);
   Duration search_pause_per_host = std::chrono::milliseconds(10);
-  // The same for a host without a hub.
+  // The same for a host without a hub, doubled with each search in vain up to
+  // the maximum and varied by half: after a loss of power hundreds of hosts
+  // know the seeds only, whose processors are small.
   Duration search_pause_without_hub = std::chrono::milliseconds(100);
+  Duration max_search_pause_without_hub = std::chrono::milliseconds(1600);
+  // Time for a probed hub to accept the link and send its state: hosts are a
+  // few milliseconds apart. Doubled up to the maximum with each search in vain
+  // of a host without a hub, as a hub may be slow for all.
+  Duration probe_timeout = std::chrono::milliseconds(400);
+  Duration max_probe_timeout = std::chrono::milliseconds(1000);
   // Time for a new hub's first update, after which a search may begin again.
   Duration first_update_time = std::chrono::milliseconds(800);
   // A host that is not connected to the hub that it belongs to probes that one
@@ -87,6 +95,9 @@
   bool RecordProbe(Instant now, const std::string& address,
                    const HubState& state, Duration update_age);
 
+  // Returns the time after which a probe counts as failed.
+  Duration ProbeTimeout() const;
+
   // Records that a probe failed.
   void RecordProbeFailure(Instant now, const std::string& address);
 
@@ -142,6 +153,8 @@
   std::set<std::string> probing_;
   // The last search found no hub with a recent update.
   bool searched_in_vain_ = false;
+  // Searches in vain since this host has no hub.
+  int failed_searches_ = 0;
   Instant next_probe_at_;
   Instant next_search_at_;
   Instant next_switch_at_;
--- a/unit_tests/fleet/hub_selector_test.cc
+++ b/unit_tests/fleet/hub_selector_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -349,6 +350,99 @@
   CHECK(selector.NextProbe(kStart + milliseconds(2050), kUnknown));
 }
 
+// Hosts without a hub and the seeds that they know, by simulated time. A seed
+// handles one connection at a time, also those whose host has given up.
+class StampedeSimulation {
+ public:
+  StampedeSimulation(int hosts, std::uint64_t seed) {
+    for (int i = 0; i < hosts; ++i) {
+      const auto host = static_cast<std::uint64_t>(i);
+      selectors_.emplace_back(
+          HubSelectorSettings(), ZoneId("zone-0"), "entry-" + std::to_string(i),
+          [] {
+            return std::vector<std::string>{HubAddress(0), HubAddress(1),
+                                            HubAddress(2)};
+          },
+          Random(seed * 1000 + host));
+    }
+  }
+
+  // Runs for `duration` and returns the number of hosts without a hub.
+  std::ptrdiff_t Run(Duration duration) {
+    constexpr Duration kUnknownAge = seconds(3600);
+    for (const Instant end = now_ + duration; now_ < end; now_ += kStep) {
+      for (std::size_t i = 0; i < selectors_.size(); ++i) {
+        if (!selectors_[i].hub().empty()) continue;
+        while (const auto address =
+                   selectors_[i].NextProbe(now_, kUnknownAge)) {
+          const Instant until = now_ + selectors_[i].ProbeTimeout();
+          queues_[*address].push_back({i, until});
+          pending_.insert({until, {i, *address}});
+        }
+      }
+      ExpireProbes();
+      for (auto& [address, queue] : queues_) Accept(address, queue);
+    }
+    return std::count_if(
+        selectors_.begin(), selectors_.end(),
+        [](const HubSelector& selector) { return selector.hub().empty(); });
+  }
+
+ private:
+  struct Connection {
+    std::size_t host = 0;
+    Instant until;
+  };
+
+  void ExpireProbes() {
+    while (!pending_.empty() && pending_.begin()->first <= now_) {
+      const auto [host, address] = pending_.begin()->second;
+      pending_.erase(pending_.begin());
+      if (selectors_[host].hub().empty()) {
+        selectors_[host].RecordProbeFailure(now_, address);
+      }
+    }
+  }
+
+  void Accept(const std::string& address, std::deque<Connection>& queue) {
+    constexpr Duration kAcceptTime = milliseconds(5);
+    constexpr Duration kFirstUpdateTime = milliseconds(25);
+    Instant& idle_at = idle_at_[address];
+    while (!queue.empty() && idle_at <= now_) {
+      const Connection connection = queue.front();
+      queue.pop_front();
+      HubSelector& selector = selectors_[connection.host];
+      idle_at = now_ + kAcceptTime;
+      if (connection.until <= now_ || !selector.hub().empty()) continue;
+      const HubState state = {milliseconds(200), false};
+      if (selector.RecordProbe(now_, address, state, seconds(3600))) {
+        idle_at += kFirstUpdateTime;
+      }
+    }
+  }
+
+  Instant now_ = kStart;
+  std::vector<HubSelector> selectors_;
+  std::map<std::string, std::deque<Connection>> queues_;
+  std::multimap<Instant, std::pair<std::size_t, std::string>> pending_;
+  std::map<std::string, Instant> idle_at_;
+};
+
+// Guards against hosts that never find a hub again after a loss of power, since
+// all of them try the seeds at once and give up before they are served.
+TEST_CASE("hundreds of hosts that know the seeds only all find a hub",
+          "[fleet]") {
+  // The platform's time for recovery.
+  constexpr Duration kRecoveryTime = seconds(15);
+  for (const int hosts : {40, 119, 422}) {
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+      CAPTURE(hosts, seed);
+      StampedeSimulation stampede(hosts, seed);
+      CHECK(stampede.Run(kRecoveryTime) == 0);
+    }
+  }
+}
+
 TEST_CASE("a minority does not take part in an election", "[fleet]") {
   CHECK(LeaderIsSettled(kStart + kNewLeaderTime, true, kStart));
   CHECK_FALSE(LeaderIsSettled(kStart + milliseconds(100), true, kStart));
