A control host says why it cannot open its data folder again

Attempts to open a failed folder were logged only by their first failure. A folder that has lost synced entries keeps its host out of the group for good, and its operators would not have learned why. Each new cause is reported once.

Test: 'a host whose folder lost synced entries stays out of the group'.

--- a/sapphirebank/consensus/control_host.cc
+++ b/sapphirebank/consensus/control_host.cc
@@ -425,6 +425,10 @@
     opened = CheckAppliedEntries(folder->node);
   }
   if (!opened) {
+    // Repeated causes are reported once.
+    if (opened.error().detail != failure_->detail) {
+      effects_.failure = opened.error();
+    }
     failure_ = opened.error();
     reopen_delay_ =
         std::min<Duration>(2 * reopen_delay_, settings_.max_reopen_delay);
--- a/sapphirebank/consensus/control_host.h
+++ b/sapphirebank/consensus/control_host.h
@@ -135,8 +135,9 @@
   // Whether the FleetRecord changed.
   bool fleet_changed = false;
   std::optional<FreshnessStamp> stamp;
-  // Set when the data folder failed. This host takes no part in the group until
-  // the folder has been opened again, which Tick attempts.
+  // Set when the data folder failed, or cannot be opened again for another
+  // cause than before. This host takes no part in the group until the folder
+  // has been opened again, which Tick attempts.
   std::optional<Error> failure;
   // Set when the folder has been opened again.
   bool recovered = false;
--- a/unit_tests/consensus/control_recovery_test.cc
+++ b/unit_tests/consensus/control_recovery_test.cc
@@ -187,6 +187,26 @@
   }
 }
 
+// Guards against a host that votes and acknowledges with a folder from which
+// durable entries have disappeared.
+TEST_CASE("a host whose folder lost synced entries stays out of the group",
+          "[consensus]") {
+  ControlGroup group(3, 5);
+  group.KeepHostsWithFailedDisks();
+  const std::size_t host = (group.AwaitLeader() + 1) % group.size();
+  REQUIRE(AwaitComplete(group));
+  MakeChanges(group, 0, 3);
+  REQUIRE(AllHaveRevision(group, 3));
+  group.files(host).FailAfter(0);
+  MakeChanges(group, 3, 1);
+  group.files(host).EndFailure();
+  group.files(host).Content("log-000000000001").clear();
+  MakeChanges(group, 4, 3);
+  group.Run(seconds(5));
+  CHECK(group.at(host).HasFailed());
+  CHECK(group.violations().empty());
+}
+
 // Guards against an election timeout without a leader while the one that cannot
 // write any more keeps its followers waiting.
 TEST_CASE("a leader whose disk is full hands over at once", "[consensus]") {
