--- a/sapphirebank/consensus/segment_log.cc
+++ b/sapphirebank/consensus/segment_log.cc
@@ -101,8 +101,8 @@
   // before their sync, or the sync failed. A sync of the same file may then
   // succeed without writing them (Rebello et al., "Can Applications Recover
   // from fsync Failures?", USENIX ATC 2020).
-  return ReplaceFile(*files_, name,
-                     std::string_view(*content).substr(0, segment.size));
+  content->resize(segment.size);
+  return ReplaceFile(*files_, name, *content);
 }
 
 Result<void> SegmentLog::ReplayRecord(std::string_view payload,
