Per change: commit, acknowledgement, and each host that applies it, in the logs

The logs of the incident tell when a plan is in force at a host, but nothing of departures, of acknowledgements, nor of the age of the view with which requests are handled, so the hypotheses could not be told apart change by change.

record_applied at each host names the change, the hub, and the age of the view; change_committed and change_acknowledged name the change; the histogram sapphirebank_view_age_seconds has the age at each request.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -265,6 +265,10 @@
           {{"version", record.version()}, {"cause", plan.error().detail}});
     }
   }
+  log_.Write(LogLevel::kInfo, "record_applied",
+             {{"changes", record.changes()},
+              {"plan", record.version()},
+              {"is_leader", is_leader_}});
   hub_.ApplyRecord(now, record, plan_);
   if (pending_confirmation_ &&
       record.changes() >= pending_confirmation_->record) {
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -124,6 +124,7 @@
   boost::asio::awaitable<HttpAnswer> Serve(HttpRequest request);
   void Execute(FleetCall call, Callback callback);
   void EnqueueCall(std::optional<ControlCommand> command, Callback callback);
+  Callback LogAcknowledgement(const ControlCommand& command, Callback callback);
   void ProcessPendingCalls(Instant now);
   void RetryLater(PendingCall& call);
   void ExecuteAsLeader(std::optional<ControlCommand> command,
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -1,3 +1,5 @@
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <string_view>
 #include <utility>
@@ -27,6 +29,21 @@
 // included in a lookup response.
 constexpr std::size_t kMinZoneAddresses = 4;
 
+// Returns the name of a change in logs.
+std::string ChangeName(const ControlCommand& command) {
+  if (const auto* plan = std::get_if<StorePlan>(&command)) {
+    return fmt::format("plan {}", plan->version);
+  }
+  if (const auto* retire = std::get_if<RetireBackend>(&command)) {
+    return fmt::format("departure {}", retire->backend.value());
+  }
+  if (const auto* zone = std::get_if<SetZoneOut>(&command)) {
+    return fmt::format("zone {} {}", zone->zone.value(),
+                       zone->out ? "out" : "in");
+  }
+  return "other";
+}
+
 }  // namespace
 
 boost::asio::awaitable<HttpAnswer> ControlProcess::Serve(HttpRequest request) {
@@ -109,6 +126,7 @@
 
 void ControlProcess::EnqueueCall(std::optional<ControlCommand> command,
                                  Callback callback) {
+  if (command) callback = LogAcknowledgement(*command, std::move(callback));
   if (command && IsApplied(*command)) {
     callback(std::string());
     return;
@@ -120,6 +138,20 @@
   pending_.emplace(next_call_++, std::move(pending));
 }
 
+// Returns a callback that logs the acknowledgement of a change.
+ControlProcess::Callback ControlProcess::LogAcknowledgement(
+    const ControlCommand& command, Callback callback) {
+  return [this, change = ChangeName(command), asked_at = Now(),
+          inner = std::move(callback)](Result<std::string> result) {
+    if (result) {
+      log_.Write(
+          LogLevel::kInfo, "change_acknowledged",
+          {{"change", change}, {"ms", ToSeconds(Now() - asked_at) * 1e3}});
+    }
+    inner(std::move(result));
+  };
+}
+
 // Sends pending calls to the current leader and fails those past their
 // deadline.
 void ControlProcess::ProcessPendingCalls(Instant now) {
@@ -233,8 +265,13 @@
     callback(std::string());
     return;
   }
-  completions_[token] = [callback](const Completion& completion) {
+  completions_[token] = [this, callback, now, change = ChangeName(complete)](
+                            const Completion& completion) {
     if (completion.result) {
+      log_.Write(LogLevel::kInfo, "change_committed",
+                 {{"change", change},
+                  {"changes", host_.state().fleet().changes()},
+                  {"ms", ToSeconds(Now() - now) * 1e3}});
       callback(std::string());
     } else {
       callback(tl::unexpected(completion.result.error()));
--- a/programs/fleet_host/entry_link.h
+++ b/programs/fleet_host/entry_link.h
@@ -58,6 +58,9 @@
   // connected.
   bool RequestServer(std::uint64_t number, const DispatchQuery& query);
 
+  // Returns the address of the hub, or an empty one.
+  const std::string& hub() const { return selector_.hub(); }
+
   // Reports the outcome of an attempt that the hub assigned.
   void EndAssignment(std::uint64_t number, AssignmentOutcome outcome);
 
--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -174,7 +174,9 @@
                                        const FleetUpdate& update) {
   const bool was_ready = IsReady();
   const auto before = state_.view().plan();
-  auto applied = state_.Apply(MonotonicNow(), asked_at, update);
+  const std::uint64_t changes_before = state_.view().record_changes();
+  const Instant now = MonotonicNow();
+  auto applied = state_.Apply(now, asked_at, update);
   if (!applied) {
     log_.Write(LogLevel::kWarning, "update_not_taken",
                {{"cause", applied.error().detail}});
@@ -189,6 +191,16 @@
     log_.Write(LogLevel::kInfo, "plan_in_force",
                {{"version", plan->version()}});
   }
+  const std::uint64_t changes = state_.view().record_changes();
+  if (applied && changes != changes_before) {
+    const Duration age = state_.view().LeaderUpdateAge(now);
+    log_.Write(LogLevel::kInfo, "record_applied",
+               {{"changes", changes},
+                {"plan", plan ? plan->version() : 0},
+                {"hub", link_.hub()},
+                {"answers_report", asked_at.has_value()},
+                {"age_ms", ToSeconds(age) * 1e3}});
+  }
   if (IsReady() != was_ready) ScheduleReport();
   return applied;
 }
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -104,6 +104,7 @@
     return Fail(ErrorKind::kNoConfiguration,
                 "the plan is older than that of the sending host");
   }
+  metrics_.ObserveViewAge(view.LeaderUpdateAge(context.arrival_time));
   const bool is_current = view.IsCurrent(context.arrival_time);
   context.route = context.plan->FindRoute(context.info.host, head.target);
   if (context.route == nullptr) {
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -87,6 +87,9 @@
   // Returns the requests per second for a service over all hosts.
   double RequestRate(const ServiceId& service) const;
 
+  // Returns the number of changes of the replicated record that were received.
+  std::uint64_t record_changes() const { return record_changes_; }
+
   std::uint32_t entry_hosts() const { return entry_hosts_; }
   std::uint64_t registry_id() const { return registry_id_; }
   std::uint64_t registry_changes() const { return registry_changes_; }
--- a/sapphirebank/telemetry/fleet_metrics.cc
+++ b/sapphirebank/telemetry/fleet_metrics.cc
@@ -23,6 +23,9 @@
 const Histogram::BucketBoundaries kWaitBuckets = {
     0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2, 5};
 // Seconds.
+const Histogram::BucketBoundaries kViewAgeBuckets = {
+    0.25, 0.5, 0.75, 1, 1.25, 1.5, 2, 2.5, 3, 3.5, 4, 4.5, 5, 10};
+// Seconds.
 const Histogram::BucketBoundaries kDetectionBuckets = {
     0.1, 0.25, 0.5, 1, 2, 3, 5, 8, 13, 21, 34, 60};
 
@@ -73,6 +76,9 @@
       added_latency_(
           Register<Histogram>("sapphirebank_added_latency_seconds",
                               "Time that the fleet added to a request.")),
+      view_age_(Register<Histogram>(
+          "sapphirebank_view_age_seconds",
+          "Age of the view of the fleet with which a request was handled.")),
       queue_wait_(
           Register<Histogram>("sapphirebank_queue_wait_seconds",
                               "Time that a request waited for a slot.")),
@@ -155,6 +161,10 @@
       .Observe(ToSeconds(added));
 }
 
+void FleetMetrics::ObserveViewAge(Duration age) {
+  view_age_.Add({}, kViewAgeBuckets).Observe(ToSeconds(age));
+}
+
 void FleetMetrics::ObserveQueueWait(const ServiceId& service, Duration wait) {
   queue_wait_.Add({{"service", ServiceLabel(service)}}, kWaitBuckets)
       .Observe(ToSeconds(wait));
--- a/sapphirebank/telemetry/fleet_metrics.h
+++ b/sapphirebank/telemetry/fleet_metrics.h
@@ -64,6 +64,9 @@
   // Records the latency that the fleet added to a request.
   void ObserveAddedLatency(const ServiceId& service, Duration added);
 
+  // Records the age of the view of the fleet with which a request was handled.
+  void ObserveViewAge(Duration age);
+
   // Records how long a request was queued for a slot.
   void ObserveQueueWait(const ServiceId& service, Duration wait);
 
@@ -127,6 +130,7 @@
   Family<prometheus::Counter>& requests_;
   Family<prometheus::Counter>& refusals_inside_rate_;
   Family<prometheus::Histogram>& added_latency_;
+  Family<prometheus::Histogram>& view_age_;
   Family<prometheus::Histogram>& queue_wait_;
   Family<prometheus::Gauge>& longest_wait_;
   Family<prometheus::Counter>& ejections_;
--- a/unit_tests/telemetry/fleet_metrics_test.cc
+++ b/unit_tests/telemetry/fleet_metrics_test.cc
@@ -25,6 +25,7 @@
   metrics->CountRefusal(desk, ErrorKind::kQueueFull);
   metrics->CountRefusalInsideRate(desk, ErrorKind::kRateUnavailable);
   metrics->ObserveAddedLatency(desk, std::chrono::microseconds(700));
+  metrics->ObserveViewAge(std::chrono::milliseconds(1300));
   metrics->ObserveDetection(DetectionSubject::kHost, std::chrono::seconds(2));
   metrics->SetConfigurationRevision(41);
   metrics->SetMembers({.alive = 44, .suspect = 1});
@@ -38,6 +39,8 @@
       R"(outcome="rate_unavailable",service="desk"} 1)",
       R"(service="desk",le="0.0005"} 0)",
       R"(service="desk",le="0.0008"} 1)",
+      R"(sapphirebank_view_age_seconds_bucket{host="e1",zone="kochi",le="1.25"} 0)",
+      R"(sapphirebank_view_age_seconds_bucket{host="e1",zone="kochi",le="1.5"} 1)",
       R"(subject="host",le="2"} 1)",
       R"(sapphirebank_configuration_revision{host="e1",zone="kochi"} 41)",
       R"(sapphirebank_members{host="e1",zone="kochi",state="alive"} 44)",
