--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -126,6 +126,7 @@
       host_(std::move(host)),
       hub_(HubSettings(settings), RandomSeed(),
            HubHost{self_.value(), settings.zone}, Random(RandomSeed())),
+      gate_(MakeViewLeaseSettings(settings.change_limits), MonotonicNow()),
       published_addresses_(std::make_shared<const AddressesByZone>()),
       random_(RandomSeed()),
       thread_(system),
@@ -207,6 +208,7 @@
     const auto callback = completions_.extract(completion.token);
     if (!callback.empty()) callback.mapped()(std::move(completion));
   }
+  ReleaseAcknowledgements(now);
   ProcessPendingCalls(now);
   if (!is_leader_) ReportToLeader(now);
   PushUpdates(now);
@@ -269,6 +271,7 @@
              {{"changes", record.changes()},
               {"plan", record.version()},
               {"is_leader", is_leader_}});
+  if (is_leader_) gate_.RecordCommit(now, record.changes());
   hub_.ApplyRecord(now, record, plan_);
   if (pending_confirmation_ &&
       record.changes() >= pending_confirmation_->record) {
@@ -284,6 +287,7 @@
     known_leader_ = leader;
     leader_changed_at_ = now;
     is_first_report_ = true;
+    leader_gates_changes_ = false;
     log_.Write(LogLevel::kInfo, "leader_known",
                {{"leader", leader ? leader->value() : ""},
                 {"term", host_.raft().term()}});
@@ -297,6 +301,7 @@
     return;
   }
   hub_.BecomeLeader(now);
+  gate_.BecomeLeader(now, host_.state().fleet().changes());
   hub_.InheritReadyHosts(now, ready_hosts_);
   is_confirming_ = false;
   next_confirm_ = now;
@@ -327,6 +332,8 @@
   update.quorum_age = StateAge(now);
   update.is_electing = IsElectingLeader(now);
   update.has_newest_update = has_newest_update_;
+  update.gates_changes =
+      is_leader_ ? AllHubsGateChanges() : leader_gates_changes_;
   links_.Send(link, {{"t", "update"}, {"u", update}});
 }
 
@@ -356,6 +363,8 @@
   EntryReport report =
       hub_.BuildLeaderReport(now, std::exchange(is_first_report_, false));
   report.number = next_report_number_++;
+  reported_applied_ = gate_.AppliedByAll(now, host_.state().fleet().changes());
+  report.applied_changes = reported_applied_;
   unanswered_reports_[report.number] = now;
   if (unanswered_reports_.size() > kMaxUnansweredReports) {
     unanswered_reports_.erase(unanswered_reports_.begin());
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -15,6 +15,7 @@
 #include "sapphirebank/consensus/control_host.h"
 #include "sapphirebank/consensus/file_system.h"
 #include "sapphirebank/core/random.h"
+#include "sapphirebank/fleet/change_gate.h"
 #include "sapphirebank/fleet/fleet_call.h"
 #include "sapphirebank/fleet/fleet_hub.h"
 #include "sapphirebank/fleet/fleet_settings.h"
@@ -59,6 +60,8 @@
     Instant heard_at;
     // Of a control host.
     std::optional<ReportedUpdateAge> update_age;
+    // A control host that holds back acknowledgements; earlier builds do not.
+    bool gates_changes = false;
   };
 
   // Addresses of the ready entry hosts.
@@ -75,6 +78,15 @@
     std::optional<HostId> sent_to;
   };
 
+  // A change that is committed and not acknowledged yet.
+  struct HeldAcknowledgement {
+    std::string name;  // In logs.
+    std::uint64_t change = 0;
+    Duration bound{};
+    Instant asked_at;
+    Callback callback;
+  };
+
   ControlProcess(caf::actor_system& system, boost::asio::io_context& loop,
                  const FleetSettings& settings, ControlCodec codec,
                  PlanReader plan_reader, std::unique_ptr<FileSystem> files,
@@ -110,6 +122,8 @@
   void OnControlHello(LinkId link, Peer& peer, const nlohmann::json& message);
   void OnReport(LinkId link, const HostId& from, const nlohmann::json& message);
   void OnUpdate(const HostId& from, const nlohmann::json& message);
+  void RecordApplied(const HostId& host, std::uint64_t change);
+  bool AllHubsGateChanges() const;
   void OnServerRequest(LinkId link, const HostId& from,
                        const nlohmann::json& message);
   void OnCallDone(const nlohmann::json& message);
@@ -129,8 +143,15 @@
   void RetryLater(PendingCall& call);
   void ExecuteAsLeader(std::optional<ControlCommand> command,
                        const Callback& callback);
-  // Returns whether the record already contains the effect of `command`.
-  bool IsApplied(const ControlCommand& command) const;
+  // Returns the number of the change with which the record contains the effect
+  // of `command`, or nothing if it does not.
+  std::optional<std::uint64_t> AppliedChange(
+      const ControlCommand& command) const;
+  // Returns the time from the acknowledgement of the change until no host may
+  // act without it.
+  Duration BoundFor(const ControlCommand& command) const;
+  void AcknowledgeWhenSafe(const ControlCommand& command, Callback callback);
+  void ReleaseAcknowledgements(Instant now);
   ControlCommand FillIncarnation(ControlCommand command) const;
   void OnServerHeartbeat(const ServerAnnouncement& server);
   std::vector<std::string> AddressesFor(const ZoneId& zone);
@@ -154,6 +175,11 @@
   std::map<std::string, LinkId> connecting_;
   std::map<RequestToken, std::function<void(Completion)>> completions_;
   std::map<std::uint64_t, PendingCall> pending_;
+  ChangeGate gate_;
+  std::vector<HeldAcknowledgement> held_acknowledgements_;
+  // What the leader said of itself and the other control hosts.
+  bool leader_gates_changes_ = false;
+  std::uint64_t reported_applied_ = 0;
   std::vector<ReadyHost> ready_hosts_;
   std::vector<ReadyHost> listed_hosts_;  // Those in published_addresses_.
   std::optional<HostId> known_leader_;
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -1,6 +1,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -127,10 +128,6 @@
 void ControlProcess::EnqueueCall(std::optional<ControlCommand> command,
                                  Callback callback) {
   if (command) callback = LogAcknowledgement(*command, std::move(callback));
-  if (command && IsApplied(*command)) {
-    callback(std::string());
-    return;
-  }
   PendingCall pending;
   pending.command = std::move(command);
   pending.callback = std::move(callback);
@@ -202,16 +199,73 @@
   call.not_before = Now() + kRetryDelay;
 }
 
-bool ControlProcess::IsApplied(const ControlCommand& command) const {
+std::optional<std::uint64_t> ControlProcess::AppliedChange(
+    const ControlCommand& command) const {
   const FleetRecord& record = host_.state().fleet();
   if (const auto* plan = std::get_if<StorePlan>(&command)) {
-    return plan->version <= record.version();
+    if (plan->version > record.version()) return std::nullopt;
+    return record.plan_change();
   }
   if (const auto* retire = std::get_if<RetireBackend>(&command)) {
-    return retire->incarnation > 0 &&
-           record.IsRetired(retire->backend, retire->incarnation);
+    return record.RetirementChange(retire->backend, retire->incarnation);
   }
-  return false;
+  if (const auto* zone = std::get_if<SetZoneOut>(&command)) {
+    if (record.zones_out().contains(zone->zone) != zone->out) {
+      return std::nullopt;
+    }
+  }
+  return record.changes();
+}
+
+Duration ControlProcess::BoundFor(const ControlCommand& command) const {
+  const ViewLeaseSettings& settings = gate_.settings();
+  if (std::holds_alternative<StorePlan>(command)) return settings.plan_bound;
+  if (std::holds_alternative<SetZoneOut>(command)) return settings.zone_bound;
+  return settings.lease;
+}
+
+// Acknowledges a command that the record contains once no host may act without
+// it for longer than its bound.
+void ControlProcess::AcknowledgeWhenSafe(const ControlCommand& command,
+                                         Callback callback) {
+  HeldAcknowledgement held;
+  held.name = ChangeName(command);
+  held.change =
+      AppliedChange(command).value_or(host_.state().fleet().changes());
+  held.bound = BoundFor(command);
+  held.asked_at = Now();
+  held.callback = std::move(callback);
+  held_acknowledgements_.push_back(std::move(held));
+}
+
+void ControlProcess::ReleaseAcknowledgements(Instant now) {
+  if (held_acknowledgements_.empty()) return;
+  std::vector<HeldAcknowledgement> waiting;
+  for (HeldAcknowledgement& held : std::exchange(held_acknowledgements_, {})) {
+    if (!is_leader_) {
+      // The next leader decides on it when the call is sent there.
+      held.callback(Fail(ErrorKind::kNotLeader,
+                         "this control host is no longer the leader"));
+      continue;
+    }
+    if (!gate_.MayAcknowledge(now, held.change, held.bound)) {
+      waiting.push_back(std::move(held));
+      continue;
+    }
+    const std::vector<HostId> behind =
+        gate_.HoldersBehind(now, held.change, held.bound);
+    log_.Write(
+        LogLevel::kInfo, "change_released",
+        {{"change", held.name},
+         {"changes", held.change},
+         {"ms", ToSeconds(now - held.asked_at) * 1e3},
+         {"behind", behind.size()},
+         {"first_behind", behind.empty() ? "" : behind.front().value()}});
+    held.callback(std::string());
+  }
+  held_acknowledgements_.insert(held_acknowledgements_.end(),
+                                std::make_move_iterator(waiting.begin()),
+                                std::make_move_iterator(waiting.end()));
 }
 
 // Fills in the incarnation of a leaving server from the registry, since its
@@ -261,18 +315,19 @@
     return;
   }
   ControlCommand complete = FillIncarnation(std::move(*command));
-  if (IsApplied(complete)) {
-    callback(std::string());
+  if (!std::holds_alternative<SetZoneOut>(complete) &&
+      AppliedChange(complete)) {
+    AcknowledgeWhenSafe(complete, callback);
     return;
   }
-  completions_[token] = [this, callback, now, change = ChangeName(complete)](
-                            const Completion& completion) {
+  completions_[token] = [this, callback, now,
+                         complete](const Completion& completion) {
     if (completion.result) {
       log_.Write(LogLevel::kInfo, "change_committed",
-                 {{"change", change},
+                 {{"change", ChangeName(complete)},
                   {"changes", host_.state().fleet().changes()},
                   {"ms", ToSeconds(Now() - now) * 1e3}});
-      callback(std::string());
+      AcknowledgeWhenSafe(complete, callback);
     } else {
       callback(tl::unexpected(completion.result.error()));
     }
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -44,9 +44,12 @@
 
 void ControlProcess::OnUp(LinkId link, const HostId& host) {
   const Instant now = Now();
-  peers_[link] = {host, false, ZoneId(), now, std::nullopt};
+  Peer& peer = peers_[link];
+  peer.host = host;
+  peer.heard_at = now;
   links_.Send(link, {{"t", "control"},
                      {"zone", settings_.zone.value()},
+                     {"gates", true},
                      {"age", StateAge(now).count()},
                      {"electing", IsElectingLeader(now)}});
 }
@@ -182,6 +185,8 @@
       return;
     } else if (type == "report") {
       OnReport(link, from, message);
+    } else if (type == "applied") {
+      RecordApplied(from, message.at("c").get<std::uint64_t>());
     } else if (type == "update") {
       OnUpdate(from, message);
     } else if (type == "control") {
@@ -213,6 +218,7 @@
                                     const json& message) {
   peer.is_control = true;
   peer.zone = ZoneId(message.at("zone").get<std::string>());
+  peer.gates_changes = message.value("gates", false);
   host_.AddHost(peer.host);
   UpdateHubList();
   if (is_leader_) links_.Send(link, {{"t", "ready"}, {"list", ready_hosts_}});
@@ -241,9 +247,27 @@
   if (is_relay && !is_leader_) return;
   FleetUpdate update =
       hub_.HandleReport(now, from, is_relay, report, host_.state().fleet());
+  RecordApplied(from, report.applied_changes);
+  gate_.RecordConfirmation(from, confirmed_as_of_);
   SendUpdate(link, std::move(update), now);
 }
 
+// Records what a host, or all hosts of a relay, act on. A relay tells the
+// leader at once when all of its hosts act on a further change.
+void ControlProcess::RecordApplied(const HostId& host, std::uint64_t change) {
+  gate_.RecordApplied(host, change);
+  if (is_leader_) return;
+  const std::uint64_t applied =
+      gate_.AppliedByAll(Now(), host_.state().fleet().changes());
+  if (applied > reported_applied_) hub_.RequestLeaderReport();
+}
+
+bool ControlProcess::AllHubsGateChanges() const {
+  return std::all_of(peers_.begin(), peers_.end(), [](const auto& item) {
+    return !item.second.is_control || item.second.gates_changes;
+  });
+}
+
 // Applies an update of the leader on a relay.
 void ControlProcess::OnUpdate(const HostId& from, const json& message) {
   if (is_leader_ || from != known_leader_) return;
@@ -252,6 +276,7 @@
   hub_.ApplyLeaderUpdate(now, update);
   const auto asked = unanswered_reports_.find(update.answered_report);
   if (asked == unanswered_reports_.end()) return;
+  leader_gates_changes_ = update.gates_changes;
   const Instant as_of = asked->second - update.quorum_age;
   unanswered_reports_.erase(unanswered_reports_.begin(), std::next(asked));
   if (host_.state().fleet().changes() >= update.record_changes) {
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -18,6 +18,10 @@
 // and all servers, for which the link of a small host needs most of a second.
 constexpr Duration kFirstReportTimeout = std::chrono::milliseconds(2000);
 
+// Minimum time between two messages that tell the hub which changes this host
+// acts on: servers of a whole zone may leave within seconds.
+constexpr Duration kMinConfirmationInterval = std::chrono::milliseconds(100);
+
 // Timer periods with a hub and while one is sought.
 constexpr Duration kConnectedTick = std::chrono::milliseconds(125);
 constexpr Duration kSearchTick = std::chrono::milliseconds(50);
@@ -75,6 +79,7 @@
   if (link_ && now - last_report_at_ >= period - kConnectedTick / 2) {
     SendReport(!hub_answered_);
   }
+  ConfirmChanges(now);
   const bool is_searching =
       !link_ || !hub_answered_ || !probes_.empty() || selector_.is_searching();
   ScheduleTick(is_searching ? kSearchTick : kConnectedTick);
@@ -188,10 +193,22 @@
   EntryReport report = hooks_.report(first);
   report.number = next_report_number_++;
   last_report_at_ = MonotonicNow();
+  confirmed_changes_ = report.applied_changes;
   unanswered_reports_[report.number] = last_report_at_;
   links_.Send(*link_, {{"t", "report"}, {"r", report}});
 }
 
+// Tells the hub at once that changes are applied here, since acknowledgements
+// wait for that.
+void EntryLink::ConfirmChanges(Instant now) {
+  const std::uint64_t applied = hooks_.applied_changes();
+  if (!link_ || !hub_answered_ || applied <= confirmed_changes_) return;
+  if (now - last_confirmation_at_ < kMinConfirmationInterval) return;
+  last_confirmation_at_ = now;
+  confirmed_changes_ = applied;
+  links_.Send(*link_, {{"t", "applied"}, {"c", applied}});
+}
+
 bool EntryLink::RequestServer(std::uint64_t number,
                               const DispatchQuery& query) {
   if (!hub_answered_) return false;
@@ -252,6 +269,7 @@
   // An update that is refused leaves the age of this host's information as it
   // is, which ends in a search for another hub.
   hooks_.update(asked_at, update);
+  ConfirmChanges(now);
   selector_.RecordHubState(update.is_electing, update.has_newest_update);
   if (update.shared_state) {
     selector_.SetHubs(now, update.hubs, update.entry_hosts);
--- a/programs/fleet_host/entry_link.h
+++ b/programs/fleet_host/entry_link.h
@@ -40,6 +40,8 @@
         server_assigned;
     // Returns the age of this host's last leader update.
     std::function<Duration(Instant now)> leader_update_age;
+    // Returns the change of the record up to which this host acts on it.
+    std::function<std::uint64_t()> applied_changes;
     // Returns the seeds currently in the settings.
     std::function<std::vector<Endpoint>()> seeds;
   };
@@ -85,6 +87,7 @@
   void Adopt(LinkId link, const HubState& state);
   void LoseHub(std::string_view cause);
   void SendReport(bool first);
+  void ConfirmChanges(Instant now);
   void ApplyUpdate(const FleetUpdate& update);
 
   boost::asio::io_context& loop_;
@@ -98,6 +101,9 @@
   bool hub_answered_ = false;
   std::map<LinkId, Probe> probes_;
   Instant last_report_at_;
+  // The change that the hub was told last to be applied here, and when.
+  std::uint64_t confirmed_changes_ = 0;
+  Instant last_confirmation_at_;
   std::uint64_t next_report_number_ = 1;
   // Send times of the unanswered reports, by number.
   std::map<std::uint64_t, Instant> unanswered_reports_;
--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -9,11 +9,6 @@
 namespace sapphirebank {
 namespace {
 
-// Fraction of the bound on the use of withdrawn keys for which the leader's
-// information is valid; the rest covers requests on the way to a backend
-// server.
-constexpr double kKeyValidityFraction = 0.85;
-
 // Bytes of header fields that another entry host adds to a request.
 constexpr std::size_t kMaxDetourFieldBytes = 4096;
 
@@ -22,10 +17,6 @@
 
 constexpr Duration kIdleCheckPeriod = std::chrono::milliseconds(50);
 
-Duration Fraction(Duration whole, double part) {
-  return FromSeconds(ToSeconds(whole) * part);
-}
-
 HttpAnswer EmptyAnswer(int status) {
   HttpAnswer answer;
   answer.status = status;
@@ -63,7 +54,7 @@
       log_(log),
       metrics_(std::move(metrics)),
       state_(loop, std::move(plan_reader), std::move(path),
-             Fraction(settings.key_withdrawal, kKeyValidityFraction),
+             MakeViewLeaseSettings(settings.change_limits),
              settings.retry_slack, settings.zone, RandomSeed(),
              EntryState::Hooks{
                  [this] { ScheduleReport(); },
@@ -90,6 +81,7 @@
                 [this](Instant now) {
                   return state_.view().LeaderUpdateAge(now);
                 },
+                [this] { return state_.view().applied_changes(); },
                 std::move(seeds)},
             log) {
   metrics_->set_refresh([this] { RefreshMetrics(); });
@@ -174,7 +166,7 @@
                                        const FleetUpdate& update) {
   const bool was_ready = IsReady();
   const auto before = state_.view().plan();
-  const std::uint64_t changes_before = state_.view().record_changes();
+  const std::uint64_t changes_before = state_.view().applied_changes();
   const Instant now = MonotonicNow();
   auto applied = state_.Apply(now, asked_at, update);
   if (!applied) {
@@ -191,7 +183,7 @@
     log_.Write(LogLevel::kInfo, "plan_in_force",
                {{"version", plan->version()}});
   }
-  const std::uint64_t changes = state_.view().record_changes();
+  const std::uint64_t changes = state_.view().applied_changes();
   if (applied && changes != changes_before) {
     const Duration age = state_.view().LeaderUpdateAge(now);
     log_.Write(LogLevel::kInfo, "record_applied",
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -89,8 +89,8 @@
   co_return answer;
 }
 
-// Finds route and workspace and checks the key. Errors that may be due to an
-// outdated plan on this host are reported as retryable.
+// Finds route and workspace and checks the key, by a plan that is known to be
+// in force.
 Result<void> EntryRequestHandler::Admit(RequestContext& context) const {
   const HttpRequestHead& head = context.request.head;
   const EntryView& view = state_.view();
@@ -105,14 +105,15 @@
                 "the plan is older than that of the sending host");
   }
   metrics_.ObserveViewAge(view.LeaderUpdateAge(context.arrival_time));
-  const bool is_current = view.IsCurrent(context.arrival_time);
+  if (!view.IsCurrent(context.arrival_time)) {
+    return Fail(ErrorKind::kNoConfiguration,
+                "the plan may have been replaced since the last update");
+  }
   context.route = context.plan->FindRoute(context.info.host, head.target);
   if (context.route == nullptr) {
-    return Fail(is_current ? ErrorKind::kNoRoute : ErrorKind::kNoConfiguration,
-                "no route for host and path");
+    return Fail(ErrorKind::kNoRoute, "no route for host and path");
   }
   if (context.plan->needs_keys() && !context.route->open) {
-    if (!is_current) return Fail(ErrorKind::kKeyUnverifiable, "update overdue");
     if (context.info.key.empty()) return Fail(ErrorKind::kKeyMissing, "no key");
     context.workspace = context.plan->FindKey(context.info.key);
     if (context.workspace == nullptr) {
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -26,11 +26,11 @@
 }  // namespace
 
 EntryState::EntryState(boost::asio::io_context& loop, PlanReader reader,
-                       ServerPathMonitor path, Duration key_validity,
+                       ServerPathMonitor path, ViewLeaseSettings lease,
                        double retry_slack, ZoneId zone, std::uint64_t seed,
                        Hooks hooks)
     : loop_(loop),
-      view_(std::move(reader), key_validity),
+      view_(std::move(reader), lease),
       path_(std::move(path)),
       retries_(kEntryHostRetryShare, retry_slack),
       random_(seed),
@@ -259,6 +259,7 @@
   report.registry_id = view_.registry_id();
   report.known_registry_changes = view_.registry_changes();
   report.known_plan_version = view_.plan() ? view_.plan()->version() : 0;
+  report.applied_changes = view_.applied_changes();
   report.outcomes = std::exchange(outcomes_, {});
   report.requests = std::exchange(requests_, {});
   report.crashes = std::exchange(crashes_, {});
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -40,8 +40,8 @@
   };
 
   EntryState(boost::asio::io_context& loop, PlanReader reader,
-             ServerPathMonitor path, Duration key_validity, double retry_slack,
-             ZoneId zone, std::uint64_t seed, Hooks hooks);
+             ServerPathMonitor path, ViewLeaseSettings lease,
+             double retry_slack, ZoneId zone, std::uint64_t seed, Hooks hooks);
 
   // Applies an update from the hub. `asked_at` is when the report that it
   // answers was sent. Fails as EntryView::Apply() does.
--- a/sapphirebank/core/error_kind.cc
+++ b/sapphirebank/core/error_kind.cc
@@ -53,7 +53,7 @@
     {ErrorKind::kHostLeaving, "host_leaving", 503, kNotRun, milliseconds(100),
      "This host shuts down; use another address"},
     {ErrorKind::kNoConfiguration, "no_configuration", 503, kNotRun, seconds(1),
-     "This host has no configuration yet"},
+     "This host has no configuration that is known to be in force"},
     {ErrorKind::kIdempotencyKeyReused, "idempotency_key_reused", 422, kNotRun,
      kNever, "The idempotency key was used with another request"},
     {ErrorKind::kIdempotencyRunning, "idempotency_running", 409, kUnknown,
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -41,11 +41,15 @@
   Result<void> plan_applied;
   if (update.plan) plan_applied = ApplyPlan(*update.plan);
   // The confirmation only counts if the plan sent with it was applied.
-  if (plan_applied && requested_at) {
-    current_until_ = std::max(
-        current_until_, *requested_at - update.quorum_age + key_validity_);
-  }
-  return plan_applied;
+  if (!plan_applied) return plan_applied;
+  applied_changes_ = update.record_changes;
+  if (!requested_at) return {};
+  const Instant as_of = *requested_at - update.quorum_age;
+  confirmed_as_of_ = std::max(confirmed_as_of_, as_of);
+  current_until_ = std::max(
+      current_until_,
+      as_of + (update.gates_changes ? lease_.lease : UngatedLease(lease_)));
+  return {};
 }
 
 Result<void> EntryView::ApplyPlan(const PlanUpdate& server_update) {
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -16,6 +16,7 @@
 #include "sapphirebank/fleet/fleet_messages.h"
 #include "sapphirebank/fleet/server_signals.h"
 #include "sapphirebank/fleet/traffic_plan.h"
+#include "sapphirebank/fleet/view_lease_settings.h"
 
 namespace sapphirebank {
 
@@ -50,11 +51,8 @@
 // An entry host's view of the fleet, built from the updates of its hub.
 class EntryView {
  public:
-  // `key_validity` is the time after the leader's last confirmation for which
-  // keys are accepted; it is below the time within which a key withdrawal must
-  // take effect.
-  EntryView(PlanReader reader, Duration key_validity)
-      : reader_(std::move(reader)), key_validity_(key_validity) {}
+  EntryView(PlanReader reader, ViewLeaseSettings lease)
+      : reader_(std::move(reader)), lease_(lease) {}
 
   // Applies an update. `requested_at` is when the report that it answers was
   // sent; nothing for unsolicited updates. Fails with kNotLeader, and applies
@@ -67,14 +65,12 @@
   // Returns the plan in force, or null.
   const std::shared_ptr<const TrafficPlan>& plan() const { return plan_; }
 
-  // Returns whether the last confirmed update is recent enough that no key or
-  // route withdrawal can be overdue here.
+  // Returns whether the lease of the view is not over, so that no change of the
+  // record can be overdue here. Requests may be handled only then.
   bool IsCurrent(Instant now) const { return now < current_until_; }
 
   // Returns the age of the last confirmed update.
-  Duration LeaderUpdateAge(Instant now) const {
-    return now - (current_until_ - key_validity_);
-  }
+  Duration LeaderUpdateAge(Instant now) const { return now - confirmed_as_of_; }
 
   // Returns the servers of a service.
   const std::vector<KnownServerPtr>& ServersOf(const ServiceId& service) const;
@@ -87,8 +83,8 @@
   // Returns the requests per second for a service over all hosts.
   double RequestRate(const ServiceId& service) const;
 
-  // Returns the number of changes of the replicated record that were received.
-  std::uint64_t record_changes() const { return record_changes_; }
+  // Returns the change of the replicated record up to which this view has all.
+  std::uint64_t applied_changes() const { return applied_changes_; }
 
   std::uint32_t entry_hosts() const { return entry_hosts_; }
   std::uint64_t registry_id() const { return registry_id_; }
@@ -120,9 +116,10 @@
   void ApplyServers(Instant now, const FleetUpdate& update);
 
   PlanReader reader_;
-  Duration key_validity_;
+  ViewLeaseSettings lease_;
   std::shared_ptr<const TrafficPlan> plan_;
   nlohmann::json plan_document_;
+  Instant confirmed_as_of_;
   Instant current_until_;
   std::map<BackendId, KnownServerPtr> servers_;
   std::map<ServiceId, std::vector<KnownServerPtr>> servers_by_service_;
@@ -132,6 +129,7 @@
   std::map<ServiceId, double> request_rates_;
   std::uint32_t entry_hosts_ = 1;
   std::uint64_t record_changes_ = 0;
+  std::uint64_t applied_changes_ = 0;
   std::uint64_t registry_id_ = 0;
   std::uint64_t registry_changes_ = 0;
 };
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -124,6 +124,7 @@
          {"id", report.registry_id},
          {"b", report.known_registry_changes},
          {"p", report.known_plan_version}};
+  if (report.applied_changes != 0) out["c"] = report.applied_changes;
   if (report.ready_hosts) out["ready"] = *report.ready_hosts;
   if (report.entry_hosts != 1) out["hosts"] = report.entry_hosts;
   for (const auto& [id, outcomes] : report.outcomes) {
@@ -147,6 +148,7 @@
   in.at("id").get_to(report.registry_id);
   in.at("b").get_to(report.known_registry_changes);
   in.at("p").get_to(report.known_plan_version);
+  ReadOptional(in, "c", report.applied_changes);
   report.ready_hosts.reset();
   if (const auto found = in.find("ready"); found != in.end()) {
     report.ready_hosts = found->get<std::vector<ReadyHost>>();
@@ -187,6 +189,7 @@
          {"b", update.registry_changes}};
   if (update.is_electing) out["electing"] = true;
   if (update.has_newest_update) out["newest"] = true;
+  if (update.gates_changes) out["gates"] = true;
   if (update.full_registry) out["whole"] = true;
   if (update.wants_servers) out["wants"] = true;
   for (const ServerUpdate& server_update : update.servers) {
@@ -215,6 +218,7 @@
   in.at("b").get_to(update.registry_changes);
   ReadOptional(in, "electing", update.is_electing);
   ReadOptional(in, "newest", update.has_newest_update);
+  ReadOptional(in, "gates", update.gates_changes);
   ReadOptional(in, "whole", update.full_registry);
   ReadOptional(in, "wants", update.wants_servers);
   if (const auto found = in.find("servers"); found != in.end()) {
--- a/sapphirebank/fleet/fleet_messages.h
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -52,6 +52,9 @@
   std::uint64_t registry_id = 0;
   std::uint64_t known_registry_changes = 0;
   PlanVersion known_plan_version = 0;
+  // Change of the replicated record up to which the host acts on the record, or
+  // all hosts that report to the hub; 0 if that is not known.
+  std::uint64_t applied_changes = 0;
   std::map<BackendId, ServerOutcomes> outcomes;
   // Requests for each service since the last report.
   std::map<ServiceId, std::uint32_t> requests;
@@ -107,6 +110,9 @@
   bool is_electing = false;
   // The hub's own leader update is old, and no other hub has a recent one.
   bool has_newest_update = false;
+  // All control hosts hold back acknowledgements of changes until the leases of
+  // hosts that lack them are over.
+  bool gates_changes = false;
   // Changes of the replicated record that the sender has applied.
   std::uint64_t record_changes = 0;
   std::uint64_t registry_id = 0;
--- a/sapphirebank/fleet/fleet_record.cc
+++ b/sapphirebank/fleet/fleet_record.cc
@@ -11,7 +11,7 @@
   if (plan.version <= version_) return;
   version_ = plan.version;
   document_ = plan.document;
-  ++changes_;
+  plan_change_ = ++changes_;
 }
 
 void FleetRecord::Apply(const SetZoneOut& zone) {
@@ -37,6 +37,12 @@
   return found != retired_.end() && incarnation <= found->second.incarnation;
 }
 
+std::optional<std::uint64_t> FleetRecord::RetirementChange(
+    const BackendId& backend, Incarnation incarnation) const {
+  if (!IsRetired(backend, incarnation)) return std::nullopt;
+  return retired_.at(backend).order;
+}
+
 void to_json(json& out, const FleetRecord& record) {
   json zones = json::array();
   for (const ZoneId& zone : record.zones_out_) zones.push_back(zone.value());
@@ -45,17 +51,18 @@
     retired.push_back(
         {backend.value(), retirement.incarnation, retirement.order});
   }
-  out = {{"version", record.version_},
-         {"document", record.document_},
-         {"zones_out", std::move(zones)},
-         {"retired", std::move(retired)},
-         {"changes", record.changes_}};
+  out = {{"version", record.version_},         {"document", record.document_},
+         {"plan_change", record.plan_change_}, {"zones_out", std::move(zones)},
+         {"retired", std::move(retired)},      {"changes", record.changes_}};
 }
 
 void from_json(const json& in, FleetRecord& record) {
   in.at("version").get_to(record.version_);
   in.at("document").get_to(record.document_);
   in.at("changes").get_to(record.changes_);
+  // Snapshots of earlier builds do not have it; the plan is no later than the
+  // last change.
+  record.plan_change_ = in.value("plan_change", record.changes_);
   record.zones_out_.clear();
   for (const auto& zone : in.at("zones_out")) {
     record.zones_out_.insert(ZoneId(zone.get<std::string>()));
--- a/sapphirebank/fleet/fleet_record.h
+++ b/sapphirebank/fleet/fleet_record.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -62,6 +63,15 @@
   // Returns whether this incarnation of the backend server is retired.
   bool IsRetired(const BackendId& backend, Incarnation incarnation) const;
 
+  // Returns the number of the change that brought the plan in force. Changes
+  // are numbered from 1.
+  std::uint64_t plan_change() const { return plan_change_; }
+
+  // Returns the number of the change that retired this or a later incarnation
+  // of the backend server, or nothing if it is not retired.
+  std::optional<std::uint64_t> RetirementChange(const BackendId& backend,
+                                                Incarnation incarnation) const;
+
   // Returns the number of changes to the record.
   std::uint64_t changes() const { return changes_; }
 
@@ -76,6 +86,7 @@
 
   PlanVersion version_ = 0;
   std::string document_;
+  std::uint64_t plan_change_ = 0;
   std::set<ZoneId> zones_out_;
   std::map<BackendId, Retirement> retired_;
   std::uint64_t changes_ = 0;
--- a/sapphirebank/fleet/fleet_settings.cc
+++ b/sapphirebank/fleet/fleet_settings.cc
@@ -96,7 +96,12 @@
   } else {
     reader.Report("log_level", parsed.error().detail);
   }
-  reader.Length("key_withdrawal", settings.key_withdrawal, kDurationRange);
+  ChangeLimits& limits = settings.change_limits;
+  reader.Length("key_withdrawal", limits.key_withdrawal, kDurationRange);
+  reader.Length("plan_change", limits.plan, kDurationRange);
+  reader.Length("server_departure", limits.departure, kDurationRange);
+  reader.Length("zone_change", limits.zone, kDurationRange);
+  reader.Length("acknowledgement", limits.acknowledgement, kDurationRange);
   reader.Length("grace", settings.grace, kDurationRange);
   reader.Length("longest_lookup_life", settings.longest_lookup_life,
                 kDurationRange);
--- a/sapphirebank/fleet/fleet_settings.h
+++ b/sapphirebank/fleet/fleet_settings.h
@@ -11,6 +11,7 @@
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/log_level.h"
 #include "sapphirebank/core/time.h"
+#include "sapphirebank/fleet/view_lease_settings.h"
 
 namespace sapphirebank {
 
@@ -47,8 +48,8 @@
   std::string fleet_secret;
   LogLevel log_level = LogLevel::kInfo;
 
-  // Time from acceptance of a key withdrawal until the key stops working.
-  Duration key_withdrawal = std::chrono::seconds(5);
+  // By when changes must be acknowledged and take effect everywhere.
+  ChangeLimits change_limits;
   // Time from the termination signal until the process is killed.
   Duration grace = std::chrono::seconds(6);
   // Maximum time for which callers cache an answer of the directory.
--- /dev/null
+++ b/unit_tests/fleet/change_gate_simulation.h
@@ -0,0 +1,304 @@
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sapphirebank/core/random.h"
+#include "sapphirebank/fleet/change_gate.h"
+#include "sapphirebank/fleet/entry_view.h"
+#include "unit_tests/fleet/fleet_fixtures.h"
+
+namespace sapphirebank {
+
+struct ChangeGateSimulationSettings {
+  int hubs = 19;
+  int hosts = 422;
+  Duration length = std::chrono::seconds(20);
+  Duration change_period = std::chrono::milliseconds(400);
+  // Delay of each message up to this, and up to the second one at late hubs.
+  Duration max_delay = std::chrono::milliseconds(30);
+  Duration max_delay_at_late_hub = std::chrono::milliseconds(2500);
+  int late_hubs = 2;
+  // From then on some hubs and a part of the links of hosts are cut off for
+  // cut_time, and the leader is replaced if it is among them.
+  std::optional<Duration> cut_at;
+  Duration cut_time = std::chrono::seconds(7);
+  int cut_hubs = 9;
+  double cut_links = 0.1;
+  Duration election_time = std::chrono::milliseconds(1500);
+  // Whether acknowledgements wait, and whether leases end the use of a view.
+  bool holds_acknowledgements = true;
+  bool has_leases = true;
+};
+
+// A leader, relays and entry hosts that pass on the number of changes of a
+// record, with messages that are late or lost, by simulated time. Hub 0 leads
+// at first.
+class ChangeGateSimulation {
+ public:
+  struct Outcome {
+    int changes = 0;
+    int acknowledged = 0;
+    // Requests that were handled without a change later than its bound.
+    int overdue = 0;
+    int handled = 0;
+    int refused = 0;
+    Duration longest_hold{};
+  };
+
+  ChangeGateSimulation(const ChangeGateSimulationSettings& settings,
+                       std::uint64_t seed)
+      : settings_(settings), random_(seed) {
+    for (int i = 0; i < settings.hubs; ++i) {
+      hubs_.emplace_back(LeaseSettings(), kStartTime);
+      hubs_.back().is_late = i > 0 && i <= settings.late_hubs;
+    }
+    for (int i = 0; i < settings.hosts; ++i) {
+      Host& host = hosts_.emplace_back();
+      host.name = HostId("host-" + std::to_string(i));
+      host.hub = i % settings.hubs;
+      host.next_report_at =
+          kStartTime + FromSeconds(random_.Unit() * ToSeconds(kReportTime));
+    }
+    hubs_[0].gate.BecomeLeader(kStartTime, 0);
+  }
+
+  static ViewLeaseSettings LeaseSettings() {
+    ChangeLimits limits;
+    limits.plan = std::chrono::milliseconds(2500);
+    limits.departure = std::chrono::milliseconds(2500);
+    return MakeViewLeaseSettings(limits);
+  }
+
+  Outcome Run() {
+    const Instant end = kStartTime + settings_.length;
+    for (Instant now = kStartTime; now < end; now += kStep) {
+      Deliver(now);
+      if (settings_.cut_at) UpdateCut(now);
+      Lead(now);
+      for (int i = 0; i < settings_.hubs; ++i) RunRelay(now, i);
+      for (std::size_t i = 0; i < hosts_.size(); ++i) RunHost(now, i);
+    }
+    return outcome_;
+  }
+
+ private:
+  static constexpr Instant kStartTime{std::chrono::seconds(1000)};
+  static constexpr Duration kStep = std::chrono::milliseconds(10);
+  static constexpr Duration kReportTime = std::chrono::milliseconds(500);
+  // A host with such a view turns to another hub.
+  static constexpr Duration kMoveAge = std::chrono::milliseconds(1500);
+  static constexpr Duration kRelayReportTime = std::chrono::milliseconds(100);
+
+  struct Hub {
+    Hub(const ViewLeaseSettings& settings, Instant start)
+        : gate(settings, start) {}
+
+    ChangeGate gate;
+    bool is_late = false;
+    bool is_cut = false;
+    std::uint64_t record = 0;
+    Instant confirmed_as_of;
+    Instant next_report_at;
+  };
+  struct Host {
+    HostId name;
+    int hub = 0;
+    bool is_cut = false;
+    EntryView view{[](std::string_view) { return MakePlan(MakePlanParts()); },
+                   LeaseSettings()};
+    Instant next_report_at;
+    Instant next_move_at;
+    std::uint64_t told = 0;
+  };
+  struct Change {
+    std::uint64_t number = 0;
+    std::optional<Instant> acknowledged_at;
+    Instant committed_at;
+  };
+
+  static HostId HubName(int hub) {
+    return HostId("hub-" + std::to_string(hub));
+  }
+
+  // Runs `action` after the delay of a message of `hub`, in order for each
+  // link; never if `is_lost` is set.
+  void SendMessage(Instant now, int hub, const std::string& link, bool is_lost,
+                   std::function<void(Instant)> action) {
+    if (is_lost) return;
+    const Duration longest = hubs_[static_cast<std::size_t>(hub)].is_late
+                                 ? settings_.max_delay_at_late_hub
+                                 : settings_.max_delay;
+    Instant at = now + FromSeconds(random_.Unit() * ToSeconds(longest));
+    at = std::max(at, last_arrival_[link]);
+    last_arrival_[link] = at;
+    messages_.emplace(at, std::move(action));
+  }
+
+  void Deliver(Instant now) {
+    while (!messages_.empty() && messages_.begin()->first <= now) {
+      const auto action = std::move(messages_.begin()->second);
+      messages_.erase(messages_.begin());
+      action(now);
+    }
+  }
+
+  // The hubs from the first one on are cut off together, the leader with them,
+  // and the first of the others is elected.
+  void UpdateCut(Instant now) {
+    const Instant cut_at = kStartTime + *settings_.cut_at;
+    const bool is_cut = now >= cut_at && now < cut_at + settings_.cut_time;
+    if (is_cut != was_cut_) {
+      was_cut_ = is_cut;
+      for (int i = 0; i < settings_.cut_hubs; ++i) {
+        hubs_[static_cast<std::size_t>(i)].is_cut = is_cut;
+      }
+      for (Host& host : hosts_) {
+        host.is_cut = is_cut && random_.Unit() < settings_.cut_links;
+      }
+    }
+    const bool elects = is_cut && leader_ < settings_.cut_hubs &&
+                        now >= cut_at + settings_.election_time;
+    if (!elects) return;
+    leader_ = settings_.cut_hubs;
+    Hub& hub = hubs_[static_cast<std::size_t>(leader_)];
+    hub.record = committed_;
+    hub.gate.BecomeLeader(now, committed_);
+  }
+
+  bool LeaderHasQuorum() const {
+    return !hubs_[static_cast<std::size_t>(leader_)].is_cut;
+  }
+
+  void Lead(Instant now) {
+    Hub& hub = hubs_[static_cast<std::size_t>(leader_)];
+    const Duration bound = LeaseSettings().plan_bound;
+    if (!LeaderHasQuorum()) return;
+    hub.confirmed_as_of = now;
+    if (now >= next_change_at_) {
+      next_change_at_ = now + settings_.change_period;
+      hub.record = ++committed_;
+      hub.gate.RecordCommit(now, committed_);
+      changes_.push_back({committed_, std::nullopt, now});
+      ++outcome_.changes;
+      for (int i = 0; i < settings_.hubs; ++i) {
+        if (i == leader_) continue;
+        const bool is_lost = hubs_[static_cast<std::size_t>(i)].is_cut;
+        SendMessage(now, i, "log-" + std::to_string(i), is_lost,
+                    [this, i, number = committed_](Instant) {
+                      Hub& relay = hubs_[static_cast<std::size_t>(i)];
+                      relay.record = std::max(relay.record, number);
+                    });
+      }
+    }
+    for (Change& change : changes_) {
+      if (change.acknowledged_at) {
+        const Instant due_at = *change.acknowledged_at + bound;
+        if (now > due_at) due_change_ = std::max(due_change_, change.number);
+        continue;
+      }
+      if (settings_.holds_acknowledgements &&
+          !hub.gate.MayAcknowledge(now, change.number, bound)) {
+        continue;
+      }
+      change.acknowledged_at = now;
+      ++outcome_.acknowledged;
+      outcome_.longest_hold =
+          std::max(outcome_.longest_hold, now - change.committed_at);
+    }
+  }
+
+  void RunRelay(Instant now, int index) {
+    Hub& relay = hubs_[static_cast<std::size_t>(index)];
+    if (index == leader_ || now < relay.next_report_at) return;
+    relay.next_report_at = now + kRelayReportTime;
+    const std::string link = "relay-" + std::to_string(index);
+    const std::uint64_t applied = relay.gate.AppliedByAll(now, relay.record);
+    const bool is_lost = relay.is_cut != !LeaderHasQuorum();
+    SendMessage(
+        now, index, link, is_lost,
+        [this, index, applied, link, sent = now, to = leader_](Instant at) {
+          Hub& leader = hubs_[static_cast<std::size_t>(to)];
+          Hub& from = hubs_[static_cast<std::size_t>(index)];
+          if (to != leader_ || from.is_cut || leader.is_cut) return;
+          leader.gate.RecordApplied(HubName(index), applied);
+          leader.gate.RecordConfirmation(HubName(index),
+                                         leader.confirmed_as_of);
+          const Instant as_of = sent - (at - leader.confirmed_as_of);
+          const std::uint64_t record = leader.record;
+          SendMessage(at, index, link + "-answer", false,
+                      [this, index, as_of, record](Instant) {
+                        Hub& to_relay = hubs_[static_cast<std::size_t>(index)];
+                        if (to_relay.record < record) return;
+                        to_relay.confirmed_as_of =
+                            std::max(to_relay.confirmed_as_of, as_of);
+                      });
+        });
+  }
+
+  void RunHost(Instant now, std::size_t index) {
+    Host& host = hosts_[index];
+    HandleRequest(now, host);
+    if (now >= host.next_move_at && host.view.LeaderUpdateAge(now) > kMoveAge) {
+      host.next_move_at = now + kMoveAge;
+      host.hub = static_cast<int>(
+          random_.Below(static_cast<std::uint64_t>(settings_.hubs)));
+    }
+    const bool has_news = host.view.applied_changes() > host.told;
+    if (now < host.next_report_at && !has_news) return;
+    host.next_report_at = now + kReportTime;
+    host.told = host.view.applied_changes();
+    const std::string link = host.name.value();
+    SendMessage(
+        now, host.hub, link, host.is_cut,
+        [this, index, link, sent = now, applied = host.told](Instant at) {
+          Host& from = hosts_[index];
+          Hub& hub = hubs_[static_cast<std::size_t>(from.hub)];
+          hub.gate.RecordApplied(from.name, applied);
+          hub.gate.RecordConfirmation(from.name, hub.confirmed_as_of);
+          FleetUpdate update;
+          update.record_changes = hub.record;
+          update.quorum_age = at - hub.confirmed_as_of;
+          update.gates_changes = true;
+          update.full_registry = true;
+          SendMessage(at, from.hub, link + "-answer", from.is_cut,
+                      [this, index, sent, update](Instant then) {
+                        hosts_[index].view.Apply(then, sent, update);
+                      });
+        });
+  }
+
+  // A request at each host in each step.
+  void HandleRequest(Instant now, const Host& host) {
+    if (settings_.has_leases && !host.view.IsCurrent(now)) {
+      ++outcome_.refused;
+      return;
+    }
+    ++outcome_.handled;
+    if (host.view.applied_changes() < due_change_) ++outcome_.overdue;
+  }
+
+  ChangeGateSimulationSettings settings_;
+  Random random_;
+  std::deque<Hub> hubs_;
+  std::deque<Host> hosts_;
+  std::multimap<Instant, std::function<void(Instant)>> messages_;
+  std::map<std::string, Instant> last_arrival_;
+  std::vector<Change> changes_;
+  int leader_ = 0;
+  std::uint64_t committed_ = 0;
+  // The last change that no host may act without any more.
+  std::uint64_t due_change_ = 0;
+  Instant next_change_at_ = kStartTime;
+  bool was_cut_ = false;
+  Outcome outcome_;
+};
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/unit_tests/fleet/change_gate_test.cc
@@ -0,0 +1,175 @@
+#include "sapphirebank/fleet/change_gate.h"
+
+#include <catch2/catch.hpp>
+
+#include "unit_tests/fleet/change_gate_simulation.h"
+
+namespace sapphirebank {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Instant kStart{seconds(1000)};
+const HostId kHost("entry-1");
+
+TEST_CASE("leases are derived from the limits of changes", "[fleet]") {
+  ChangeLimits limits;
+  limits.plan = milliseconds(2500);
+  limits.departure = milliseconds(2000);
+  ViewLeaseSettings settings = MakeViewLeaseSettings(limits);
+  CHECK(settings.plan_bound == milliseconds(2125));
+  CHECK(settings.departure_bound == milliseconds(1700));
+  // No acknowledgement is held back for more than half of its limit of 4 s.
+  CHECK(settings.lease == milliseconds(3700));
+  CHECK(UngatedLease(settings) == milliseconds(1700));
+  // A withdrawn key stops working in time whatever the other limits are.
+  limits.key_withdrawal = seconds(1);
+  settings = MakeViewLeaseSettings(limits);
+  CHECK(settings.lease == milliseconds(850));
+  CHECK(UngatedLease(settings) == milliseconds(850));
+}
+
+// Lease of 4.25 s and bounds of 2.25 s: views that were confirmed 2 s ago or
+// earlier are harmless.
+ViewLeaseSettings TestSettings() {
+  ViewLeaseSettings settings;
+  settings.lease = milliseconds(4250);
+  settings.plan_bound = milliseconds(2250);
+  settings.departure_bound = milliseconds(2250);
+  settings.zone_bound = milliseconds(4250);
+  return settings;
+}
+
+struct LeaderGate {
+  ViewLeaseSettings settings = TestSettings();
+  ChangeGate gate{settings, kStart - seconds(60)};
+
+  LeaderGate() { gate.BecomeLeader(kStart - seconds(30), 0); }
+  bool MayAcknowledge(Instant now, std::uint64_t change) const {
+    return gate.MayAcknowledge(now, change, settings.plan_bound);
+  }
+};
+
+TEST_CASE("a change is acknowledged once all hosts apply it", "[fleet]") {
+  LeaderGate leader;
+  leader.gate.RecordConfirmation(kHost, kStart);
+  leader.gate.RecordApplied(kHost, 0);
+  CHECK_FALSE(leader.MayAcknowledge(kStart, 1));
+  leader.gate.RecordCommit(kStart, 1);
+  CHECK_FALSE(leader.MayAcknowledge(kStart + milliseconds(10), 1));
+  CHECK(leader.gate.HoldersBehind(kStart + milliseconds(10), 1,
+                                  leader.settings.plan_bound) ==
+        std::vector<HostId>{kHost});
+  leader.gate.RecordApplied(kHost, 1);
+  CHECK(leader.MayAcknowledge(kStart + milliseconds(10), 1));
+  // A host that restarted has lost what it applied.
+  leader.gate.RecordApplied(kHost, 0);
+  CHECK_FALSE(leader.MayAcknowledge(kStart + milliseconds(20), 1));
+}
+
+TEST_CASE("a change is acknowledged at the latest when leases end in time",
+          "[fleet]") {
+  LeaderGate leader;
+  leader.gate.RecordCommit(kStart, 1);
+  // The host goes on being confirmed, by a hub that lacks the change.
+  const Instant last = kStart + milliseconds(1999);
+  leader.gate.RecordConfirmation(kHost, last);
+  CHECK_FALSE(leader.MayAcknowledge(last, 1));
+  CHECK(leader.MayAcknowledge(kStart + seconds(2), 1));
+  // A later change of the same host does not hold back the first one.
+  leader.gate.RecordCommit(kStart + seconds(1), 2);
+  CHECK(leader.MayAcknowledge(kStart + seconds(2), 1));
+  CHECK_FALSE(leader.MayAcknowledge(kStart + seconds(2), 2));
+}
+
+TEST_CASE("a host that was lost holds back no change once its lease ends",
+          "[fleet]") {
+  LeaderGate leader;
+  leader.gate.RecordConfirmation(kHost, kStart);
+  const Instant commit = kStart + milliseconds(1500);
+  leader.gate.RecordCommit(commit, 1);
+  CHECK_FALSE(leader.MayAcknowledge(commit, 1));
+  CHECK(leader.MayAcknowledge(kStart + milliseconds(2001), 1));
+}
+
+TEST_CASE("a bound as long as the lease holds back nothing", "[fleet]") {
+  LeaderGate leader;
+  leader.gate.RecordConfirmation(kHost, kStart);
+  leader.gate.RecordCommit(kStart, 1);
+  CHECK(leader.gate.MayAcknowledge(kStart, 1, leader.settings.zone_bound));
+}
+
+// A new leader does not know which views its predecessor had confirmed.
+TEST_CASE("a new leader waits for the leases that the last one gave",
+          "[fleet]") {
+  LeaderGate leader;
+  leader.gate.BecomeLeader(kStart, 7);
+  leader.gate.RecordConfirmation(kHost, kStart);
+  leader.gate.RecordApplied(kHost, 7);
+  CHECK_FALSE(leader.MayAcknowledge(kStart + milliseconds(1999), 7));
+  CHECK_FALSE(leader.MayAcknowledge(kStart + milliseconds(1999), 3));
+  CHECK(leader.MayAcknowledge(kStart + seconds(2), 7));
+}
+
+TEST_CASE("a relay that restarted vouches for no host until leases end",
+          "[fleet]") {
+  ChangeGate relay(TestSettings(), kStart);
+  relay.RecordConfirmation(kHost, kStart + seconds(1));
+  relay.RecordApplied(kHost, 5);
+  CHECK(relay.AppliedByAll(kStart + milliseconds(1999), 6) == 0);
+  CHECK(relay.AppliedByAll(kStart + seconds(2), 6) == 5);
+  // Its own record may be behind that of hosts that come from another hub.
+  CHECK(relay.AppliedByAll(kStart + seconds(2), 4) == 4);
+  CHECK(relay.AppliedByAll(kStart + seconds(4), 6) == 6);
+}
+
+// Half of the limit of 4 s.
+constexpr Duration kMaxHold = seconds(2);
+
+ChangeGateSimulation::Outcome Simulate(
+    const ChangeGateSimulationSettings& settings, std::uint64_t seed) {
+  return ChangeGateSimulation(settings, seed).Run();
+}
+
+// Guards against hosts that act on a plan for longer than the bound after a
+// newer one was acknowledged: their hub was late, cut off, or elected a leader.
+TEST_CASE("no request is handled without a change that is overdue", "[fleet]") {
+  const auto seed = GENERATE(range<std::uint64_t>(1, 5));
+  ChangeGateSimulationSettings settings;
+  settings.cut_at = seconds(6);
+  settings.cut_hubs = 5 + static_cast<int>(seed);
+  const auto outcome = Simulate(settings, seed);
+  INFO("seed " << seed);
+  CHECK(outcome.overdue == 0);
+  CHECK(outcome.handled > 4 * outcome.refused);
+  CHECK(outcome.acknowledged > outcome.changes * 3 / 4);
+  // Until the old leader was lost, and again by the new one.
+  CHECK(outcome.longest_hold <= 2 * kMaxHold + settings.election_time);
+}
+
+// The simulation finds the fault where acknowledgements do not wait, and where
+// leases do not end the use of a view.
+TEST_CASE("changes are overdue without leases or held acknowledgements",
+          "[fleet]") {
+  ChangeGateSimulationSettings settings;
+  settings.cut_at = seconds(6);
+  settings.holds_acknowledgements = GENERATE(false, true);
+  settings.has_leases = !settings.holds_acknowledgements;
+  CHECK(Simulate(settings, 1).overdue > 0);
+}
+
+TEST_CASE("in a sound fleet acknowledgements wait for a few messages only",
+          "[fleet]") {
+  ChangeGateSimulationSettings settings;
+  settings.late_hubs = 0;
+  settings.length = seconds(12);
+  const auto outcome = Simulate(settings, 3);
+  CHECK(outcome.overdue == 0);
+  CHECK(outcome.refused < outcome.handled / 20);
+  // After the first leases of a start.
+  CHECK(outcome.acknowledged >= outcome.changes - 2);
+}
+
+}  // namespace
+}  // namespace sapphirebank
--- a/unit_tests/fleet/entry_view_test.cc
+++ b/unit_tests/fleet/entry_view_test.cc
@@ -13,7 +13,12 @@
 using std::chrono::seconds;
 
 constexpr Instant kStart{seconds(1000)};
-constexpr Duration kKeyValidity = seconds(4);
+constexpr Duration kLease = seconds(4);
+constexpr Duration kShortLease = seconds(2);
+constexpr ViewLeaseSettings kLeaseSettings{.lease = kLease,
+                                           .plan_bound = kShortLease,
+                                           .departure_bound = seconds(3),
+                                           .zone_bound = seconds(5)};
 
 // Reads documents of the form {"version": n}.
 Result<std::shared_ptr<const TrafficPlan>> ReadTestPlan(
@@ -29,6 +34,7 @@
 FleetUpdate MakeUpdate(std::uint64_t record, PlanVersion version = 0) {
   FleetUpdate update;
   update.record_changes = record;
+  update.gates_changes = true;
   update.registry_id = 1;
   if (version > 0) {
     update.plan =
@@ -38,10 +44,9 @@
   return update;
 }
 
-TEST_CASE(
-    "keys are accepted for a limited time after the leader's confirmation",
-    "[fleet]") {
-  EntryView view(ReadTestPlan, kKeyValidity);
+TEST_CASE("a view is used for a limited time after the leader's confirmation",
+          "[fleet]") {
+  EntryView view(ReadTestPlan, kLeaseSettings);
   CHECK_FALSE(view.IsCurrent(kStart));
   FleetUpdate update = MakeUpdate(1, 1);
   // Unsolicited updates confirm nothing: they may be old.
@@ -50,16 +55,29 @@
   // Validity counts from the request, less the age of the confirmation.
   update.quorum_age = milliseconds(300);
   REQUIRE(view.Apply(kStart + seconds(1), kStart, update));
-  CHECK(view.IsCurrent(kStart + kKeyValidity - milliseconds(301)));
-  CHECK_FALSE(view.IsCurrent(kStart + kKeyValidity - milliseconds(300)));
+  CHECK(view.IsCurrent(kStart + kLease - milliseconds(301)));
+  CHECK_FALSE(view.IsCurrent(kStart + kLease - milliseconds(300)));
   // An older confirmation does not shorten the validity.
   update.quorum_age = seconds(3);
   REQUIRE(view.Apply(kStart + seconds(1), kStart, update));
-  CHECK(view.IsCurrent(kStart + kKeyValidity - milliseconds(301)));
+  CHECK(view.IsCurrent(kStart + kLease - milliseconds(301)));
+}
+
+// Guards against a long lease from a leader, or a relay, of an earlier build,
+// which acknowledges changes at once.
+TEST_CASE("a lease is short where changes are acknowledged at once",
+          "[fleet]") {
+  EntryView view(ReadTestPlan, kLeaseSettings);
+  FleetUpdate update = MakeUpdate(1, 1);
+  update.gates_changes = false;
+  REQUIRE(view.Apply(kStart, kStart, update));
+  CHECK(view.IsCurrent(kStart + kShortLease - milliseconds(1)));
+  CHECK_FALSE(view.IsCurrent(kStart + kShortLease));
+  CHECK(view.LeaderUpdateAge(kStart + kShortLease) == kShortLease);
 }
 
 TEST_CASE("an update of a hub that is behind is rejected", "[fleet]") {
-  EntryView view(ReadTestPlan, kKeyValidity);
+  EntryView view(ReadTestPlan, kLeaseSettings);
   FleetUpdate update = MakeUpdate(5, 3);
   update.shared_state = true;
   update.zones_out = {ZoneId("kochi")};
@@ -70,12 +88,12 @@
   REQUIRE_FALSE(applied);
   CHECK(applied.error().kind == ErrorKind::kNotLeader);
   CHECK(view.IsZoneOut(ZoneId("kochi")));
-  CHECK_FALSE(view.IsCurrent(kStart + kKeyValidity));
+  CHECK_FALSE(view.IsCurrent(kStart + kLease));
 }
 
 TEST_CASE("plan versions never decrease, and a patch needs its base",
           "[fleet]") {
-  EntryView view(ReadTestPlan, kKeyValidity);
+  EntryView view(ReadTestPlan, kLeaseSettings);
   REQUIRE(view.Apply(kStart, std::nullopt, MakeUpdate(1, 7)));
   REQUIRE(view.Apply(kStart, std::nullopt, MakeUpdate(1, 6)));
   CHECK(view.plan()->version() == 7);
@@ -83,12 +101,15 @@
   const std::string text =
       Compress(R"([{"op":"replace","path":"/version","value":8}])");
   patch.plan = PlanUpdate{8, PlanVersion{6}, text};
-  // If the plan fails, the confirmation is not applied either.
+  // If the plan fails, the confirmation is not applied either, and the change
+  // does not count as applied here.
   CHECK_FALSE(view.Apply(kStart, kStart, patch));
   CHECK_FALSE(view.IsCurrent(kStart));
+  CHECK(view.applied_changes() == 1);
   patch.plan = PlanUpdate{8, PlanVersion{7}, text};
   CHECK(view.Apply(kStart, kStart, patch));
   CHECK(view.plan()->version() == 8);
+  CHECK(view.applied_changes() == 2);
   for (const std::string& wrong : {Compress("no patch"), std::string("{}")}) {
     patch.plan = PlanUpdate{9, PlanVersion{8}, wrong};
     CHECK_FALSE(view.Apply(kStart, kStart, patch));
@@ -97,7 +118,7 @@
 }
 
 TEST_CASE("updates add, change and remove servers", "[fleet]") {
-  EntryView view(ReadTestPlan, kKeyValidity);
+  EntryView view(ReadTestPlan, kLeaseSettings);
   const ServiceId desk("desk");
   FleetUpdate update = MakeUpdate(1, 1);
   update.servers = {{MakeServer("a"), ServerHealth::kUp, {}, false},
@@ -122,7 +143,7 @@
 }
 
 struct ChooserFixture {
-  EntryView view{ReadTestPlan, kKeyValidity};
+  EntryView view{ReadTestPlan, kLeaseSettings};
   ServerChooser chooser{ServerChooserSettings(), ZoneId("kochi"), Random(5)};
 
   double request_rate = 100;
@@ -189,7 +210,7 @@
 // a connection: the choice was not checked again before sending.
 TEST_CASE("a server that was chosen may be sent nothing once it has left",
           "[fleet]") {
-  EntryView view(ReadTestPlan, kKeyValidity);
+  EntryView view(ReadTestPlan, kLeaseSettings);
   FleetUpdate update = MakeUpdate(1, 1);
   update.servers.push_back({MakeServer("a")});
   update.servers.push_back({MakeServer("b", "fann")});
--- a/unit_tests/fleet/fleet_messages_test.cc
+++ b/unit_tests/fleet/fleet_messages_test.cc
@@ -21,6 +21,7 @@
   report.number = 7;
   report.ready_hosts = {{"10.0.0.1:80", ZoneId("kochi")}};
   report.entry_hosts = 3;
+  report.applied_changes = 12;
   report.registry_id = ~std::uint64_t{0};
   report.outcomes[BackendId("a")] = {1, 2, 3};
   report.requests[ServiceId("desk")] = 9;
@@ -38,6 +39,7 @@
   update.quorum_age = std::chrono::milliseconds(20);
   update.record_changes = 3;
   update.is_electing = true;
+  update.gates_changes = true;
   update.has_newest_update = true;
   update.full_registry = true;
   update.servers = {{MakeServer("a"), ServerHealth::kProbation,
--- a/unit_tests/fleet/fleet_settings_test.cc
+++ b/unit_tests/fleet/fleet_settings_test.cc
@@ -20,6 +20,10 @@
           {"seeds", {"10.0.0.1:82", "10.0.0.2:82"}},
           {"found_group", true},
           {"key_withdrawal", "5000ms"},
+          {"plan_change", "2500ms"},
+          {"server_departure", "2s"},
+          {"zone_change", "5s"},
+          {"acknowledgement", "4s"},
           {"retry_slack", 62}};
 }
 
@@ -33,7 +37,11 @@
   CHECK(settings->seeds.size() == 2);
   CHECK(settings->FleetEndpoint(settings->seeds[1]) ==
         Endpoint{"10.0.0.2", 7000});
-  CHECK(settings->key_withdrawal == std::chrono::seconds(5));
+  CHECK(settings->change_limits.key_withdrawal == std::chrono::seconds(5));
+  CHECK(settings->change_limits.plan == std::chrono::milliseconds(2500));
+  CHECK(settings->change_limits.departure == std::chrono::seconds(2));
+  CHECK(settings->change_limits.zone == std::chrono::seconds(5));
+  CHECK(settings->change_limits.acknowledgement == std::chrono::seconds(4));
   CHECK(settings->found_group);
 }
 
--- a/unit_tests/fleet/rate_limited_servers_test.cc
+++ b/unit_tests/fleet/rate_limited_servers_test.cc
@@ -55,7 +55,7 @@
       host.hub = i % 2 == 0 ? 1 + static_cast<std::size_t>(i / 2) % 2 : 3;
       host.view = std::make_unique<EntryView>(
           [](std::string_view) { return MakePlan(MakePlanParts()); },
-          seconds(4));
+          ViewLeaseSettings());
       host.next_report_at = now + milliseconds(random_.Below(500));
       hosts_.push_back(std::move(host));
     }
--- a/unit_tests/fleet/server_signals_test.cc
+++ b/unit_tests/fleet/server_signals_test.cc
@@ -49,7 +49,7 @@
 
 TEST_CASE("an entry host without a hub obeys what servers told it", "[fleet]") {
   EntryView view([](std::string_view) { return MakePlan(MakePlanParts()); },
-                 seconds(4));
+                 ViewLeaseSettings());
   FleetUpdate update;
   update.servers.push_back({MakeServer("a")});
   update.servers.push_back({MakeServer("b")});
--- a/unit_tests/platform/entry_hosts.h
+++ b/unit_tests/platform/entry_hosts.h
@@ -79,6 +79,9 @@
 // for those of other entry hosts. It chooses servers itself.
 class TestEntryHost {
  public:
+  // Time for which the host may use what it was told.
+  static constexpr Duration kLease = std::chrono::seconds(60);
+
   // `fleet_port` is 0 for any; all hosts of a test use the same.
   TestEntryHost(LoopThread& loop, const std::string& ip,
                 std::uint16_t fleet_port = 0)
@@ -108,8 +111,8 @@
     state_ = std::make_unique<EntryState>(
         loop.loop(), ReadPlanDocument,
         ServerPathMonitor::Create(ServerPathSettings()).value(),
-        std::chrono::seconds(60), 60, ZoneId("kochi"), 1,
-        std::move(state_hooks));
+        ViewLeaseSettings{kLease, kLease, kLease, kLease}, 60, ZoneId("kochi"),
+        1, std::move(state_hooks));
     handler_ = std::make_unique<EntryRequestHandler>(
         loop.loop(), *state_, PlatformEntryCodec(),
         Endpoint{ip, server_->port()}, FleetSecret("secret"), *log_, *metrics_);
@@ -124,9 +127,10 @@
   int detours() const { return detours_; }
 
   // Tells the host the plan, the addresses of its servers and the entry hosts
-  // that it may send requests to.
+  // that it may send requests to, confirmed `age` ago.
   void Update(const std::vector<Endpoint>& servers,
-              std::vector<std::string> detour_hosts, int plan_version = 1) {
+              std::vector<std::string> detour_hosts, int plan_version = 1,
+              Duration age = Duration::zero()) {
     FleetUpdate update;
     update.full_registry = true;
     for (const Endpoint& server : servers) {
@@ -143,7 +147,7 @@
     update.detour_hosts = std::move(detour_hosts);
     RunOnLoop([&] {
       const Instant now = MonotonicNow();
-      return state_->Apply(now, now, update).has_value();
+      return state_->Apply(now, now - age, update).has_value();
     });
   }
 
