No request reaches a server that left more than the bound before

Cause: a departure reaches a host with the updates of its hub, and the server was checked before the first byte against whatever view the host had; only requests with keys ended when that was old. The departure was acknowledged at its commit. Ruled out: a server chosen before and sent to after the departure was known to the host (it is checked before the first byte).

Change: departures are acknowledged like plans, once all hosts act on them whose leases go on for longer than the bound; no attempt begins, and no first byte is sent, when the lease of the view is over.

Why it works: as for plans (docs/design/view-leases.md), with the host's own check right before the first byte. "a request that outlasts the lease is sent to no further server" failed on the attempt of before: a second server got the request.

--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -221,7 +221,7 @@
   const ViewLeaseSettings& settings = gate_.settings();
   if (std::holds_alternative<StorePlan>(command)) return settings.plan_bound;
   if (std::holds_alternative<SetZoneOut>(command)) return settings.zone_bound;
-  return settings.lease;
+  return settings.departure_bound;
 }
 
 // Acknowledges a command that the record contains once no host may act without
--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -82,11 +82,11 @@
   const Instant now = MonotonicNow();
   const ServerAnnouncement& target = server->state.announcement;
   context.tried.push_back(server);
-  // Checked right before sending: the process may have been suspended for
-  // longer than the leader's updates on keys are valid.
-  if (context.workspace != nullptr && !state_.view().IsCurrent(now)) {
+  // The lease may have ended, and the server may have left, while the request
+  // waited or the process was suspended.
+  if (!state_.view().IsCurrent(now)) {
     AttemptResult attempt;
-    attempt.failure = ErrorKind::kKeyUnverifiable;
+    attempt.failure = ErrorKind::kNoConfiguration;
     co_return attempt;
   }
   BackendRequestInfo info;
@@ -109,11 +109,10 @@
   };
   // The server may leave, or the process may be suspended, while the request
   // waits for a connection.
-  exchange.may_send = [this, server, has_key = context.workspace != nullptr] {
+  exchange.may_send = [this, server] {
     const Instant at = MonotonicNow();
-    return !AttemptsAreOver() &&
-           state_.view().MayReceiveRequests(at, *server) &&
-           (!has_key || state_.view().IsCurrent(at));
+    return !AttemptsAreOver() && state_.view().IsCurrent(at) &&
+           state_.view().MayReceiveRequests(at, *server);
   };
   const std::shared_ptr<CallerWatch> watch = AddAttemptWatch();
   asio::steady_timer timer(loop_);
