A hub that does not know the servers yet confirms no view

What callers could see: requests at servers that left while their host's hub restarted (DRAIN).

Cause: a hub that has restarted sends no servers until its list is complete, for 1.6 s at most, but its updates confirmed the views of its hosts, and named the record's changes as applied, although the departures among them had not been sent.

Change: an update counts as a confirmation only with the registry that the host holds, or with a whole one. The lease of before goes on meanwhile.

--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -31,7 +31,11 @@
                 "update rejected: record older than this host's");
   }
   record_changes_ = update.record_changes;
-  ApplyServers(now, update);
+  // A hub that has restarted sends its servers once it knows them. Until then
+  // its updates lack departures that its record has.
+  const bool has_registry =
+      update.full_registry || update.registry_id == registry_id_;
+  if (has_registry) ApplyServers(now, update);
   if (update.shared_state) {
     zones_out_ = update.zones_out;
     quarantined_ = {update.quarantined.begin(), update.quarantined.end()};
@@ -40,8 +44,8 @@
   }
   Result<void> plan_applied;
   if (update.plan) plan_applied = ApplyPlan(*update.plan);
-  // The confirmation only counts if the plan sent with it was applied.
-  if (!plan_applied) return plan_applied;
+  // The confirmation only counts if all that was sent with it was applied.
+  if (!plan_applied || !has_registry) return plan_applied;
   applied_changes_ = update.record_changes;
   if (!requested_at) return {};
   const Instant as_of = *requested_at - update.quorum_age;
--- a/unit_tests/fleet/entry_view_test.cc
+++ b/unit_tests/fleet/entry_view_test.cc
@@ -35,7 +35,6 @@
   FleetUpdate update;
   update.record_changes = record;
   update.gates_changes = true;
-  update.registry_id = 1;
   if (version > 0) {
     update.plan =
         PlanUpdate{version, std::nullopt,
@@ -142,6 +141,29 @@
   CHECK(view.Find(BackendId("a")) == nullptr);
 }
 
+// Guards against servers that left, at a host whose hub has restarted: it
+// confirmed the host's view before it had servers to tell of.
+TEST_CASE("a hub without its servers confirms no view", "[fleet]") {
+  EntryView view(ReadTestPlan, kLeaseSettings);
+  FleetUpdate update = MakeUpdate(1, 1);
+  update.registry_id = 1;
+  update.full_registry = true;
+  update.servers = {{MakeServer("a")}};
+  REQUIRE(view.Apply(kStart, kStart, update));
+  const Instant later = kStart + seconds(1);
+  FleetUpdate restarted = MakeUpdate(2);
+  restarted.registry_id = 2;
+  REQUIRE(view.Apply(later, later, restarted));
+  CHECK_FALSE(view.IsCurrent(kStart + kLease));
+  CHECK(view.applied_changes() == 1);
+  CHECK(view.registry_id() == 1);
+  restarted.full_registry = true;
+  REQUIRE(view.Apply(later, later, restarted));
+  CHECK(view.IsCurrent(kStart + kLease));
+  CHECK(view.applied_changes() == 2);
+  CHECK(view.Find(BackendId("a")) == nullptr);
+}
+
 struct ChooserFixture {
   EntryView view{ReadTestPlan, kLeaseSettings};
   ServerChooser chooser{ServerChooserSettings(), ZoneId("kochi"), Random(5)};
