An update of the leader does not take back a departure at a relay

What callers could see: requests at a server that had left, from all hosts of one hub, until the record changed again (DRAIN).

Cause: a relay took over whether a server is retired from the leader's update as it came. The update and the record come by different links where two control hosts have connected to each other, so one that was built before the departure may arrive after it.

Change: a server that is retired in the relay's own record stays retired, also where the relay hears of it for the first time.

--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -273,7 +273,7 @@
   if (is_leader_ || from != known_leader_) return;
   const Instant now = Now();
   const auto update = message.at("u").get<FleetUpdate>();
-  hub_.ApplyLeaderUpdate(now, update);
+  hub_.ApplyLeaderUpdate(now, update, host_.state().fleet());
   const auto asked = unanswered_reports_.find(update.answered_report);
   if (asked == unanswered_reports_.end()) return;
   leader_gates_changes_ = update.gates_changes;
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -116,8 +116,9 @@
   // and not while the last one is unanswered.
   bool LeaderReportIsDue(Instant now) const;
 
-  // Relay only: applies the leader's update.
-  void ApplyLeaderUpdate(Instant now, const FleetUpdate& update);
+  // Relay only: applies the leader's update. `record` is the one of this host.
+  void ApplyLeaderUpdate(Instant now, const FleetUpdate& update,
+                         const FleetRecord& record);
 
   // Assigns a request of an entry host to a server; a retry only within the
   // retry budget. Takes a rate token first if the query names a workspace, and
--- a/sapphirebank/fleet/fleet_hub_updates.cc
+++ b/sapphirebank/fleet/fleet_hub_updates.cc
@@ -151,11 +151,12 @@
   return report;
 }
 
-void FleetHub::ApplyLeaderUpdate(Instant now, const FleetUpdate& update) {
+void FleetHub::ApplyLeaderUpdate(Instant now, const FleetUpdate& update,
+                                 const FleetRecord& record) {
   if (update.answered_report != 0) unanswered_report_at_.reset();
   std::set<BackendId> listed;
   for (const ServerUpdate& server_update : update.servers) {
-    registry_.ApplyServerUpdate(now, server_update);
+    registry_.ApplyServerUpdate(now, server_update, record);
     listed.insert(server_update.announcement.id);
   }
   if (update.full_registry && !update.wants_servers) has_server_list_ = true;
--- a/sapphirebank/fleet/server_registry.cc
+++ b/sapphirebank/fleet/server_registry.cc
@@ -91,7 +91,8 @@
 }
 
 void ServerRegistry::ApplyServerUpdate(Instant now,
-                                       const ServerUpdate& update) {
+                                       const ServerUpdate& update,
+                                       const FleetRecord& record) {
   const ServerAnnouncement& incoming = update.announcement;
   Entry& entry = entries_[incoming.id];
   const ServerAnnouncement& current = entry.state.announcement;
@@ -108,8 +109,10 @@
   const bool warm_up_extended =
       update.cold_for > Duration::zero() &&
       cold_until > entry.state.cold_until + kTransitTolerance;
+  const bool is_retired =
+      update.retired || record.IsRetired(incoming.id, incoming.incarnation);
   const bool is_urgent = is_new_incarnation || warm_up_extended ||
-                         entry.state.retired != update.retired;
+                         entry.state.retired != is_retired;
   const bool limit_is_settled =
       is_new_incarnation ||
       now - entry.rate_limit_reported_at >= settings_.rate_limit_settling_time;
@@ -118,7 +121,7 @@
   if (limit_changed) entry.state.rate_limit = update.rate_limit;
   const bool health_changed = entry.state.health != update.health;
   entry.state.health = update.health;
-  entry.state.retired = update.retired;
+  entry.state.retired = is_retired;
   if (warm_up_extended) entry.state.cold_until = cold_until;
   if (is_urgent) {
     MarkUrgentlyChanged(entry);
--- a/sapphirebank/fleet/server_registry.h
+++ b/sapphirebank/fleet/server_registry.h
@@ -68,8 +68,10 @@
   bool ApplyRateLimit(Instant now, const BackendId& id,
                       std::optional<double> limit);
 
-  // Applies the leader's state of a server.
-  void ApplyServerUpdate(Instant now, const ServerUpdate& update);
+  // Applies the leader's state of a server. A server that is retired in
+  // `record` stays retired: the leader may have sent the update before it left.
+  void ApplyServerUpdate(Instant now, const ServerUpdate& update,
+                         const FleetRecord& record);
 
   // Resets the health of all servers; a new leader tracks it from here on.
   void ResetHealth();
--- a/unit_tests/fleet/fleet_hub_load_test.cc
+++ b/unit_tests/fleet/fleet_hub_load_test.cc
@@ -98,7 +98,7 @@
       relay.BuildLeaderReport(now, false);
       FleetUpdate answer;
       answer.answered_report = 1;
-      relay.ApplyLeaderUpdate(now, answer);
+      relay.ApplyLeaderUpdate(now, answer, record);
       longest = std::max(longest, now - last);
       last = now;
       ++reports;
@@ -204,7 +204,7 @@
     FleetUpdate update =
         leader_.HandleReport(now, HostId(Name(static_cast<int>(sent.relay))),
                              true, sent.report, record_);
-    relays_[sent.relay].ApplyLeaderUpdate(now, update);
+    relays_[sent.relay].ApplyLeaderUpdate(now, update, record_);
     answer_time = now - sent.at;
   }
 
--- a/unit_tests/fleet/leader_and_relay.h
+++ b/unit_tests/fleet/leader_and_relay.h
@@ -47,9 +47,10 @@
   void Sync() {
     EntryReport report = relay.BuildLeaderReport(now, number == 1);
     report.number = number++;
-    relay.ApplyLeaderUpdate(
-        now, RoundTrip(leader.HandleReport(now, kRelay, true, RoundTrip(report),
-                                           record)));
+    relay.ApplyLeaderUpdate(now,
+                            RoundTrip(leader.HandleReport(
+                                now, kRelay, true, RoundTrip(report), record)),
+                            record);
   }
 
   EntryReport MakeReport() {
--- a/unit_tests/fleet/rate_limited_servers_test.cc
+++ b/unit_tests/fleet/rate_limited_servers_test.cc
@@ -110,8 +110,10 @@
       report.number = 1;
       synced_[i] = true;
       hub.ApplyLeaderUpdate(
-          now, hubs_[0]->HandleReport(now, HostId("hub-" + std::to_string(i)),
-                                      true, report, record_));
+          now,
+          hubs_[0]->HandleReport(now, HostId("hub-" + std::to_string(i)), true,
+                                 report, record_),
+          record_);
     }
     while (!running_.empty() && running_.front().ends_at <= now) {
       Finish(running_.front());
--- a/unit_tests/fleet/server_registry_test.cc
+++ b/unit_tests/fleet/server_registry_test.cc
@@ -168,14 +168,38 @@
   ServerUpdate update;
   update.announcement = MakeServer("a", "kochi", 5);
   update.health = ServerHealth::kDown;
-  registry.ApplyServerUpdate(kStart, update);
+  registry.ApplyServerUpdate(kStart, update, record);
   CHECK(StateOf(registry, "a").health == ServerHealth::kDown);
   const auto changes = registry.changes();
-  registry.ApplyServerUpdate(kStart, update);
+  registry.ApplyServerUpdate(kStart, update, record);
   CHECK(registry.changes() == changes);
   update.announcement.incarnation = 4;
   update.retired = true;
-  registry.ApplyServerUpdate(kStart, update);
+  registry.ApplyServerUpdate(kStart, update, record);
+  CHECK_FALSE(StateOf(registry, "a").retired);
+}
+
+// Guards against a server that is ready again after it left: an update that the
+// leader sent before arrived after the departure, by another link.
+TEST_CASE("an update of the leader does not take back a departure", "[fleet]") {
+  ServerRegistry registry{ServerRegistrySettings()};
+  FleetRecord record;
+  registry.ApplyHeartbeat(kStart, MakeServer("a", "kochi", 5), record);
+  record.Apply(RetireBackend{BackendId("a"), 5});
+  registry.ApplyRetirements(record);
+  REQUIRE(StateOf(registry, "a").retired);
+  const auto changes = registry.changes();
+  ServerUpdate update;
+  update.announcement = MakeServer("a", "kochi", 5);
+  registry.ApplyServerUpdate(kStart, update, record);
+  CHECK(StateOf(registry, "a").retired);
+  CHECK(registry.changes() == changes);
+  // The same for a server that this host hears of for the first time.
+  ServerRegistry restarted{ServerRegistrySettings()};
+  restarted.ApplyServerUpdate(kStart, update, record);
+  CHECK(StateOf(restarted, "a").retired);
+  update.announcement.incarnation = 6;
+  registry.ApplyServerUpdate(kStart, update, record);
   CHECK_FALSE(StateOf(registry, "a").retired);
 }
 
