A host whose search for a hub was in vain searches again within 1.5 s

Cause: after a search in vain the pause was 1 s and 10 ms for each entry host, 5.2 s there, and the search was in vain as an election was on. A pause that grows with the fleet against bounds that do not; the hubs grow with the hosts, so the load on each does not ask for it. What held these hosts was the pause: the log has their next search 5.8 s to 6.5 s after the first one, and a hub of a minority says nothing of newer updates.

Change: the pause is 0.5 s to 1.5 s, and the next searches probe three hubs in turn instead of all: 3 probes a second for each host, 3.5 before on average, and no longer all in the same second.

--- a/sapphirebank/fleet/hub_selector.cc
+++ b/sapphirebank/fleet/hub_selector.cc
@@ -82,6 +82,7 @@
     std::string address = std::move(search_->front());
     search_->pop_front();
     if (!probing_.insert(address).second) continue;
+    probed_at_[address] = now;
     next_probe_at_ = now + settings_.probe_interval;
     return address;
   }
@@ -132,13 +133,22 @@
   for (std::size_t i = candidates.size(); i > 1; --i) {
     std::swap(candidates[i - 1], candidates[random_.Below(i)]);
   }
-  std::stable_sort(
-      candidates.begin(), candidates.end(),
-      [](const Candidate& a, const Candidate& b) { return a.rank < b.rank; });
+  // After a search in vain all hubs have the same chance, so they take turns.
+  const bool is_repeated = !hub_.empty() && searched_in_vain_;
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [&](const Candidate& a, const Candidate& b) {
+                     return is_repeated
+                                ? probed_at_[a.address] < probed_at_[b.address]
+                                : a.rank < b.rank;
+                   });
   // Each search in vain halves the probes of the next one; the order differs,
   // so that all hubs are probed in time.
-  const std::size_t count = std::max<std::size_t>(
-      candidates.size() >> static_cast<unsigned>(failed_searches_), 1);
+  const std::size_t count =
+      is_repeated
+          ? settings_.probes_after_search_in_vain
+          : std::max<std::size_t>(
+                candidates.size() >> static_cast<unsigned>(failed_searches_),
+                1);
   Search search;
   for (Candidate& candidate : candidates) {
     if (search.size() == count) break;
@@ -150,17 +160,15 @@
 void HubSelector::EndSearchInVain(Instant now) {
   search_.reset();
   searched_in_vain_ = true;
-  if (!hub_.empty()) {
-    next_search_at_ = now + settings_.search_pause +
-                      settings_.search_pause_per_host * entry_hosts_;
-    return;
-  }
-  const Duration pause = std::min<Duration>(
-      settings_.search_pause_without_hub * (1 << failed_searches_),
-      settings_.max_search_pause_without_hub);
+  const Duration pause =
+      hub_.empty() ? std::min<Duration>(settings_.search_pause_without_hub *
+                                            (1 << failed_searches_),
+                                        settings_.max_search_pause_without_hub)
+                   : settings_.search_pause;
   constexpr double kLeastFactor = 0.5;
   next_search_at_ =
       now + FromSeconds(ToSeconds(pause) * (kLeastFactor + random_.Unit()));
+  if (!hub_.empty()) return;
   failed_searches_ = std::min(failed_searches_ + 1, kMaxBackoffSteps);
 }
 
--- a/sapphirebank/fleet/hub_selector.h
+++ b/sapphirebank/fleet/hub_selector.h
@@ -32,11 +32,12 @@
   Duration probe_interval = std::chrono::milliseconds(50);
   // A hub that failed is probed again only after this time.
   Duration failure_backoff = std::chrono::seconds(2);
-  // Pause after a search in vain, for a host with a hub: this and a part for
-  // each entry host, as all of them search at the same time when no hub has a
-  // leader.
+  // Pause after a search in vain, for a host with a hub, varied by half, and
+  // the number of hubs that the next search probes: all hosts search at the
+  // same time when no hub has a leader. Neither depends on the size of the
+  // fleet, as the hubs grow with the hosts.
   Duration search_pause = std::chrono::milliseconds(1000);
-  Duration search_pause_per_host = std::chrono::milliseconds(10);
+  std::size_t probes_after_search_in_vain = 3;
   // The same for a host without a hub, doubled with each search in vain up to
   // the maximum and varied by half: after a loss of power hundreds of hosts
   // know the seeds only, whose processors are small.
@@ -149,6 +150,7 @@
   bool hub_is_electing_ = false;
   bool hub_has_newest_update_ = false;
   std::map<std::string, Instant> backoff_until_;
+  std::map<std::string, Instant> probed_at_;
   std::optional<Search> search_;
   std::set<std::string> probing_;
   // The last search found no hub with a recent update.
