--- a/sapphirebank/fleet/server_registry.cc
+++ b/sapphirebank/fleet/server_registry.cc
@@ -90,8 +90,7 @@
   return true;
 }
 
-void ServerRegistry::ApplyServerUpdate(Instant now,
-                                       const ServerUpdate& update,
+void ServerRegistry::ApplyServerUpdate(Instant now, const ServerUpdate& update,
                                        const FleetRecord& record) {
   const ServerAnnouncement& incoming = update.announcement;
   Entry& entry = entries_[incoming.id];
