System test: an acknowledgement waits for a suspended host

With real processes: an entry host is stopped, a plan that withdraws a key and then a departure are acknowledged only when the host's lease ends within the limit, and the host refuses the old key when it goes on; in a sound fleet no lease is waited for.

--- a/system_tests/platform/path_test.cc
+++ b/system_tests/platform/path_test.cc
@@ -184,5 +184,52 @@
   CHECK(fleet.entry_host(0).Wait() == 0);
 }
 
+// Guards against a withdrawn key, and a server that left, in use at a host that
+// was suspended while the change was acknowledged.
+TEST_CASE(
+    "a change is acknowledged once a suspended host cannot act without it",
+    "[platform]") {
+  // The limits of the settings, and the time for which leases outlast them.
+  constexpr auto kLimit = std::chrono::seconds(2);
+  constexpr auto kLeastWait = std::chrono::milliseconds(1000);
+  PlatformFleet fleet;
+  REQUIRE(fleet.CallRpc("config.put", fleet.MakePlan(5).dump()) == 200);
+  fleet.WaitUntilServing();
+  using Clock = std::chrono::steady_clock;
+  const auto refuses_old_key = [&](int entry_host) {
+    const auto answer = fleet.SendRequest(entry_host, "GET", "/lookup/1");
+    return answer && (answer->status == 401 || answer->status == 503);
+  };
+  // In a sound fleet no lease is waited for.
+  auto asked_at = Clock::now();
+  REQUIRE(fleet.CallRpc("config.put", fleet.MakePlan(6).dump()) == 200);
+  CHECK(Clock::now() - asked_at < kLeastWait);
+  fleet.WaitUntilServing();
+
+  fleet.entry_host(0).SendSignal(SIGSTOP);
+  asked_at = Clock::now();
+  REQUIRE(fleet.CallRpc("config.put", fleet.MakePlan(7, "key-2").dump()) ==
+          200);
+  const auto acknowledged_at = Clock::now();
+  CHECK(acknowledged_at - asked_at >= kLeastWait);
+  std::this_thread::sleep_until(acknowledged_at + kLimit);
+  CHECK(refuses_old_key(1));
+  fleet.entry_host(0).SendSignal(SIGCONT);
+  CHECK(refuses_old_key(0));
+
+  // The same for a server that leaves.
+  WaitUntil("the host serves by the new plan", [&] {
+    const auto answer = fleet.SendRequest(0, "GET", "/lookup/1", "key-2");
+    return answer && answer->status == 200;
+  });
+  fleet.entry_host(0).SendSignal(SIGSTOP);
+  asked_at = Clock::now();
+  fleet.server(0).Leave();
+  WaitUntil("a control host acknowledges the draining state",
+            [&] { return fleet.server(0).leave_acknowledged(); });
+  CHECK(Clock::now() - asked_at >= kLeastWait);
+  fleet.entry_host(0).SendSignal(SIGCONT);
+}
+
 }  // namespace
 }  // namespace sapphirebank::system_tests
