A host that changes hubs confirms changes to the hub before as well

Cause: a hub counts on each host until the lease that it gave cannot outlast any bound, and a host that returned to its own hub confirmed nothing to the hub that it left.

Change: the host keeps the former link for that time (2 s there), for confirmations alone; the hub drops it as a reporter at once ("moved").

--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -187,6 +187,9 @@
       OnReport(link, from, message);
     } else if (type == "applied") {
       RecordApplied(from, message.at("c").get<std::uint64_t>());
+    } else if (type == "moved") {
+      // The host reports to another hub and goes on confirming changes here.
+      if (LinkTo(from) == link) hub_.RemoveReporter(from);
     } else if (type == "update") {
       OnUpdate(from, message);
     } else if (type == "control") {
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -69,6 +69,7 @@
 void EntryLink::Tick() {
   const Instant now = MonotonicNow();
   DropOverdueProbes(now);
+  if (now >= close_former_at_) CloseFormerLink();
   const bool is_overdue =
       !unanswered_reports_.empty() &&
       now - unanswered_reports_.begin()->second >
@@ -148,7 +149,7 @@
   probes_.erase(link);
   for (const auto& [other, probe] : probes_) links_.Close(other);
   probes_.clear();
-  if (link_) links_.Close(*link_);
+  KeepFormerLink(MonotonicNow());
   link_ = link;
   hub_answered_ = false;
   unanswered_reports_.clear();
@@ -159,7 +160,28 @@
   SendReport(true);
 }
 
+// Keeps the link for confirmations of changes only.
+void EntryLink::KeepFormerLink(Instant now) {
+  CloseFormerLink();
+  if (!link_) return;
+  const ViewLeaseSettings lease =
+      MakeViewLeaseSettings(settings_.change_limits);
+  close_former_at_ = now + lease.lease - UngatedLease(lease);
+  former_link_ = std::exchange(link_, std::nullopt);
+  links_.Send(*former_link_, {{"t", "moved"}});
+}
+
+void EntryLink::CloseFormerLink() {
+  if (!former_link_) return;
+  links_.Close(*former_link_);
+  former_link_.reset();
+}
+
 void EntryLink::OnDown(LinkId link) {
+  if (link == former_link_) {
+    former_link_.reset();
+    return;
+  }
   if (link == link_) {
     LoseHub("the connection ended");
   } else if (const auto probe = probes_.find(link); probe != probes_.end()) {
@@ -178,8 +200,7 @@
              {{"hub", selector_.hub()},
               {"cause", cause},
               {"age_ms", Milliseconds(hooks_.leader_update_age(now))}});
-  links_.Close(*link_);
-  link_.reset();
+  KeepFormerLink(now);
   hub_answered_ = false;
   unanswered_reports_.clear();
   selector_.RecordHubFailure(now);
@@ -193,6 +214,7 @@
   EntryReport report = hooks_.report(first);
   report.number = next_report_number_++;
   last_report_at_ = MonotonicNow();
+  ConfirmToFormerHub(report.applied_changes);
   confirmed_changes_ = report.applied_changes;
   unanswered_reports_[report.number] = last_report_at_;
   links_.Send(*link_, {{"t", "report"}, {"r", report}});
@@ -205,10 +227,16 @@
   if (!link_ || !hub_answered_ || applied <= confirmed_changes_) return;
   if (now - last_confirmation_at_ < kMinConfirmationInterval) return;
   last_confirmation_at_ = now;
+  ConfirmToFormerHub(applied);
   confirmed_changes_ = applied;
   links_.Send(*link_, {{"t", "applied"}, {"c", applied}});
 }
 
+void EntryLink::ConfirmToFormerHub(std::uint64_t applied) {
+  if (!former_link_ || applied <= confirmed_changes_) return;
+  links_.Send(*former_link_, {{"t", "applied"}, {"c", applied}});
+}
+
 bool EntryLink::RequestServer(std::uint64_t number,
                               const DispatchQuery& query) {
   if (!hub_answered_) return false;
--- a/programs/fleet_host/entry_link.h
+++ b/programs/fleet_host/entry_link.h
@@ -88,6 +88,9 @@
   void LoseHub(std::string_view cause);
   void SendReport(bool first);
   void ConfirmChanges(Instant now);
+  void ConfirmToFormerHub(std::uint64_t applied);
+  void KeepFormerLink(Instant now);
+  void CloseFormerLink();
   void ApplyUpdate(const FleetUpdate& update);
 
   boost::asio::io_context& loop_;
@@ -99,6 +102,10 @@
   // The link to the hub; none while there is no hub.
   std::optional<LinkId> link_;
   bool hub_answered_ = false;
+  // The link to the hub before. That hub counts on this host until the lease
+  // that it gave cannot outlast any bound.
+  std::optional<LinkId> former_link_;
+  Instant close_former_at_;
   std::map<LinkId, Probe> probes_;
   Instant last_report_at_;
   // The change that the hub was told last to be applied here, and when.
--- a/unit_tests/fleet/change_gate_simulation.h
+++ b/unit_tests/fleet/change_gate_simulation.h
@@ -33,6 +33,10 @@
   int cut_hubs = 9;
   double cut_links = 0.1;
   Duration election_time = std::chrono::milliseconds(1500);
+  // With this period one host turns to another hub although its own is sound.
+  std::optional<Duration> move_period;
+  // Whether hosts go on confirming changes to the hub before.
+  bool confirms_to_former_hub = true;
   // Whether acknowledgements wait, and whether leases end the use of a view.
   bool holds_acknowledgements = true;
   bool has_leases = true;
@@ -51,6 +55,8 @@
     int handled = 0;
     int refused = 0;
     Duration longest_hold{};
+    // Of the changes after the first leases of a start.
+    Duration longest_later_hold{};
   };
 
   ChangeGateSimulation(const ChangeGateSimulationSettings& settings,
@@ -81,6 +87,10 @@
     const Instant end = kStartTime + settings_.length;
     for (Instant now = kStartTime; now < end; now += kStep) {
       Deliver(now);
+      if (settings_.move_period && now >= next_random_move_at_) {
+        next_random_move_at_ = now + *settings_.move_period;
+        MoveHost(hosts_[random_.Below(hosts_.size())]);
+      }
       if (settings_.cut_at) UpdateCut(now);
       Lead(now);
       for (int i = 0; i < settings_.hubs; ++i) RunRelay(now, i);
@@ -111,6 +121,7 @@
   struct Host {
     HostId name;
     int hub = 0;
+    int former_hub = 0;
     bool is_cut = false;
     EntryView view{[](std::string_view) { return MakePlan(MakePlanParts()); },
                    LeaseSettings()};
@@ -210,6 +221,10 @@
       }
       change.acknowledged_at = now;
       ++outcome_.acknowledged;
+      if (change.committed_at >= kStartTime + LeaseSettings().lease) {
+        outcome_.longest_later_hold =
+            std::max(outcome_.longest_later_hold, now - change.committed_at);
+      }
       outcome_.longest_hold =
           std::max(outcome_.longest_hold, now - change.committed_at);
     }
@@ -243,36 +258,57 @@
         });
   }
 
+  void MoveHost(Host& host) {
+    host.former_hub = host.hub;
+    host.hub = static_cast<int>(
+        random_.Below(static_cast<std::uint64_t>(settings_.hubs)));
+  }
+
   void RunHost(Instant now, std::size_t index) {
     Host& host = hosts_[index];
     HandleRequest(now, host);
     if (now >= host.next_move_at && host.view.LeaderUpdateAge(now) > kMoveAge) {
       host.next_move_at = now + kMoveAge;
-      host.hub = static_cast<int>(
-          random_.Below(static_cast<std::uint64_t>(settings_.hubs)));
+      MoveHost(host);
     }
     const bool has_news = host.view.applied_changes() > host.told;
     if (now < host.next_report_at && !has_news) return;
     host.next_report_at = now + kReportTime;
     host.told = host.view.applied_changes();
-    const std::string link = host.name.value();
+    if (has_news && settings_.confirms_to_former_hub) {
+      SendMessage(now, host.former_hub, LinkName(host, host.former_hub),
+                  host.is_cut,
+                  [this, hub = host.former_hub, name = host.name,
+                   applied = host.told](Instant) {
+                    hubs_[static_cast<std::size_t>(hub)].gate.RecordApplied(
+                        name, applied);
+                  });
+    }
     SendMessage(
-        now, host.hub, link, host.is_cut,
-        [this, index, link, sent = now, applied = host.told](Instant at) {
-          Host& from = hosts_[index];
-          Hub& hub = hubs_[static_cast<std::size_t>(from.hub)];
-          hub.gate.RecordApplied(from.name, applied);
-          hub.gate.RecordConfirmation(from.name, hub.confirmed_as_of);
-          FleetUpdate update;
-          update.record_changes = hub.record;
-          update.quorum_age = at - hub.confirmed_as_of;
-          update.gates_changes = true;
-          update.full_registry = true;
-          SendMessage(at, from.hub, link + "-answer", from.is_cut,
-                      [this, index, sent, update](Instant then) {
-                        hosts_[index].view.Apply(then, sent, update);
-                      });
-        });
+        now, host.hub, LinkName(host, host.hub), host.is_cut,
+        [this, index, to = host.hub, sent = now, applied = host.told](
+            Instant at) { AnswerReport(at, index, to, sent, applied); });
+  }
+
+  static std::string LinkName(const Host& host, int hub) {
+    return host.name.value() + " " + HubName(hub).value();
+  }
+
+  void AnswerReport(Instant now, std::size_t index, int to, Instant sent,
+                    std::uint64_t applied) {
+    const Host& host = hosts_[index];
+    Hub& hub = hubs_[static_cast<std::size_t>(to)];
+    hub.gate.RecordApplied(host.name, applied);
+    hub.gate.RecordConfirmation(host.name, hub.confirmed_as_of);
+    FleetUpdate update;
+    update.record_changes = hub.record;
+    update.quorum_age = now - hub.confirmed_as_of;
+    update.gates_changes = true;
+    update.full_registry = true;
+    SendMessage(now, to, "to " + LinkName(host, to), host.is_cut,
+                [this, index, sent, update](Instant at) {
+                  hosts_[index].view.Apply(at, sent, update);
+                });
   }
 
   // A request at each host in each step.
@@ -297,6 +333,7 @@
   // The last change that no host may act without any more.
   std::uint64_t due_change_ = 0;
   Instant next_change_at_ = kStartTime;
+  Instant next_random_move_at_ = kStartTime;
   bool was_cut_ = false;
   Outcome outcome_;
 };
--- a/unit_tests/fleet/change_gate_test.cc
+++ b/unit_tests/fleet/change_gate_test.cc
@@ -171,5 +171,20 @@
   CHECK(outcome.acknowledged >= outcome.changes - 2);
 }
 
+// Guards against acknowledgements that are held back until leases end while
+// hosts return to their hubs after a partition.
+TEST_CASE("hosts that move between sound hubs hold back no acknowledgement",
+          "[fleet]") {
+  ChangeGateSimulationSettings settings;
+  settings.late_hubs = 0;
+  settings.length = seconds(12);
+  settings.move_period = milliseconds(100);
+  settings.confirms_to_former_hub = GENERATE(true, false);
+  const auto outcome = Simulate(settings, 5);
+  CHECK(outcome.overdue == 0);
+  CHECK((outcome.longest_later_hold < kMaxHold / 2) ==
+        settings.confirms_to_former_hub);
+}
+
 }  // namespace
 }  // namespace sapphirebank
