Stages of a change, lost hubs and late hubs in the logs

Between the receipt of a change and its answer the logs had its commit and its release, so they could not tell whether an acknowledgement waits for a host that has lost its hub, for a busy hub, for a relay's report, or for a call that had ended. Now in the logs: change_received, change_at_leader, change_unanswered with its cause, the holder that a release waited for last, the hosts that a relay's confirmation waits for, probes that failed, how long a report was unanswered and how late the timer was when a hub was given up, answers to reports after 250 ms, messages that waited for the decision thread, and periods of that thread that were late.

No decision changes.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -51,6 +51,12 @@
 // megabytes.
 constexpr std::uint64_t kMaxCallBytes = std::uint64_t{16} << 20U;
 
+// Minimum time between two log lines about hosts that lack changes.
+constexpr Duration kBehindLogPeriod = std::chrono::milliseconds(250);
+
+// A period of the decision thread that is late by more than this is logged.
+constexpr Duration kLateTick = std::chrono::milliseconds(150);
+
 // Time for another host to take over the leadership before the process ends.
 constexpr Duration kLeadershipTransferTime = std::chrono::milliseconds(250);
 
@@ -172,6 +178,12 @@
 
 void ControlProcess::Tick() {
   const Instant now = Now();
+  if (last_tick_at_ && now - *last_tick_at_ > kTickPeriod + kLateTick) {
+    const Duration late = now - *last_tick_at_ - kTickPeriod;
+    log_.Write(LogLevel::kInfo, "decisions_late",
+               {{"ms", ToSeconds(late) * 1e3}, {"is_leader", is_leader_}});
+  }
+  last_tick_at_ = now;
   host_.Tick(now, WallNow());
   hub_.Tick(now);
   ConnectToOthers(now);
@@ -355,6 +367,21 @@
   if (is_due && pushed) next_push_ = now + kPushPeriod;
 }
 
+// Logs which host this relay's confirmation to the leader waits for.
+void ControlProcess::LogHostsBehind(Instant now) {
+  const std::uint64_t changes = host_.state().fleet().changes();
+  if (reported_applied_ >= changes || now < next_behind_log_at_) return;
+  const auto behind =
+      gate_.HoldersBehind(now, changes, UngatedLease(gate_.settings()));
+  if (behind.empty()) return;
+  next_behind_log_at_ = now + kBehindLogPeriod;
+  log_.Write(LogLevel::kInfo, "hosts_behind",
+             {{"changes", changes},
+              {"applied_by_all", reported_applied_},
+              {"behind", behind.size()},
+              {"first_behind", behind.front().value()}});
+}
+
 // Sends the leader the aggregated reports of this relay's entry hosts.
 void ControlProcess::ReportToLeader(Instant now) {
   const auto link = known_leader_ ? LinkTo(*known_leader_) : std::nullopt;
@@ -365,6 +392,7 @@
   report.number = next_report_number_++;
   reported_applied_ = gate_.AppliedByAll(now, host_.state().fleet().changes());
   report.applied_changes = reported_applied_;
+  LogHostsBehind(now);
   unanswered_reports_[report.number] = now;
   if (unanswered_reports_.size() > kMaxUnansweredReports) {
     unanswered_reports_.erase(unanswered_reports_.begin());
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -80,7 +80,8 @@
 
   // A change that is committed and not acknowledged yet.
   struct HeldAcknowledgement {
-    std::string name;  // In logs.
+    std::string name;        // In logs.
+    std::string waited_for;  // The holder that was behind last, in logs.
     std::uint64_t change = 0;
     Duration bound{};
     Instant asked_at;
@@ -111,6 +112,8 @@
   void SendUpdate(LinkId link, FleetUpdate update, Instant now);
   void PublishReady(Instant now);
   void LogHealthChanges();
+  void LogHostsBehind(Instant now);
+  void LogLateHandling(const HostId& from, Instant arrived_at);
   void UpdateMetrics(Instant now);
 
   // control_process_links.cc
@@ -180,6 +183,8 @@
   // What the leader said of itself and the other control hosts.
   bool leader_gates_changes_ = false;
   std::uint64_t reported_applied_ = 0;
+  Instant next_behind_log_at_;
+  Instant next_late_log_at_;
   std::vector<ReadyHost> ready_hosts_;
   std::vector<ReadyHost> listed_hosts_;  // Those in published_addresses_.
   std::optional<HostId> known_leader_;
@@ -194,6 +199,7 @@
   bool has_newest_update_ = false;
   bool is_confirming_ = false;
   Instant next_confirm_;
+  std::optional<Instant> last_tick_at_;
   Instant next_connect_;
   Instant next_ping_;
   Instant next_push_;
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -135,15 +135,24 @@
   pending_.emplace(next_call_++, std::move(pending));
 }
 
-// Returns a callback that logs the acknowledgement of a change.
+// Logs that a change was received and returns a callback that logs its
+// acknowledgement, or why it has none.
 ControlProcess::Callback ControlProcess::LogAcknowledgement(
     const ControlCommand& command, Callback callback) {
+  log_.Write(LogLevel::kInfo, "change_received",
+             {{"change", ChangeName(command)},
+              {"leader", known_leader_ ? known_leader_->value() : ""}});
   return [this, change = ChangeName(command), asked_at = Now(),
           inner = std::move(callback)](Result<std::string> result) {
     if (result) {
       log_.Write(
           LogLevel::kInfo, "change_acknowledged",
           {{"change", change}, {"ms", ToSeconds(Now() - asked_at) * 1e3}});
+    } else {
+      log_.Write(LogLevel::kInfo, "change_unanswered",
+                 {{"change", change},
+                  {"cause", result.error().detail},
+                  {"ms", ToSeconds(Now() - asked_at) * 1e3}});
     }
     inner(std::move(result));
   };
@@ -248,19 +257,19 @@
                          "this control host is no longer the leader"));
       continue;
     }
+    const std::vector<HostId> behind =
+        gate_.HoldersBehind(now, held.change, held.bound);
     if (!gate_.MayAcknowledge(now, held.change, held.bound)) {
+      held.waited_for = behind.empty() ? "" : behind.front().value();
       waiting.push_back(std::move(held));
       continue;
     }
-    const std::vector<HostId> behind =
-        gate_.HoldersBehind(now, held.change, held.bound);
-    log_.Write(
-        LogLevel::kInfo, "change_released",
-        {{"change", held.name},
-         {"changes", held.change},
-         {"ms", ToSeconds(now - held.asked_at) * 1e3},
-         {"behind", behind.size()},
-         {"first_behind", behind.empty() ? "" : behind.front().value()}});
+    log_.Write(LogLevel::kInfo, "change_released",
+               {{"change", held.name},
+                {"changes", held.change},
+                {"ms", ToSeconds(now - held.asked_at) * 1e3},
+                {"behind", behind.size()},
+                {"waited_for", held.waited_for}});
     held.callback(std::string());
   }
   held_acknowledgements_.insert(held_acknowledgements_.end(),
@@ -315,6 +324,8 @@
     return;
   }
   ControlCommand complete = FillIncarnation(std::move(*command));
+  log_.Write(LogLevel::kInfo, "change_at_leader",
+             {{"change", ChangeName(complete)}});
   if (!std::holds_alternative<SetZoneOut>(complete) &&
       AppliedChange(complete)) {
     AcknowledgeWhenSafe(complete, callback);
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -24,6 +24,11 @@
 // The same for links to entry hosts, which report at least twice a second.
 constexpr Duration kEntryLinkTimeout = std::chrono::seconds(4);
 
+// A message that waits longer for the decision thread is logged, at most one in
+// each period.
+constexpr Duration kLateHandling = std::chrono::milliseconds(150);
+constexpr Duration kLateLogPeriod = std::chrono::milliseconds(250);
+
 }  // namespace
 
 FleetLink::Hooks ControlProcess::LinkHooks() {
@@ -32,7 +37,9 @@
     thread_.Post([this, link, host] { OnUp(link, host); });
   };
   hooks.received = [this](LinkId link, const HostId& from, json message) {
-    thread_.Post([this, link, from, moved = std::move(message)] {
+    const Instant arrived_at = Now();
+    thread_.Post([this, link, from, arrived_at, moved = std::move(message)] {
+      LogLateHandling(from, arrived_at);
       OnMessage(link, from, moved);
     });
   };
@@ -164,6 +171,16 @@
   }
 }
 
+// Logs a message that waited for the decision thread, once for each period.
+void ControlProcess::LogLateHandling(const HostId& from, Instant arrived_at) {
+  const Instant now = Now();
+  if (now - arrived_at < kLateHandling || now < next_late_log_at_) return;
+  next_late_log_at_ = now + kLateLogPeriod;
+  log_.Write(
+      LogLevel::kInfo, "message_waited",
+      {{"from", from.value()}, {"ms", ToSeconds(now - arrived_at) * 1e3}});
+}
+
 void ControlProcess::OnMessage(LinkId link, const HostId& from,
                                const json& message) {
   const auto found = peers_.find(link);
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -22,6 +22,9 @@
 // acts on: servers of a whole zone may leave within seconds.
 constexpr Duration kMinConfirmationInterval = std::chrono::milliseconds(100);
 
+// An answer of the hub that takes longer is logged.
+constexpr Duration kLateAnswer = std::chrono::milliseconds(250);
+
 // Timer periods with a hub and while one is sought.
 constexpr Duration kConnectedTick = std::chrono::milliseconds(125);
 constexpr Duration kSearchTick = std::chrono::milliseconds(50);
@@ -60,6 +63,7 @@
 void EntryLink::Start() { Tick(); }
 
 void EntryLink::ScheduleTick(Duration delay) {
+  next_tick_at_ = MonotonicNow() + delay;
   timer_.expires_after(delay);
   timer_.async_wait([this](boost::system::error_code error) {
     if (!error) Tick();
@@ -118,11 +122,20 @@
     const auto probe = next++;
     if (now - probe->second.started_at <= selector_.ProbeTimeout()) continue;
     links_.Close(probe->first);
+    LogProbeFailure(now, probe->second, "timeout");
     selector_.RecordProbeFailure(now, probe->second.address);
     probes_.erase(probe);
   }
 }
 
+void EntryLink::LogProbeFailure(Instant now, const Probe& probe,
+                                std::string_view cause) {
+  log_.Write(LogLevel::kInfo, "probe_failed",
+             {{"hub", probe.address},
+              {"cause", cause},
+              {"ms", Milliseconds(now - probe.started_at)}});
+}
+
 // Handles what a hub says about itself when a link to it is up.
 void EntryLink::OnHubState(LinkId link, const json& message) {
   const auto probe = probes_.find(link);
@@ -185,7 +198,9 @@
   if (link == link_) {
     LoseHub("the connection ended");
   } else if (const auto probe = probes_.find(link); probe != probes_.end()) {
-    selector_.RecordProbeFailure(MonotonicNow(), probe->second.address);
+    const Instant now = MonotonicNow();
+    LogProbeFailure(now, probe->second, "the connection ended");
+    selector_.RecordProbeFailure(now, probe->second.address);
     probes_.erase(probe);
   } else {
     return;
@@ -196,9 +211,14 @@
 
 void EntryLink::LoseHub(std::string_view cause) {
   const Instant now = MonotonicNow();
+  const Duration waited = unanswered_reports_.empty()
+                              ? Duration::zero()
+                              : now - unanswered_reports_.begin()->second;
   log_.Write(LogLevel::kWarning, "hub_lost",
              {{"hub", selector_.hub()},
               {"cause", cause},
+              {"waited_ms", Milliseconds(waited)},
+              {"timer_late_ms", Milliseconds(now - next_tick_at_)},
               {"age_ms", Milliseconds(hooks_.leader_update_age(now))}});
   KeepFormerLink(now);
   hub_answered_ = false;
@@ -289,6 +309,11 @@
   if (asked != unanswered_reports_.end()) {
     asked_at = asked->second;
     unanswered_reports_.erase(asked);
+    if (now - *asked_at > kLateAnswer) {
+      log_.Write(
+          LogLevel::kInfo, "report_answered_late",
+          {{"hub", selector_.hub()}, {"ms", Milliseconds(now - *asked_at)}});
+    }
   }
   if (!hub_answered_) {
     log_.Write(LogLevel::kInfo, "hub_found", {{"hub", selector_.hub()}});
--- a/programs/fleet_host/entry_link.h
+++ b/programs/fleet_host/entry_link.h
@@ -86,6 +86,7 @@
   void OnDown(LinkId link);
   void Adopt(LinkId link, const HubState& state);
   void LoseHub(std::string_view cause);
+  void LogProbeFailure(Instant now, const Probe& probe, std::string_view cause);
   void SendReport(bool first);
   void ConfirmChanges(Instant now);
   void ConfirmToFormerHub(std::uint64_t applied);
@@ -99,6 +100,7 @@
   LogWriter& log_;
   HubSelector selector_;
   boost::asio::steady_timer timer_;
+  Instant next_tick_at_;
   // The link to the hub; none while there is no hub.
   std::optional<LinkId> link_;
   bool hub_answered_ = false;
