A change that is sent again waits for itself, not for later ones

Cause: for a version that the record held or had passed, the leader took the number of the change that brought the newest plan.

Change: the record keeps the numbers of the changes that brought the last 256 plans, and of the last change of each zone, which had the same fault where the bound of zones is shorter than a lease.

Tests: "a plan keeps the number of its change when later ones follow" and the same for zones; the old record has no such function, and its plan_change() is 3 where the first test wants 1. Departures wait for the latest incarnation that left under the same id, which is left as it is.

--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -212,8 +212,7 @@
     const ControlCommand& command) const {
   const FleetRecord& record = host_.state().fleet();
   if (const auto* plan = std::get_if<StorePlan>(&command)) {
-    if (plan->version > record.version()) return std::nullopt;
-    return record.plan_change();
+    return record.PlanChange(plan->version);
   }
   if (const auto* retire = std::get_if<RetireBackend>(&command)) {
     return record.RetirementChange(retire->backend, retire->incarnation);
@@ -222,6 +221,7 @@
     if (record.zones_out().contains(zone->zone) != zone->out) {
       return std::nullopt;
     }
+    return record.ZoneChange(zone->zone);
   }
   return record.changes();
 }
--- a/sapphirebank/fleet/fleet_record.cc
+++ b/sapphirebank/fleet/fleet_record.cc
@@ -11,13 +11,28 @@
   if (plan.version <= version_) return;
   version_ = plan.version;
   document_ = plan.document;
-  plan_change_ = ++changes_;
+  plan_changes_[version_] = ++changes_;
+  if (plan_changes_.size() > kMaxPlanChanges) {
+    plan_changes_.erase(plan_changes_.begin());
+  }
+}
+
+std::optional<std::uint64_t> FleetRecord::PlanChange(
+    PlanVersion version) const {
+  const auto found = plan_changes_.lower_bound(version);
+  if (found == plan_changes_.end()) return std::nullopt;
+  return found->second;
 }
 
 void FleetRecord::Apply(const SetZoneOut& zone) {
   const bool changed = zone.out ? zones_out_.insert(zone.zone).second
                                 : zones_out_.erase(zone.zone) > 0;
-  if (changed) ++changes_;
+  if (changed) zone_changes_[zone.zone] = ++changes_;
+}
+
+std::uint64_t FleetRecord::ZoneChange(const ZoneId& zone) const {
+  const auto found = zone_changes_.find(zone);
+  return found == zone_changes_.end() ? changes_ : found->second;
 }
 
 void FleetRecord::Apply(const RetireBackend& backend) {
@@ -51,18 +66,50 @@
     retired.push_back(
         {backend.value(), retirement.incarnation, retirement.order});
   }
-  out = {{"version", record.version_},         {"document", record.document_},
-         {"plan_change", record.plan_change_}, {"zones_out", std::move(zones)},
-         {"retired", std::move(retired)},      {"changes", record.changes_}};
+  json plan_changes = json::array();
+  for (const auto& [version, change] : record.plan_changes_) {
+    plan_changes.push_back({version, change});
+  }
+  json zone_changes = json::array();
+  for (const auto& [zone, change] : record.zone_changes_) {
+    zone_changes.push_back({zone.value(), change});
+  }
+  out = {{"version", record.version_},
+         {"document", record.document_},
+         {"plan_changes", std::move(plan_changes)},
+         {"zones_out", std::move(zones)},
+         {"zone_changes", std::move(zone_changes)},
+         {"retired", std::move(retired)},
+         {"changes", record.changes_}};
+  // Read by earlier builds.
+  if (!record.plan_changes_.empty()) {
+    out["plan_change"] = record.plan_changes_.rbegin()->second;
+  }
 }
 
 void from_json(const json& in, FleetRecord& record) {
   in.at("version").get_to(record.version_);
   in.at("document").get_to(record.document_);
   in.at("changes").get_to(record.changes_);
-  // Snapshots of earlier builds do not have it; the plan is no later than the
-  // last change.
-  record.plan_change_ = in.value("plan_change", record.changes_);
+  record.plan_changes_.clear();
+  if (const auto found = in.find("plan_changes"); found != in.end()) {
+    for (const auto& item : *found) {
+      record.plan_changes_[item.at(0).get<PlanVersion>()] =
+          item.at(1).get<std::uint64_t>();
+    }
+  } else if (record.version_ > 0) {
+    // Snapshots of earlier builds have the last one or none; the plan is no
+    // later than the last change.
+    record.plan_changes_[record.version_] =
+        in.value("plan_change", record.changes_);
+  }
+  record.zone_changes_.clear();
+  if (const auto found = in.find("zone_changes"); found != in.end()) {
+    for (const auto& item : *found) {
+      record.zone_changes_[ZoneId(item.at(0).get<std::string>())] =
+          item.at(1).get<std::uint64_t>();
+    }
+  }
   record.zones_out_.clear();
   for (const auto& zone : in.at("zones_out")) {
     record.zones_out_.insert(ZoneId(zone.get<std::string>()));
--- a/sapphirebank/fleet/fleet_record.h
+++ b/sapphirebank/fleet/fleet_record.h
@@ -52,6 +52,10 @@
   // size.
   static constexpr std::size_t kMaxRetired = 4096;
 
+  // Maximum of plans of which the numbers of their changes are kept. Operators
+  // repeat a plan for seconds, in which a few dozen others may follow.
+  static constexpr std::size_t kMaxPlanChanges = 256;
+
   void Apply(const StorePlan& plan);
   void Apply(const SetZoneOut& zone);
   void Apply(const RetireBackend& backend);
@@ -63,9 +67,14 @@
   // Returns whether this incarnation of the backend server is retired.
   bool IsRetired(const BackendId& backend, Incarnation incarnation) const;
 
-  // Returns the number of the change that brought the plan in force. Changes
-  // are numbered from 1.
-  std::uint64_t plan_change() const { return plan_change_; }
+  // Returns the number of the change with which the record had a plan of
+  // `version` or a higher one first, or nothing if it has none. Changes are
+  // numbered from 1.
+  std::optional<std::uint64_t> PlanChange(PlanVersion version) const;
+
+  // Returns the number of the change that took the zone out of service or
+  // returned it last; the last change of all if that is not known.
+  std::uint64_t ZoneChange(const ZoneId& zone) const;
 
   // Returns the number of the change that retired this or a later incarnation
   // of the backend server, or nothing if it is not retired.
@@ -86,8 +95,10 @@
 
   PlanVersion version_ = 0;
   std::string document_;
-  std::uint64_t plan_change_ = 0;
+  // The changes that brought the latest plans, by version.
+  std::map<PlanVersion, std::uint64_t> plan_changes_;
   std::set<ZoneId> zones_out_;
+  std::map<ZoneId, std::uint64_t> zone_changes_;
   std::map<BackendId, Retirement> retired_;
   std::uint64_t changes_ = 0;
 };
--- a/unit_tests/fleet/fleet_record_test.cc
+++ b/unit_tests/fleet/fleet_record_test.cc
@@ -20,6 +20,53 @@
   CHECK(record.document() == "plan 12");
 }
 
+// Guards against a plan that is sent again and whose acknowledgement waits for
+// the plans that came after it.
+TEST_CASE("a plan keeps the number of its change when later ones follow",
+          "[fleet]") {
+  FleetRecord record;
+  CHECK(record.PlanChange(1) == std::nullopt);
+  record.Apply(StorePlan{4, "four"});
+  record.Apply(RetireBackend{BackendId("a"), 1});
+  record.Apply(StorePlan{9, "nine"});
+  CHECK(record.PlanChange(4) == 1);
+  CHECK(record.PlanChange(9) == 3);
+  // In force with the next higher one, which had it overtaken.
+  CHECK(record.PlanChange(7) == 3);
+  CHECK(record.PlanChange(10) == std::nullopt);
+  for (PlanVersion i = 0; i < FleetRecord::kMaxPlanChanges; ++i) {
+    record.Apply(StorePlan{10 + i, "later"});
+  }
+  // No earlier than it was, once it is no longer kept.
+  CHECK(record.PlanChange(4) == 4);
+}
+
+TEST_CASE("a zone keeps the number of its change when others follow",
+          "[fleet]") {
+  FleetRecord record;
+  record.Apply(SetZoneOut{ZoneId("kochi"), true});
+  record.Apply(StorePlan{4, "four"});
+  CHECK(record.ZoneChange(ZoneId("kochi")) == 1);
+  record.Apply(SetZoneOut{ZoneId("kochi"), false});
+  CHECK(record.ZoneChange(ZoneId("kochi")) == 3);
+}
+
+// The members of a snapshot, without and with that of the last plan.
+TEST_CASE("snapshots of earlier builds have the change of the last plan",
+          "[fleet]") {
+  nlohmann::json snapshot = {{"version", 4},
+                             {"document", "four"},
+                             {"zones_out", nlohmann::json::array()},
+                             {"retired", nlohmann::json::array()},
+                             {"changes", 6}};
+  CHECK(snapshot.get<FleetRecord>().PlanChange(4) == 6);
+  snapshot["plan_change"] = 5;
+  CHECK(snapshot.get<FleetRecord>().PlanChange(4) == 5);
+  FleetRecord record;
+  record.Apply(StorePlan{4, "four"});
+  CHECK(nlohmann::json(record).at("plan_change") == 1);
+}
+
 TEST_CASE("a retirement covers an incarnation and all earlier ones",
           "[fleet]") {
   FleetRecord record;
@@ -58,6 +105,8 @@
   CHECK(restored->fleet().zones_out() == std::set<ZoneId>{ZoneId("kochi")});
   CHECK(restored->fleet().IsRetired(BackendId("a"), 3));
   CHECK(restored->fleet().changes() == state.fleet().changes());
+  CHECK(restored->fleet().PlanChange(9) == 1);
+  CHECK(restored->fleet().ZoneChange(ZoneId("kochi")) == 2);
 }
 
 TEST_CASE("record commands survive the log encoding", "[fleet]") {
