--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -268,7 +268,12 @@
   FleetUpdate update =
       hub_.HandleReport(now, from, is_relay, report, host_.state().fleet());
   RecordApplied(from, report.applied_changes);
-  gate_.RecordConfirmation(from, confirmed_as_of_);
+  if (report.ends_without_contact) {
+    gate_.RecordContact(now, from, confirmed_as_of_, update.record_changes);
+  } else {
+    gate_.RecordConfirmation(now, from, confirmed_as_of_,
+                             update.record_changes);
+  }
   SendUpdate(link, std::move(update), now);
 }
 
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -260,6 +260,7 @@
   report.known_registry_changes = view_.registry_changes();
   report.known_plan_version = view_.plan() ? view_.plan()->version() : 0;
   report.applied_changes = view_.applied_changes();
+  report.ends_without_contact = true;
   report.outcomes = std::exchange(outcomes_, {});
   report.requests = std::exchange(requests_, {});
   report.crashes = std::exchange(crashes_, {});
--- a/sapphirebank/fleet/change_gate.cc
+++ b/sapphirebank/fleet/change_gate.cc
@@ -21,9 +21,38 @@
   }
 }
 
-void ChangeGate::RecordConfirmation(const HostId& holder, Instant as_of) {
-  View& view = views_[holder];
-  view.confirmed_as_of = std::max(view.confirmed_as_of, as_of);
+void ChangeGate::RecordConfirmation(Instant now, const HostId& holder,
+                                    Instant as_of, std::uint64_t changes) {
+  RecordLease(now, holder, {changes, as_of + settings_.lease});
+}
+
+void ChangeGate::RecordContact(Instant now, const HostId& holder, Instant as_of,
+                               std::uint64_t changes) {
+  RecordLease(now, holder,
+              {changes, std::min(as_of + settings_.lease,
+                                 now + settings_.contact_lease)});
+}
+
+void ChangeGate::RecordLease(Instant now, const HostId& holder, Lease lease) {
+  std::deque<Lease>& leases = views_[holder].leases;
+  const Instant harmful_until = now + UngatedLease(settings_);
+  while (!leases.empty() && leases.front().end <= harmful_until) {
+    leases.pop_front();
+  }
+  if (!leases.empty()) lease.end = std::max(lease.end, leases.back().end);
+  if (leases.empty() || leases.back().changes < lease.changes) {
+    leases.push_back(lease);
+  } else {
+    leases.back().end = lease.end;
+  }
+}
+
+const ChangeGate::Lease* ChangeGate::FirstHarmful(const View& view, Instant now,
+                                                  Duration bound) {
+  const auto found =
+      std::find_if(view.leases.begin(), view.leases.end(),
+                   [&](const Lease& lease) { return lease.end > now + bound; });
+  return found == view.leases.end() ? nullptr : &*found;
 }
 
 void ChangeGate::RecordApplied(const HostId& holder, std::uint64_t change) {
@@ -36,12 +65,13 @@
 
 std::uint64_t ChangeGate::AppliedByAll(Instant now,
                                        std::uint64_t newest) const {
-  const Instant since = OldestHarmful(now, UngatedLease(settings_));
-  if (since < known_since_) return 0;
+  const Duration bound = UngatedLease(settings_);
+  if (OldestHarmful(now, bound) < known_since_) return 0;
   std::uint64_t applied = newest;
   for (const auto& [holder, view] : views_) {
-    if (view.confirmed_as_of < since) continue;
-    applied = std::min(applied, view.applied);
+    const Lease* const lease = FirstHarmful(view, now, bound);
+    if (lease == nullptr) continue;
+    applied = std::min(applied, std::max(view.applied, lease->changes));
   }
   return applied;
 }
@@ -68,10 +98,11 @@
 
 std::vector<HostId> ChangeGate::HoldersBehind(Instant now, std::uint64_t change,
                                               Duration bound) const {
-  const Instant since = OldestHarmful(now, bound);
   std::vector<HostId> behind;
   for (const auto& [holder, view] : views_) {
-    if (view.confirmed_as_of >= since && view.applied < change) {
+    const Lease* const lease = FirstHarmful(view, now, bound);
+    if (lease == nullptr) continue;
+    if (std::max(view.applied, lease->changes) < change) {
       behind.push_back(holder);
     }
   }
--- a/sapphirebank/fleet/change_gate.h
+++ b/sapphirebank/fleet/change_gate.h
@@ -20,7 +20,10 @@
 // The view of a host is confirmed as of a time of which it contains every
 // change that was committed before, and may be used until the lease has passed
 // since. So a host that lacks a change had its view confirmed before the change
-// was committed.
+// was committed. An entry host uses it for no longer than the contact lease
+// after it asked its hub, and takes a lease only with all changes that the hub
+// had when it gave it. So a single host holds back a change for the rest of the
+// contact lease that it had when the change reached its hub.
 //
 // A relay uses this class for the entry hosts that report to it and tells the
 // leader what all of them apply; the leader uses it for its relays and its own
@@ -38,8 +41,16 @@
   // Leader only: records that the record has `changes` changes now.
   void RecordCommit(Instant now, std::uint64_t changes);
 
-  // Records that `holder` may have been given a confirmation as of `as_of`.
-  void RecordConfirmation(const HostId& holder, Instant as_of);
+  // Records that `holder`, a relay or an entry host of an earlier build, may
+  // have been given a confirmation as of `as_of` together with the changes up
+  // to `changes`.
+  void RecordConfirmation(Instant now, const HostId& holder, Instant as_of,
+                          std::uint64_t changes);
+
+  // Records the same of an entry host that stops using its view when the
+  // contact lease has passed since it asked, which was at `now` at the latest.
+  void RecordContact(Instant now, const HostId& holder, Instant as_of,
+                     std::uint64_t changes);
 
   // Records that `holder`, or every host that reports to it, applies all
   // changes up to `change`.
@@ -61,8 +72,14 @@
   const ViewLeaseSettings& settings() const { return settings_; }
 
  private:
+  // A lease that was given together with the changes up to `changes`.
+  struct Lease {
+    std::uint64_t changes = 0;
+    Instant end;
+  };
   struct View {
-    Instant confirmed_as_of;
+    // The leases that outlast a bound, by changes and by end.
+    std::deque<Lease> leases;
     std::uint64_t applied = 0;
   };
   struct Commit {
@@ -70,6 +87,12 @@
     Instant at;
   };
 
+  void RecordLease(Instant now, const HostId& holder, Lease lease);
+
+  // Returns the first lease that outlasts `bound`, or null.
+  static const Lease* FirstHarmful(const View& view, Instant now,
+                                   Duration bound);
+
   // Returns the time since which a view must have been confirmed to be usable
   // for longer than `bound` from now on.
   Instant OldestHarmful(Instant now, Duration bound) const;
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -50,9 +50,11 @@
   if (!requested_at) return {};
   const Instant as_of = *requested_at - update.quorum_age;
   confirmed_as_of_ = std::max(confirmed_as_of_, as_of);
-  current_until_ = std::max(
-      current_until_,
-      as_of + (update.gates_changes ? lease_.lease : UngatedLease(lease_)));
+  const Instant lease_end =
+      update.gates_changes
+          ? std::min(as_of + lease_.lease, *requested_at + lease_.contact_lease)
+          : as_of + UngatedLease(lease_);
+  current_until_ = std::max(current_until_, lease_end);
   return {};
 }
 
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -125,6 +125,7 @@
          {"b", report.known_registry_changes},
          {"p", report.known_plan_version}};
   if (report.applied_changes != 0) out["c"] = report.applied_changes;
+  if (report.ends_without_contact) out["contact"] = true;
   if (report.ready_hosts) out["ready"] = *report.ready_hosts;
   if (report.entry_hosts != 1) out["hosts"] = report.entry_hosts;
   for (const auto& [id, outcomes] : report.outcomes) {
@@ -149,6 +150,7 @@
   in.at("b").get_to(report.known_registry_changes);
   in.at("p").get_to(report.known_plan_version);
   ReadOptional(in, "c", report.applied_changes);
+  ReadOptional(in, "contact", report.ends_without_contact);
   report.ready_hosts.reset();
   if (const auto found = in.find("ready"); found != in.end()) {
     report.ready_hosts = found->get<std::vector<ReadyHost>>();
--- a/sapphirebank/fleet/fleet_messages.h
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -55,6 +55,9 @@
   // Change of the replicated record up to which the host acts on the record, or
   // all hosts that report to the hub; 0 if that is not known.
   std::uint64_t applied_changes = 0;
+  // The entry host stops using its view when the contact lease has passed since
+  // it sent the last report that was answered. Those of earlier builds do not.
+  bool ends_without_contact = false;
   std::map<BackendId, ServerOutcomes> outcomes;
   // Requests for each service since the last report.
   std::map<ServiceId, std::uint32_t> requests;
--- a/sapphirebank/fleet/view_lease_settings.cc
+++ b/sapphirebank/fleet/view_lease_settings.cc
@@ -11,6 +11,11 @@
 
 constexpr double kMaxHoldFraction = 0.5;
 
+// Part of the limit of an acknowledgement for which it waits for a host that
+// lost its hub: an operator waits for a quarter of it for each call, of which
+// the commit, the way to the hubs and their reports need the rest.
+constexpr double kMaxContactHoldFraction = 0.1;
+
 Duration Fraction(Duration whole, double part) {
   return FromSeconds(ToSeconds(whole) * part);
 }
@@ -26,6 +31,9 @@
   settings.lease = std::min(
       Fraction(limits.key_withdrawal, kBoundFraction),
       least_bound + Fraction(limits.acknowledgement, kMaxHoldFraction));
+  settings.contact_lease = std::min(
+      settings.lease,
+      least_bound + Fraction(limits.acknowledgement, kMaxContactHoldFraction));
   return settings;
 }
 
--- a/sapphirebank/fleet/view_lease_settings.h
+++ b/sapphirebank/fleet/view_lease_settings.h
@@ -9,6 +9,10 @@
 struct ViewLeaseSettings {
   // A host refuses requests when its view was confirmed longer ago than this.
   Duration lease = std::chrono::milliseconds(4250);
+  // It also refuses them when it asked its hub longer ago than this for the
+  // last update that it got. A hub that lost the leader goes on answering, so
+  // this ends the use of a view only where the host has lost its hub.
+  Duration contact_lease = std::chrono::milliseconds(2100);
   // Times from the acknowledgement of a change until no host may act without
   // it, less the time for which a request is on its way to a backend server.
   Duration plan_bound = std::chrono::milliseconds(1700);
@@ -29,7 +33,9 @@
 
 // Returns the longest lease with which keys stop working in time and no
 // acknowledgement is held back for more than half of its limit; the other half
-// is for the election of a leader and for calls that are lost.
+// is for the election of a leader and for calls that are lost. The contact
+// lease is such that a host that lost its hub holds back no acknowledgement for
+// longer than an operator waits for the answer to a call.
 ViewLeaseSettings MakeViewLeaseSettings(const ChangeLimits& limits);
 
 // Returns the lease of a host whose leader cannot tell that all control hosts
--- a/unit_tests/fleet/change_gate_simulation.h
+++ b/unit_tests/fleet/change_gate_simulation.h
@@ -17,6 +17,19 @@
 
 namespace sapphirebank {
 
+// An operator who sends changes to hubs picked at random, waits a second for
+// each answer and sends the change again after a growing pause.
+struct SimulatedOperator {
+  Duration call_time = std::chrono::seconds(1);
+  Duration first_pause = std::chrono::milliseconds(130);
+  // A hub ends a call that has no answer by then.
+  Duration call_timeout = std::chrono::milliseconds(900);
+  // Probability that the first call of a change meets a hub that does not
+  // answer, and that the first answer is lost.
+  double silent_hubs = 0;
+  double lost_answers = 0;
+};
+
 struct ChangeGateSimulationSettings {
   int hubs = 19;
   int hosts = 422;
@@ -40,6 +53,20 @@
   // Whether acknowledgements wait, and whether leases end the use of a view.
   bool holds_acknowledgements = true;
   bool has_leases = true;
+  ViewLeaseSettings lease = DefaultLease();
+  // With this period one host loses its hub for outage_time and then turns to
+  // another one.
+  std::optional<Duration> outage_period;
+  Duration outage_time = std::chrono::milliseconds(1500);
+  // Sends the changes; otherwise they are committed at once.
+  std::optional<SimulatedOperator> sender;
+
+  static ViewLeaseSettings DefaultLease() {
+    ChangeLimits limits;
+    limits.plan = std::chrono::milliseconds(2500);
+    limits.departure = std::chrono::milliseconds(2500);
+    return MakeViewLeaseSettings(limits);
+  }
 };
 
 // A leader, relays and entry hosts that pass on the number of changes of a
@@ -57,17 +84,22 @@
     Duration longest_hold{};
     // Of the changes after the first leases of a start.
     Duration longest_later_hold{};
+    // From the operator's first call to the answer that got through, and that
+    // where no hub was silent and no answer was lost.
+    Duration longest_order{};
+    Duration longest_undisturbed_order{};
+    int answered_orders = 0;
   };
 
   ChangeGateSimulation(const ChangeGateSimulationSettings& settings,
                        std::uint64_t seed)
       : settings_(settings), random_(seed) {
     for (int i = 0; i < settings.hubs; ++i) {
-      hubs_.emplace_back(LeaseSettings(), kStartTime);
+      hubs_.emplace_back(settings.lease, kStartTime);
       hubs_.back().is_late = i > 0 && i <= settings.late_hubs;
     }
     for (int i = 0; i < settings.hosts; ++i) {
-      Host& host = hosts_.emplace_back();
+      Host& host = hosts_.emplace_back(settings.lease);
       host.name = HostId("host-" + std::to_string(i));
       host.hub = i % settings.hubs;
       host.next_report_at =
@@ -76,13 +108,6 @@
     hubs_[0].gate.BecomeLeader(kStartTime, 0);
   }
 
-  static ViewLeaseSettings LeaseSettings() {
-    ChangeLimits limits;
-    limits.plan = std::chrono::milliseconds(2500);
-    limits.departure = std::chrono::milliseconds(2500);
-    return MakeViewLeaseSettings(limits);
-  }
-
   Outcome Run() {
     const Instant end = kStartTime + settings_.length;
     for (Instant now = kStartTime; now < end; now += kStep) {
@@ -91,6 +116,7 @@
         next_random_move_at_ = now + *settings_.move_period;
         MoveHost(hosts_[random_.Below(hosts_.size())]);
       }
+      if (settings_.outage_period) UpdateOutages(now);
       if (settings_.cut_at) UpdateCut(now);
       Lead(now);
       for (int i = 0; i < settings_.hubs; ++i) RunRelay(now, i);
@@ -119,16 +145,33 @@
     Instant next_report_at;
   };
   struct Host {
+    explicit Host(const ViewLeaseSettings& lease)
+        : view([](std::string_view) { return MakePlan(MakePlanParts()); },
+               lease) {}
+
     HostId name;
     int hub = 0;
     int former_hub = 0;
     bool is_cut = false;
-    EntryView view{[](std::string_view) { return MakePlan(MakePlanParts()); },
-                   LeaseSettings()};
+    std::optional<Instant> outage_end;
+    EntryView view;
     Instant next_report_at;
     Instant next_move_at;
     std::uint64_t told = 0;
   };
+  // A change of the operator, and the call for it that goes on.
+  struct Order {
+    Instant first_sent_at;
+    std::optional<std::uint64_t> number;
+    std::optional<Instant> call_started_at;
+    Instant next_call_at;
+    Instant arrives_at;  // At the leader.
+    int calls = 0;
+    bool hub_is_silent = false;
+    bool answer_is_lost = false;
+    bool is_disturbed = false;
+    bool is_done = false;
+  };
   struct Change {
     std::uint64_t number = 0;
     std::optional<Instant> acknowledged_at;
@@ -184,44 +227,56 @@
     hub.gate.BecomeLeader(now, committed_);
   }
 
+  void UpdateOutages(Instant now) {
+    for (Host& host : hosts_) {
+      if (!host.outage_end || now < *host.outage_end) continue;
+      host.outage_end.reset();
+      host.is_cut = false;
+      MoveHost(host);
+      host.next_report_at = now;
+    }
+    if (now < next_outage_at_) return;
+    next_outage_at_ = now + *settings_.outage_period;
+    Host& host = hosts_[random_.Below(hosts_.size())];
+    host.is_cut = true;
+    host.outage_end = now + settings_.outage_time;
+  }
+
   bool LeaderHasQuorum() const {
     return !hubs_[static_cast<std::size_t>(leader_)].is_cut;
   }
 
   void Lead(Instant now) {
     Hub& hub = hubs_[static_cast<std::size_t>(leader_)];
-    const Duration bound = LeaseSettings().plan_bound;
-    if (!LeaderHasQuorum()) return;
-    hub.confirmed_as_of = now;
+    const Duration bound = settings_.lease.plan_bound;
+    if (LeaderHasQuorum()) hub.confirmed_as_of = now;
     if (now >= next_change_at_) {
       next_change_at_ = now + settings_.change_period;
-      hub.record = ++committed_;
-      hub.gate.RecordCommit(now, committed_);
-      changes_.push_back({committed_, std::nullopt, now});
-      ++outcome_.changes;
-      for (int i = 0; i < settings_.hubs; ++i) {
-        if (i == leader_) continue;
-        const bool is_lost = hubs_[static_cast<std::size_t>(i)].is_cut;
-        SendMessage(now, i, "log-" + std::to_string(i), is_lost,
-                    [this, i, number = committed_](Instant) {
-                      Hub& relay = hubs_[static_cast<std::size_t>(i)];
-                      relay.record = std::max(relay.record, number);
-                    });
+      if (settings_.sender) {
+        Order& order = orders_.emplace_back();
+        order.first_sent_at = order.next_call_at = now;
+      } else if (LeaderHasQuorum()) {
+        Commit(now);
       }
     }
+    for (Order& order : orders_) {
+      if (!order.is_done) RunOrder(now, order);
+    }
+    if (!LeaderHasQuorum()) return;
     for (Change& change : changes_) {
       if (change.acknowledged_at) {
         const Instant due_at = *change.acknowledged_at + bound;
         if (now > due_at) due_change_ = std::max(due_change_, change.number);
         continue;
       }
+      if (settings_.sender) continue;
       if (settings_.holds_acknowledgements &&
           !hub.gate.MayAcknowledge(now, change.number, bound)) {
         continue;
       }
       change.acknowledged_at = now;
       ++outcome_.acknowledged;
-      if (change.committed_at >= kStartTime + LeaseSettings().lease) {
+      if (change.committed_at >= kStartTime + settings_.lease.lease) {
         outcome_.longest_later_hold =
             std::max(outcome_.longest_later_hold, now - change.committed_at);
       }
@@ -230,6 +285,80 @@
     }
   }
 
+  std::uint64_t Commit(Instant now) {
+    Hub& hub = hubs_[static_cast<std::size_t>(leader_)];
+    hub.record = ++committed_;
+    hub.gate.RecordCommit(now, committed_);
+    changes_.push_back({committed_, std::nullopt, now});
+    ++outcome_.changes;
+    for (int i = 0; i < settings_.hubs; ++i) {
+      if (i == leader_) continue;
+      const bool is_lost = hubs_[static_cast<std::size_t>(i)].is_cut;
+      SendMessage(now, i, "log-" + std::to_string(i), is_lost,
+                  [this, i, number = committed_](Instant) {
+                    Hub& relay = hubs_[static_cast<std::size_t>(i)];
+                    relay.record = std::max(relay.record, number);
+                  });
+    }
+    return committed_;
+  }
+
+  void RunOrder(Instant now, Order& order) {
+    const SimulatedOperator& sender = *settings_.sender;
+    if (!order.call_started_at) {
+      if (now < order.next_call_at) return;
+      const bool is_first = order.calls++ == 0;
+      order.call_started_at = now;
+      order.hub_is_silent = is_first && random_.Unit() < sender.silent_hubs;
+      order.answer_is_lost = false;
+      order.is_disturbed = order.is_disturbed || order.hub_is_silent;
+      order.arrives_at = now + FromSeconds(random_.Unit() * 2 *
+                                           ToSeconds(settings_.max_delay));
+    }
+    const Duration waited = now - *order.call_started_at;
+    const bool is_over = waited >= sender.call_time ||
+                         (waited >= sender.call_timeout &&
+                          !order.hub_is_silent && !order.answer_is_lost);
+    if (is_over) {
+      order.call_started_at.reset();
+      order.next_call_at = now + sender.first_pause * (1 << (order.calls - 1));
+      return;
+    }
+    if (order.hub_is_silent || order.answer_is_lost || now < order.arrives_at ||
+        !LeaderHasQuorum()) {
+      return;
+    }
+    if (!order.number) order.number = Commit(now);
+    const Hub& hub = hubs_[static_cast<std::size_t>(leader_)];
+    if (!hub.gate.MayAcknowledge(now, *order.number,
+                                 settings_.lease.plan_bound)) {
+      return;
+    }
+    Change& change = changes_[*order.number - 1];
+    if (!change.acknowledged_at) {
+      change.acknowledged_at = now;
+      ++outcome_.acknowledged;
+      if (random_.Unit() < sender.lost_answers) {
+        order.answer_is_lost = true;
+        order.is_disturbed = true;
+        return;
+      }
+    }
+    FinishOrder(now, order);
+  }
+
+  void FinishOrder(Instant now, Order& order) {
+    order.is_done = true;
+    ++outcome_.answered_orders;
+    // Until then the leases that were given before the start are not known.
+    if (order.first_sent_at < kStartTime + settings_.lease.lease) return;
+    const Duration time = now - order.first_sent_at;
+    outcome_.longest_order = std::max(outcome_.longest_order, time);
+    if (order.is_disturbed) return;
+    outcome_.longest_undisturbed_order =
+        std::max(outcome_.longest_undisturbed_order, time);
+  }
+
   void RunRelay(Instant now, int index) {
     Hub& relay = hubs_[static_cast<std::size_t>(index)];
     if (index == leader_ || now < relay.next_report_at) return;
@@ -244,8 +373,8 @@
           Hub& from = hubs_[static_cast<std::size_t>(index)];
           if (to != leader_ || from.is_cut || leader.is_cut) return;
           leader.gate.RecordApplied(HubName(index), applied);
-          leader.gate.RecordConfirmation(HubName(index),
-                                         leader.confirmed_as_of);
+          leader.gate.RecordConfirmation(at, HubName(index),
+                                         leader.confirmed_as_of, leader.record);
           const Instant as_of = sent - (at - leader.confirmed_as_of);
           const std::uint64_t record = leader.record;
           SendMessage(at, index, link + "-answer", false,
@@ -299,7 +428,7 @@
     const Host& host = hosts_[index];
     Hub& hub = hubs_[static_cast<std::size_t>(to)];
     hub.gate.RecordApplied(host.name, applied);
-    hub.gate.RecordConfirmation(host.name, hub.confirmed_as_of);
+    hub.gate.RecordContact(now, host.name, hub.confirmed_as_of, hub.record);
     FleetUpdate update;
     update.record_changes = hub.record;
     update.quorum_age = now - hub.confirmed_as_of;
@@ -328,12 +457,14 @@
   std::multimap<Instant, std::function<void(Instant)>> messages_;
   std::map<std::string, Instant> last_arrival_;
   std::vector<Change> changes_;
+  std::vector<Order> orders_;
   int leader_ = 0;
   std::uint64_t committed_ = 0;
   // The last change that no host may act without any more.
   std::uint64_t due_change_ = 0;
   Instant next_change_at_ = kStartTime;
   Instant next_random_move_at_ = kStartTime;
+  Instant next_outage_at_ = kStartTime;
   bool was_cut_ = false;
   Outcome outcome_;
 };
--- a/unit_tests/fleet/entry_view_test.cc
+++ b/unit_tests/fleet/entry_view_test.cc
@@ -16,6 +16,7 @@
 constexpr Duration kLease = seconds(4);
 constexpr Duration kShortLease = seconds(2);
 constexpr ViewLeaseSettings kLeaseSettings{.lease = kLease,
+                                           .contact_lease = kLease,
                                            .plan_bound = kShortLease,
                                            .departure_bound = seconds(3),
                                            .zone_bound = seconds(5)};
@@ -62,6 +63,24 @@
   CHECK(view.IsCurrent(kStart + kLease - milliseconds(301)));
 }
 
+// Guards against a host without a hub that goes on for the whole lease, for
+// which acknowledgements of changes would have to wait.
+TEST_CASE("a view is used for a shorter time without a hub", "[fleet]") {
+  ViewLeaseSettings lease = kLeaseSettings;
+  lease.contact_lease = milliseconds(2500);
+  EntryView view(ReadTestPlan, lease);
+  FleetUpdate update = MakeUpdate(1, 1);
+  update.quorum_age = milliseconds(300);
+  REQUIRE(view.Apply(kStart + milliseconds(10), kStart, update));
+  CHECK(view.IsCurrent(kStart + milliseconds(2499)));
+  CHECK_FALSE(view.IsCurrent(kStart + milliseconds(2500)));
+  // A hub that lost the leader answers, and the lease since then counts.
+  update.quorum_age = milliseconds(2300);
+  REQUIRE(view.Apply(kStart + milliseconds(2010), kStart + seconds(2), update));
+  CHECK(view.IsCurrent(kStart + milliseconds(3699)));
+  CHECK_FALSE(view.IsCurrent(kStart + milliseconds(3700)));
+}
+
 // Guards against a long lease from a leader, or a relay, of an earlier build,
 // which acknowledges changes at once.
 TEST_CASE("a lease is short where changes are acknowledged at once",
