Relays confirm changes to the leader apart from their reports

What callers saw: acknowledgements of the standard site took 0.2 s in calm though all hosts had the plan in some 10 ms.

Cause: a relay's confirmation went with its next report, and reports wait for the answer to the last one and for 76 ms (19 hubs), or 250 ms when the relay itself had the change last or the lease of a host had ended, which no message announces.

Change: a relay sends the message that entry hosts confirm with, when all of its hosts act on a further change or need not be waited for, looked at in each period of 50 ms; at most one each 4 ms and hub. The request for an early report is gone.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -51,6 +51,9 @@
 // megabytes.
 constexpr std::uint64_t kMaxCallBytes = std::uint64_t{16} << 20U;
 
+// Minimum time between two confirmations of changes by a relay, for each hub.
+constexpr Duration kMinConfirmationPerHub = std::chrono::milliseconds(4);
+
 // Minimum time between two log lines about hosts that lack changes.
 constexpr Duration kBehindLogPeriod = std::chrono::milliseconds(250);
 
@@ -222,7 +225,10 @@
   }
   ReleaseAcknowledgements(now);
   ProcessPendingCalls(now);
-  if (!is_leader_) ReportToLeader(now);
+  if (!is_leader_) {
+    ReportToLeader(now);
+    ConfirmToLeader(now);
+  }
   PushUpdates(now);
   PublishReady(now);
   LogHealthChanges();
@@ -400,6 +406,20 @@
   links_.Send(*link, {{"t", "report"}, {"r", report}});
 }
 
+// Tells the leader when it need not wait any longer for a host of this relay,
+// as all of them act on a further change or the lease of one has ended. Reports
+// wait for their answers, which acknowledgements do not need.
+void ControlProcess::ConfirmToLeader(Instant now) {
+  const std::uint64_t changes = host_.state().fleet().changes();
+  if (reported_applied_ >= changes || now < next_confirmation_) return;
+  const auto link = known_leader_ ? LinkTo(*known_leader_) : std::nullopt;
+  const std::uint64_t applied = gate_.AppliedByAll(now, changes);
+  if (!link || applied <= reported_applied_) return;
+  next_confirmation_ = now + kMinConfirmationPerHub * hub_.hub_count();
+  reported_applied_ = applied;
+  links_.Send(*link, {{"t", "applied"}, {"c", applied}});
+}
+
 void ControlProcess::PublishReady(Instant now) {
   if (is_leader_ && now >= next_ready_check_) {
     next_ready_check_ = now + kReadyCheckPeriod;
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -105,6 +105,7 @@
   void ConfirmLeadership(Instant now);
   void PushUpdates(Instant now);
   void ReportToLeader(Instant now);
+  void ConfirmToLeader(Instant now);
   // Returns the time since `confirmed_as_of_`, at most one hour.
   Duration StateAge(Instant now) const;
   bool IsElectingLeader(Instant now) const;
@@ -125,7 +126,6 @@
   void OnControlHello(LinkId link, Peer& peer, const nlohmann::json& message);
   void OnReport(LinkId link, const HostId& from, const nlohmann::json& message);
   void OnUpdate(const HostId& from, const nlohmann::json& message);
-  void RecordApplied(const HostId& host, std::uint64_t change);
   bool AllHubsGateChanges() const;
   void OnServerRequest(LinkId link, const HostId& from,
                        const nlohmann::json& message);
@@ -183,6 +183,7 @@
   // What the leader said of itself and the other control hosts.
   bool leader_gates_changes_ = false;
   std::uint64_t reported_applied_ = 0;
+  Instant next_confirmation_;
   Instant next_behind_log_at_;
   Instant next_late_log_at_;
   std::vector<ReadyHost> ready_hosts_;
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -203,7 +203,7 @@
     } else if (type == "report") {
       OnReport(link, from, message);
     } else if (type == "applied") {
-      RecordApplied(from, message.at("c").get<std::uint64_t>());
+      gate_.RecordApplied(from, message.at("c").get<std::uint64_t>());
     } else if (type == "moved") {
       // The host reports to another hub and goes on confirming changes here.
       if (LinkTo(from) == link) hub_.RemoveReporter(from);
@@ -267,7 +267,7 @@
   if (is_relay && !is_leader_) return;
   FleetUpdate update =
       hub_.HandleReport(now, from, is_relay, report, host_.state().fleet());
-  RecordApplied(from, report.applied_changes);
+  gate_.RecordApplied(from, report.applied_changes);
   if (report.ends_without_contact) {
     gate_.RecordContact(now, from, confirmed_as_of_, update.record_changes);
   } else {
@@ -277,16 +277,6 @@
   SendUpdate(link, std::move(update), now);
 }
 
-// Records what a host, or all hosts of a relay, act on. A relay tells the
-// leader at once when all of its hosts act on a further change.
-void ControlProcess::RecordApplied(const HostId& host, std::uint64_t change) {
-  gate_.RecordApplied(host, change);
-  if (is_leader_) return;
-  const std::uint64_t applied =
-      gate_.AppliedByAll(Now(), host_.state().fleet().changes());
-  if (applied > reported_applied_) hub_.RequestLeaderReport();
-}
-
 bool ControlProcess::AllHubsGateChanges() const {
   return std::all_of(peers_.begin(), peers_.end(), [](const auto& item) {
     return !item.second.is_control || item.second.gates_changes;
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -104,9 +104,6 @@
   // entry hosts. `first` includes all known servers.
   EntryReport BuildLeaderReport(Instant now, bool first);
 
-  // Relay only: has the next report sent as soon as one may be.
-  void RequestLeaderReport() { must_report_to_leader_ = true; }
-
   // Returns whether there is something that the leader should know at once.
   bool MustReportToLeader() const { return must_report_to_leader_; }
 
