--- a/unit_tests/platform/entry_hosts.h
+++ b/unit_tests/platform/entry_hosts.h
@@ -111,8 +111,8 @@
     state_ = std::make_unique<EntryState>(
         loop.loop(), ReadPlanDocument,
         ServerPathMonitor::Create(ServerPathSettings()).value(),
-        ViewLeaseSettings{kLease, kLease, kLease, kLease}, 60, ZoneId("kochi"),
-        1, std::move(state_hooks));
+        ViewLeaseSettings{kLease, kLease, kLease, kLease, kLease}, 60,
+        ZoneId("kochi"), 1, std::move(state_hooks));
     handler_ = std::make_unique<EntryRequestHandler>(
         loop.loop(), *state_, PlatformEntryCodec(),
         Endpoint{ip, server_->port()}, FleetSecret("secret"), *log_, *metrics_);
