One budget of memory for the answers of all backend servers

What callers would see (a report from another operator, shown here by a test): a faulty server sends bytes without end, the entry host keeps those of hundreds of connections, runs out of memory and ends, and the requests of all other callers end with it.

Cause: a limit for each connection, up to 1 MiB and twice that while a string grows, and none for their sum. Ruled out: a place where one answer has no limit; the test of before has all of them.

Change: a budget of a quarter of the machine's memory, of which one answer gets a quarter of what is free. A body that gets no more is passed on while it is read; a head fails. It counts until the caller has read it.

Evidence: "answers without end leave memory for other callers" runs a real entry process of 160 MB with 300 requests at a server without end.

--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -32,8 +32,9 @@
   return route.latency_objective / kTokenWaitDivisor;
 }
 
-HttpClientSettings ClientSettings() {
+HttpClientSettings ClientSettings(std::size_t max_answer_bytes) {
   HttpClientSettings settings;
+  settings.max_answer_bytes = max_answer_bytes;
   settings.max_idle_per_endpoint = 2;
   settings.max_idle_time = std::chrono::seconds(20);
   return settings;
@@ -44,8 +45,9 @@
 EntryRequestHandler::EntryRequestHandler(asio::io_context& loop,
                                          EntryState& state, EntryCodec codec,
                                          const Endpoint& self,
-                                         FleetSecret secret, LogWriter& log,
-                                         FleetMetrics& metrics)
+                                         FleetSecret secret,
+                                         std::size_t max_answer_bytes,
+                                         LogWriter& log, FleetMetrics& metrics)
     : state_(state),
       codec_(std::move(codec)),
       log_(log),
@@ -54,7 +56,7 @@
       self_(ToString(self)),
       secret_(std::move(secret)),
       fleet_port_(self.port),
-      client_(loop, ClientSettings()),
+      client_(loop, ClientSettings(max_answer_bytes)),
       path_prober_(loop, state, client_, self.port, log, RandomSeed()) {}
 
 Result<std::uint64_t> EntryRequestHandler::AcceptHead(
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -25,11 +25,11 @@
 class EntryRequestHandler {
  public:
   // `self` is the address at which this host gets requests of other entry
-  // hosts.
+  // hosts, and `max_answer_bytes` the memory for answers of backend servers.
   EntryRequestHandler(boost::asio::io_context& loop, EntryState& state,
                       EntryCodec codec, const Endpoint& self,
-                      FleetSecret secret, LogWriter& log,
-                      FleetMetrics& metrics);
+                      FleetSecret secret, std::size_t max_answer_bytes,
+                      LogWriter& log, FleetMetrics& metrics);
 
   // Returns the maximum size of the request body in bytes: that of the plan, or
   // the default before a plan is in force.
--- a/sapphirebank/fleet/fleet_settings.cc
+++ b/sapphirebank/fleet/fleet_settings.cc
@@ -26,6 +26,9 @@
   }
 }
 
+constexpr std::uint32_t kMinMemoryMb = 32;
+constexpr std::uint32_t kMaxMemoryMb = 1024 * 1024;
+
 void ReadPort(ObjectReader& reader, std::string_view name, std::uint16_t& out) {
   std::uint32_t port = out;
   reader.Count(name, port, Range<std::uint32_t>{1, kHighestPort},
@@ -64,6 +67,13 @@
 
 }  // namespace
 
+std::size_t FleetSettings::MaxAnswerBytes() const {
+  constexpr std::size_t kBytesPerMb = std::size_t{1} << 20U;
+  // The other parts are request bodies, connections, and the view.
+  constexpr std::size_t kParts = 4;
+  return memory_mb * kBytesPerMb / kParts;
+}
+
 Result<FleetSettings> FleetSettings::Parse(std::string_view text,
                                            std::string_view file_name) {
   auto document = ParseStrictJson(text, file_name, ErrorKind::kInvalidSettings);
@@ -106,6 +116,8 @@
   reader.Length("longest_lookup_life", settings.longest_lookup_life,
                 kDurationRange);
   reader.Number("retry_slack", settings.retry_slack, Range<double>{0, 1e6});
+  reader.Count("memory_mb", settings.memory_mb,
+               Range<std::uint32_t>{kMinMemoryMb, kMaxMemoryMb});
   reader.Finish();
   if (!problems.empty()) {
     const Error error = problems.AsError(ErrorKind::kInvalidSettings);
--- a/sapphirebank/fleet/fleet_settings.h
+++ b/sapphirebank/fleet/fleet_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -56,11 +57,16 @@
   Duration longest_lookup_life = std::chrono::seconds(5);
   // Retries per window of the whole fleet beyond those added by requests.
   double retry_slack = 60;
+  // Memory that the process may use, in MiB.
+  std::uint32_t memory_mb = 256;
 
   // Parses `text`. Fails with kInvalidSettings and names file, place and cause.
   static Result<FleetSettings> Parse(std::string_view text,
                                      std::string_view file_name);
 
+  // Entry host: returns the bytes that answers of backend servers may take.
+  std::size_t MaxAnswerBytes() const;
+
   // Returns the address of the fleet process on the host of `address`.
   Endpoint FleetEndpoint(const Endpoint& address) const {
     return {address.ip, fleet_port};
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -39,6 +39,22 @@
 // or a trailer section beyond it is not read to its end.
 constexpr std::size_t kMaxUnparsedBytes = 2 * std::size_t{kMaxAnswerHeadBytes};
 
+// Part of the free memory that one answer may take: with as many answers that
+// take all they can as a host has connections, one of a few kilobytes still
+// finds room.
+constexpr double kAnswerShare = 0.25;
+
+// Bytes that one read may add, at least and at most. It grows with the body, so
+// that long bodies take few reads.
+constexpr std::size_t kMinReadBytes = std::size_t{8} << 10U;
+constexpr std::size_t kMaxReadBytes = std::size_t{64} << 10U;
+
+// The same for a body that is passed on while it is read.
+constexpr std::size_t kStreamReadBytes = std::size_t{16} << 10U;
+
+// An idle connection keeps a read buffer of this size at most.
+constexpr std::size_t kMaxIdleBufferBytes = std::size_t{4} << 10U;
+
 // A server may answer and close before it has read the whole body. After a
 // failed write the client waits this long for such an answer.
 constexpr Duration kEarlyAnswerTime = std::chrono::milliseconds(50);
@@ -111,13 +127,61 @@
   return request;
 }
 
-// Rest of the body of an answer that exceeds max_buffered_bytes.
+std::size_t BytesHeld(const Connection& connection, const Parser& parser) {
+  return connection.buffer.capacity() + parser.get().body().capacity();
+}
+
+// Reads and parses at most `count` bytes. Returns false, and reads nothing,
+// when the answer may not take that much more memory.
+asio::awaitable<bool> ReadSome(Connection& connection, Parser& parser,
+                               ByteReservation& memory, std::size_t count,
+                               error_code& error) {
+  if (!memory.TryResize(BytesHeld(connection, parser) + count)) {
+    co_return false;
+  }
+  beast::flat_buffer& buffer = connection.buffer;
+  buffer.max_size(std::min(kMaxUnparsedBytes, buffer.size() + count));
+  co_await http::async_read_some(connection.stream, buffer, parser,
+                                 CaptureError(error));
+  if (!error) memory.TryResize(BytesHeld(connection, parser));
+  co_return true;
+}
+
+// Reads the head of an answer.
+asio::awaitable<void> ReadHead(Connection& connection, Parser& parser,
+                               ByteReservation& memory, error_code& error) {
+  while (!error && !parser.is_header_done()) {
+    const bool has_memory =
+        co_await ReadSome(connection, parser, memory, kMinReadBytes, error);
+    if (!has_memory) error = asio::error::no_memory;
+  }
+}
+
+// Reads the body until it is complete, has more than `limit` bytes, or may not
+// take more memory. The last is an error only where nothing was read.
+asio::awaitable<void> ReadBody(Connection& connection, Parser& parser,
+                               ByteReservation& memory, std::uint64_t limit,
+                               error_code& error) {
+  const std::string& body = parser.get().body();
+  while (!error && !parser.is_done() && body.size() <= limit) {
+    const std::size_t count =
+        std::clamp(body.size(), kMinReadBytes, kMaxReadBytes);
+    const bool has_memory =
+        co_await ReadSome(connection, parser, memory, count, error);
+    if (has_memory) continue;
+    if (body.empty()) error = asio::error::no_memory;
+    co_return;
+  }
+}
+
+// Rest of the body of an answer that exceeds max_buffered_bytes or its memory.
 class AnswerStream : public BodyStream {
  public:
   AnswerStream(ConnectionPtr connection, std::unique_ptr<Parser> parser,
-               std::shared_ptr<CallerWatch> watch)
+               ByteReservation memory, std::shared_ptr<CallerWatch> watch)
       : connection_(std::move(connection)),
         parser_(std::move(parser)),
+        memory_(std::move(memory)),
         watch_(std::move(watch)) {}
 
   ~AnswerStream() override {
@@ -125,10 +189,14 @@
   }
 
   asio::awaitable<Result<std::string>> Next() override {
+    if (connection_->buffer.capacity() > 2 * kStreamReadBytes) {
+      connection_->buffer.shrink_to_fit();
+    }
     while (!parser_->is_done()) {
       error_code error;
-      co_await http::async_read_some(connection_->stream, connection_->buffer,
-                                     *parser_, CaptureError(error));
+      const bool has_memory = co_await ReadSome(*connection_, *parser_, memory_,
+                                                kStreamReadBytes, error);
+      if (!has_memory) error = asio::error::no_memory;
       if (error) {
         co_return Fail(ErrorKind::kBackendBroken,
                        "connection failed before the answer was complete: " +
@@ -143,6 +211,7 @@
  private:
   ConnectionPtr connection_;
   std::unique_ptr<Parser> parser_;
+  ByteReservation memory_;
   std::shared_ptr<CallerWatch> watch_;
 };
 
@@ -240,6 +309,9 @@
     if (connections.size() >= settings_.max_idle_per_endpoint) {
       connections.pop_front();
     }
+    if (connection->buffer.capacity() > kMaxIdleBufferBytes) {
+      connection->buffer.shrink_to_fit();
+    }
     connection->idle_since = std::chrono::steady_clock::now();
     connection->stream.expires_never();
     connections.push_back(std::move(connection));
@@ -265,7 +337,9 @@
 HttpClient::HttpClient(asio::io_context& loop, HttpClientSettings settings)
     : loop_(loop),
       settings_(settings),
-      pool_(std::make_shared<Pool>(loop, settings)) {}
+      pool_(std::make_shared<Pool>(loop, settings)),
+      memory_(std::make_shared<ByteBudget>(settings.max_answer_bytes,
+                                           kAnswerShare)) {}
 
 asio::awaitable<bool> HttpClient::OpenIdleConnection(Endpoint to,
                                                      Duration timeout) {
@@ -309,6 +383,7 @@
   const bool request_truncated = static_cast<bool>(error);
   if (request_truncated) connection->stream.expires_after(kEarlyAnswerTime);
 
+  ByteReservation memory(memory_);
   auto parser = std::make_unique<Parser>();
   int strays = 0;
   int informational = 0;
@@ -319,8 +394,7 @@
     parser->header_limit(kMaxAnswerHeadBytes);
     parser->body_limit(UINT64_MAX);
     if (exchange.method == "HEAD") parser->skip(true);
-    co_await http::async_read_header(connection->stream, connection->buffer,
-                                     *parser, CaptureError(error));
+    co_await ReadHead(*connection, *parser, memory, error);
     if (error) co_return Failure(AttemptStage::kSent, error, reused);
     is_informational = parser->get().result_int() < 200;
     if (is_informational && ++informational > kMaxInformationalAnswers) {
@@ -335,19 +409,17 @@
     }
     is_stray = match == AnswerMatch::kOther;
     if (!is_stray) continue;
-    parser->body_limit(exchange.max_buffered_bytes);
-    co_await http::async_read(connection->stream, connection->buffer, *parser,
-                              CaptureError(error));
-    if (error || ++strays > kMaxStrayAnswers) {
+    co_await ReadBody(*connection, *parser, memory, exchange.max_buffered_bytes,
+                      error);
+    if (error || !parser->is_done() || ++strays > kMaxStrayAnswers) {
       co_return Failure(AttemptStage::kSent, error, reused);
     }
   } while (is_stray || is_informational);
 
   const bool too_long = BodyKnownTooLong(*parser, exchange.max_buffered_bytes);
-  while (!too_long && !parser->is_done() &&
-         parser->get().body().size() <= exchange.max_buffered_bytes) {
-    co_await http::async_read_some(connection->stream, connection->buffer,
-                                   *parser, CaptureError(error));
+  if (!too_long) {
+    co_await ReadBody(*connection, *parser, memory, exchange.max_buffered_bytes,
+                      error);
     if (error) co_return Failure(AttemptStage::kSent, error, reused);
   }
 
@@ -361,7 +433,8 @@
   answer.body = std::exchange(parser->get().body(), std::string());
   if (!parser->is_done()) {
     answer.stream = std::make_shared<AnswerStream>(
-        connection, std::move(parser), close_on_hang_up.Release());
+        connection, std::move(parser), std::move(memory),
+        close_on_hang_up.Release());
     result.outcome = std::move(answer);
     co_return result;
   }
@@ -370,6 +443,8 @@
     connection->server_idle_time = KeepAliveTimeout(answer.fields);
     pool_->ReturnIdle(exchange.to, std::move(connection));
   }
+  memory.TryResize(answer.body.capacity());
+  answer.memory = std::make_shared<ByteReservation>(std::move(memory));
   result.outcome = std::move(answer);
   co_return result;
 }
--- a/sapphirebank/transport/http_client.h
+++ b/sapphirebank/transport/http_client.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <variant>
 
+#include "sapphirebank/core/byte_budget.h"
 #include "sapphirebank/core/endpoint.h"
 #include "sapphirebank/core/time.h"
 #include "sapphirebank/request/attempt_policy.h"
@@ -51,6 +52,9 @@
   // A connection is closed when sent bytes stay unacknowledged for this long
   // (TCP_USER_TIMEOUT).
   Duration unacknowledged_timeout = std::chrono::seconds(2);
+  // Memory in bytes for all answers together until they are passed on,
+  // including what was read and is not parsed yet.
+  std::size_t max_answer_bytes = std::size_t{64} << 20U;
 };
 
 // Outcome of an exchange.
@@ -62,7 +66,9 @@
 // HTTP/1.1 client with a pool of idle connections; no pipelining. A connection
 // is not reused after a time-out, after an incomplete answer, or when bytes
 // arrived on it while it was idle: a late answer must not be taken for the
-// answer to the next request. Used on one event loop only.
+// answer to the next request. One answer gets a part of the memory that is
+// free; a longer body is returned as a stream, a longer head fails. Used on one
+// event loop only.
 class HttpClient {
  public:
   HttpClient(boost::asio::io_context& loop, HttpClientSettings settings);
@@ -87,6 +93,7 @@
   boost::asio::io_context& loop_;
   HttpClientSettings settings_;
   std::shared_ptr<Pool> pool_;
+  std::shared_ptr<ByteBudget> memory_;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/transport/http_message.h
+++ b/sapphirebank/transport/http_message.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "sapphirebank/core/byte_budget.h"
 #include "sapphirebank/core/error.h"
 #include "sapphirebank/request/http_head.h"
 
@@ -76,6 +77,8 @@
   bool stream_length_known = false;
   // Close the connection after sending the answer.
   bool close = false;
+  // The memory of `body`, free for other answers once all copies are gone.
+  std::shared_ptr<ByteReservation> memory;
 };
 
 }  // namespace sapphirebank
--- a/system_tests/fleet.cc
+++ b/system_tests/fleet.cc
@@ -117,6 +117,16 @@
   Wait();
 }
 
+std::size_t Process::PeakMemory() const {
+  std::ifstream status(fmt::format("/proc/{}/status", pid_));
+  std::string name;
+  while (status >> name) {
+    std::size_t kilobytes = 0;
+    if (name == "VmHWM:" && status >> kilobytes) return kilobytes * 1024;
+  }
+  throw std::runtime_error("the process has no memory in /proc");
+}
+
 int Process::Wait() {
   int status = 0;
   if (exited_ || ::waitpid(pid_, &status, 0) != pid_) return -1;
--- a/system_tests/fleet.h
+++ b/system_tests/fleet.h
@@ -37,6 +37,9 @@
   // signal terminated it or it was reaped before.
   int Wait();
 
+  // Returns the largest resident size of the process so far, in bytes.
+  std::size_t PeakMemory() const;
+
  private:
   pid_t pid_;
   bool exited_ = false;
--- a/system_tests/platform/path_test.cc
+++ b/system_tests/platform/path_test.cc
@@ -1,11 +1,17 @@
 #include <signal.h>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstdint>
 #include <filesystem>
+#include <list>
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "system_tests/platform/endless_server.h"
 #include "system_tests/platform/platform_fleet.h"
 
 // Tests of the platform program with real processes on loopback addresses.
@@ -231,5 +237,82 @@
   fleet.entry_host(0).SendSignal(SIGCONT);
 }
 
+// Sends `count` requests to the service "bulk" through the first entry host and
+// leaves their answers unread until it is destroyed.
+class BulkCallers {
+ public:
+  explicit BulkCallers(int count) {
+    const std::string request =
+        "GET /bulk/1 HTTP/1.1\r\nHost: desk.example\r\n"
+        "Authorization: Token key-1\r\nSapphirebank-Deadline-Ms: 8000\r\n"
+        "Sapphirebank-Request-Id: bulk-";
+    for (int i = 0; i < count; ++i) {
+      auto& socket = sockets_.emplace_back(loop_);
+      socket.connect(
+          {boost::asio::ip::make_address(PlatformFleet::EntryHostIp(0)),
+           kCallerPort});
+      boost::asio::write(
+          socket, boost::asio::buffer(fmt::format("{}{}\r\n\r\n", request, i)));
+    }
+  }
+
+ private:
+  boost::asio::io_context loop_;
+  std::list<boost::asio::ip::tcp::socket> sockets_;
+};
+
+// Guards against servers that answer without end and take the memory of an
+// entry host, whose other callers lose their requests when it ends.
+TEST_CASE("answers without end leave memory for other callers",
+          "[platform][memory]") {
+  constexpr int kRequests = 300;
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string piece(4096, 'x');
+  struct Row {
+    const char* name;
+    std::string start;
+    std::string repeated;
+    std::size_t length;
+  };
+  const Row row = GENERATE_COPY(values<Row>({
+      {"a chunked body that stops before it is passed on",
+       ok + "Transfer-Encoding: chunked\r\n", "1000\r\n" + piece + "\r\n",
+       std::size_t{1} << 20U},
+      {"a body until the connection ends", ok, piece, SIZE_MAX},
+      {"a head", ok + "A: ", piece, SIZE_MAX},
+  }));
+  CAPTURE(row.name);
+  PlatformFleet fleet;
+  const EndlessServer endless("127.0.9.41", PlatformFleet::ControlHostIp(0),
+                              row.start, row.repeated, row.length);
+  json plan = fleet.MakePlan(5);
+  plan["routes"]["bulk"] = plan["routes"]["lookup"];
+  plan["routes"]["bulk"]["pathPrefix"] = "/bulk/";
+  plan["routes"]["bulk"]["service"] = "bulk";
+  plan["routes"]["bulk"]["timeout"] = "8s";
+  plan["routes"]["bulk"]["targetLatency"] = "8s";
+  plan["routes"]["bulk"]["maxAttempts"] = 1;
+  plan["services"]["bulk"] = plan["services"]["desk"];
+  REQUIRE(fleet.CallRpc("config.put", plan.dump()) == 200);
+  fleet.WaitUntilServing();
+  WaitUntil("the service has a server", [&] {
+    const BulkCallers one(1);
+    return endless.request_count() > 0;
+  });
+
+  const BulkCallers bulk(kRequests);
+  int served = 0;
+  constexpr int kOtherRequests = 40;
+  for (int i = 0; i < kOtherRequests; ++i) {
+    const auto answer = fleet.SendRequest(0, "GET", "/lookup/1");
+    if (answer && answer->status == 200) ++served;
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  }
+  CHECK(served == kOtherRequests);
+  CHECK(endless.request_count() > kRequests / 4);
+  CHECK(fleet.entry_host(0).PeakMemory() < PlatformFleet::kEntryMemoryMb
+                                               << 20U);
+}
+
 }  // namespace
 }  // namespace sapphirebank::system_tests
--- a/system_tests/platform/platform_fleet.h
+++ b/system_tests/platform/platform_fleet.h
@@ -52,6 +52,7 @@
 
   static constexpr int kControlHosts = 3;
   static constexpr int kEntryHosts = 2;
+  static constexpr std::size_t kEntryMemoryMb = 160;
 
   static std::string ControlHostIp(int index) {
     return fmt::format("127.0.9.{}", 11 + index);
@@ -91,6 +92,7 @@
         fmt::format("{}:{}", EntryHostIp(index), kReadinessPort);
     settings["listeners"]["metrics"] =
         fmt::format("{}:{}", EntryHostIp(index), kMetricsPort);
+    settings["memory_mb"] = kEntryMemoryMb;
     entry_hosts_[index] =
         StartProcess(fmt::format("front-{}", index), settings);
   }
--- a/system_tests/platform/stand_in_server.h
+++ b/system_tests/platform/stand_in_server.h
@@ -19,6 +19,38 @@
 // Port of the HTTP API of control hosts.
 inline constexpr int kControlPort = 18407;
 
+// What a backend server says of itself in its heartbeats.
+struct StandInHeartbeat {
+  std::string id;
+  std::string ip;
+  std::string service = "desk";
+  std::string state = "ready";
+  int slots = 4;
+  int sequence = 1;
+};
+
+// Sends a heartbeat to the control host at `control_ip`. Returns whether it was
+// acknowledged.
+inline bool SendHeartbeat(const std::string& control_ip,
+                          const StandInHeartbeat& server) {
+  const nlohmann::json heartbeat = {
+      {"service", server.service},
+      {"address", fmt::format("{}:{}", server.ip, kServerPort)},
+      {"zone", "kochi"},
+      {"version", "v1"},
+      {"slots", server.slots},
+      {"state", server.state},
+      {"warmupLeft", "0ms"},
+      {"born", 1},
+      {"seq", server.sequence}};
+  httplib::Client client(control_ip, kControlPort);
+  client.set_connection_timeout(1);
+  const auto answer =
+      client.Post("/api/rpc?call=instances.heartbeat&of=" + server.id,
+                  heartbeat.dump(), "application/json");
+  return answer && answer->status == 200;
+}
+
 // A backend server that speaks the platform's HTTP protocol. It accepts
 // requests at `ip` and sends heartbeats to the control hosts in turn, every 200
 // ms.
@@ -87,26 +119,18 @@
 
   void SendHeartbeats() {
     for (int sequence = 1; !stopping_; ++sequence) {
-      const nlohmann::json heartbeat = {
-          {"service", "desk"},
-          {"address", fmt::format("{}:{}", ip_, kServerPort)},
-          {"zone", "kochi"},
-          {"version", "v1"},
-          {"slots", 4},
-          {"state", leaving_ ? "draining" : "ready"},
-          {"warmupLeft", "0ms"},
-          {"born", 1},
-          {"seq", sequence}};
-      const std::string& ip =
+      StandInHeartbeat heartbeat;
+      heartbeat.id = id_;
+      heartbeat.ip = ip_;
+      heartbeat.state = leaving_ ? "draining" : "ready";
+      heartbeat.sequence = sequence;
+      const std::string& control_ip =
           control_host_ips_[static_cast<std::size_t>(sequence) %
                             control_host_ips_.size()];
-      httplib::Client client(ip, kControlPort);
-      client.set_connection_timeout(1);
-      const auto answer =
-          client.Post("/api/rpc?call=instances.heartbeat&of=" + id_,
-                      heartbeat.dump(), "application/json");
-      if (leaving_ && answer && answer->status == 200)
+      const bool is_acknowledged = SendHeartbeat(control_ip, heartbeat);
+      if (heartbeat.state == "draining" && is_acknowledged) {
         leave_acknowledged_ = true;
+      }
       std::this_thread::sleep_for(std::chrono::milliseconds(200));
     }
   }
--- a/unit_tests/fleet/fleet_settings_test.cc
+++ b/unit_tests/fleet/fleet_settings_test.cc
@@ -24,7 +24,8 @@
           {"server_departure", "2s"},
           {"zone_change", "5s"},
           {"acknowledgement", "4s"},
-          {"retry_slack", 62}};
+          {"retry_slack", 62},
+          {"memory_mb", 160}};
 }
 
 TEST_CASE("settings of an entry host are read", "[fleet]") {
@@ -43,6 +44,7 @@
   CHECK(settings->change_limits.zone == std::chrono::seconds(5));
   CHECK(settings->change_limits.acknowledgement == std::chrono::seconds(4));
   CHECK(settings->found_group);
+  CHECK(settings->MaxAnswerBytes() == std::size_t{40} << 20U);
 }
 
 TEST_CASE("errors in settings name file, place and cause", "[fleet]") {
--- a/unit_tests/transport/http_client_test.cc
+++ b/unit_tests/transport/http_client_test.cc
@@ -187,6 +187,54 @@
   CHECK(received_bytes == 60);
 }
 
+// Guards against long answers that take the memory of all others.
+TEST_CASE("a body beyond its part of the memory is passed on while it is read",
+          "[transport]") {
+  const std::string body(std::size_t{512} << 10U, 'x');
+  ScriptedServer server([&](tcp::socket& socket, int) {
+    while (ScriptedServer::ReadRequest(socket)) {
+      ScriptedServer::Write(socket, OkResponse(body));
+    }
+  });
+  LoopThread loop;
+  HttpClientSettings settings;
+  settings.max_answer_bytes = std::size_t{256} << 10U;
+  HttpClient client(loop.loop(), settings);
+  // Memory of an answer is free again once it is gone.
+  for (int i = 0; i < 4; ++i) {
+    const ExchangeResult result = Get(loop, client, server.endpoint());
+    const auto* answer = std::get_if<HttpAnswer>(&result.outcome);
+    REQUIRE(answer != nullptr);
+    REQUIRE(answer->stream);
+    CHECK(answer->body.size() < settings.max_answer_bytes);
+    std::string received = answer->body;
+    while (true) {
+      const Result<std::string> piece = loop.Run(answer->stream->Next());
+      REQUIRE(piece);
+      if (piece->empty()) break;
+      received += *piece;
+    }
+    CHECK(received == body);
+  }
+}
+
+TEST_CASE("an answer fails when there is no memory for its head",
+          "[transport]") {
+  ScriptedServer server([&](tcp::socket& socket, int) {
+    if (ScriptedServer::ReadRequest(socket)) {
+      ScriptedServer::Write(socket, OkResponse("whole"));
+    }
+  });
+  LoopThread loop;
+  HttpClientSettings settings;
+  settings.max_answer_bytes = std::size_t{16} << 10U;
+  HttpClient client(loop.loop(), settings);
+  const ExchangeResult result = Get(loop, client, server.endpoint());
+  const auto* failure = std::get_if<AttemptFailure>(&result.outcome);
+  REQUIRE(failure != nullptr);
+  CHECK(failure->stage == AttemptStage::kSent);
+}
+
 // A server that sends bytes which never become an answer, until the client
 // closes the connection.
 TEST_CASE("an answer without end fails after a bounded number of bytes",
