Calls are refused at once where there is no leader to wait for

What callers saw: an operator's call at a control host in a minority took 0.9 s and then said "no quorum"; so did a call for a change that was accepted and only waited for hosts to act on it.

Change: a control host that knows no leader and has no majority in contact refuses calls at once, so that the caller turns to another one with most of its time left; for 2 s after its start it waits as before, since its links are being established. The refusal of an accepted change says so. What is answered, 503 with unknown outcome, is as before.

Test: "a call awaits no leader in a minority".

--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -109,6 +109,9 @@
   // Returns the time since `confirmed_as_of_`, at most one hour.
   Duration StateAge(Instant now) const;
   bool IsElectingLeader(Instant now) const;
+  bool MayFindLeader(Instant now) const;
+  // Returns the number of voters that were heard lately, with this host.
+  std::size_t VotersInContact(Instant now) const;
   bool HasNewestUpdate(Instant now) const;
   void SendUpdate(LinkId link, FleetUpdate update, Instant now);
   void PublishReady(Instant now);
@@ -188,6 +191,7 @@
   Instant next_late_log_at_;
   std::vector<ReadyHost> ready_hosts_;
   std::vector<ReadyHost> listed_hosts_;  // Those in published_addresses_.
+  Instant started_at_;
   std::optional<HostId> known_leader_;
   Instant leader_changed_at_;
   RequestToken next_token_ = 1;
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -159,11 +159,12 @@
 }
 
 // Sends pending calls to the current leader and fails those past their
-// deadline.
+// deadline, or all while there is no leader to wait for.
 void ControlProcess::ProcessPendingCalls(Instant now) {
   std::vector<std::uint64_t> expired;
+  const bool may_find_leader = pending_.empty() || MayFindLeader(now);
   for (auto& [number, call] : pending_) {
-    if (now >= call.deadline) expired.push_back(number);
+    if (now >= call.deadline || !may_find_leader) expired.push_back(number);
     const bool is_sent = call.sent_to && call.sent_to == known_leader_;
     if (!known_leader_ || is_sent || now < call.not_before) continue;
     if (is_leader_) {
@@ -195,9 +196,14 @@
   for (const std::uint64_t number : expired) {
     const auto call = pending_.extract(number);
     if (call.empty()) continue;
+    const auto& command = call.mapped().command;
+    const bool is_accepted = command && AppliedChange(*command).has_value();
     call.mapped().callback(
         Fail(ErrorKind::kNoQuorum,
-             "no quorum of control hosts within the call timeout"));
+             is_accepted ? "the change is accepted and not in force everywhere"
+             : !may_find_leader ? "no majority of control hosts is in contact"
+                                : "no quorum of control hosts within the call "
+                                  "timeout"));
   }
 }
 
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -67,19 +67,26 @@
   if (LeaderIsSettled(now, known_leader_.has_value(), leader_changed_at_)) {
     return false;
   }
+  return MayElect(VotersInContact(now), host_.raft().membership().Quorum());
+}
+
+bool ControlProcess::MayFindLeader(Instant now) const {
+  if (known_leader_) return true;
+  return MayAwaitLeader(now, started_at_, VotersInContact(now),
+                        host_.raft().membership().Quorum());
+}
+
+std::size_t ControlProcess::VotersInContact(Instant now) const {
   std::set<HostId> heard = {self_};
   for (const auto& [link, peer] : peers_) {
     const bool is_recent = now - peer.heard_at < kVoterContactTime;
     if (peer.is_control && is_recent) heard.insert(peer.host);
   }
-  const GroupMembership& membership = host_.raft().membership();
-  const auto voters_in_contact =
-      std::count_if(membership.members().begin(), membership.members().end(),
-                    [&](const GroupMember& member) {
-                      return member.voter && heard.contains(member.host);
-                    });
-  return MayElect(static_cast<std::size_t>(voters_in_contact),
-                  membership.Quorum());
+  const auto& members = host_.raft().membership().members();
+  return static_cast<std::size_t>(std::count_if(
+      members.begin(), members.end(), [&](const GroupMember& member) {
+        return member.voter && heard.contains(member.host);
+      }));
 }
 
 // Returns whether this host's leader update is old and no other control host
--- a/sapphirebank/fleet/election_state.h
+++ b/sapphirebank/fleet/election_state.h
@@ -14,6 +14,10 @@
 // all hubs.
 inline constexpr Duration kNewLeaderTime = std::chrono::milliseconds(500);
 
+// Time after the start of a control host in which it may not be linked to the
+// others yet.
+inline constexpr Duration kLinkingTime = std::chrono::milliseconds(2000);
+
 // Returns whether the leader is known for long enough that hubs without an
 // update of it are partitioned from it. `changed_at` is since when the leader,
 // or that there is none, is known.
@@ -31,4 +35,13 @@
   return voters_in_contact >= quorum;
 }
 
+// Returns whether a call may wait for a leader at a control host that knows
+// none. Elsewhere than in a majority there is none to wait for, and the caller
+// should turn to another control host at once.
+constexpr bool MayAwaitLeader(Instant now, Instant started_at,
+                              std::size_t voters_in_contact,
+                              std::size_t quorum) {
+  return MayElect(voters_in_contact, quorum) || now - started_at < kLinkingTime;
+}
+
 }  // namespace sapphirebank
--- a/unit_tests/fleet/hub_selector_test.cc
+++ b/unit_tests/fleet/hub_selector_test.cc
@@ -490,6 +490,18 @@
   }
 }
 
+// Guards against calls that use up the operator's second at a control host
+// which is cut off from the majority.
+TEST_CASE("a call awaits no leader in a minority", "[fleet]") {
+  constexpr std::size_t kQuorum = 10;
+  const Instant long_ago = kStart - seconds(60);
+  CHECK_FALSE(MayAwaitLeader(kStart, long_ago, kQuorum - 1, kQuorum));
+  CHECK(MayAwaitLeader(kStart, long_ago, kQuorum, kQuorum));
+  // It has just started and is not linked to the others yet.
+  CHECK(MayAwaitLeader(kStart + milliseconds(1999), kStart, 1, kQuorum));
+  CHECK_FALSE(MayAwaitLeader(kStart + milliseconds(2000), kStart, 1, kQuorum));
+}
+
 TEST_CASE("a minority does not take part in an election", "[fleet]") {
   CHECK(LeaderIsSettled(kStart + kNewLeaderTime, true, kStart));
   CHECK_FALSE(LeaderIsSettled(kStart + milliseconds(100), true, kStart));
