--- a/unit_tests/fleet/fleet_messages_test.cc
+++ b/unit_tests/fleet/fleet_messages_test.cc
@@ -22,6 +22,7 @@
   report.ready_hosts = {{"10.0.0.1:80", ZoneId("kochi")}};
   report.entry_hosts = 3;
   report.applied_changes = 12;
+  report.ends_without_contact = true;
   report.registry_id = ~std::uint64_t{0};
   report.outcomes[BackendId("a")] = {1, 2, 3};
   report.requests[ServiceId("desk")] = 9;
