Times of control hosts in one header

Ruled out: nothing to rule out, no value changes. Change: sapphirebank/fleet/control_timing.h holds them, under names of their own. Conclusion: one place to add up.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "sapphirebank/consensus/posix_file_system.h"
+#include "sapphirebank/fleet/control_timing.h"
 #include "sapphirebank/fleet/detour_hosts.h"
 #include "sapphirebank/transport/process_clock.h"
 
@@ -12,9 +13,6 @@
 
 using nlohmann::json;
 
-// Timer period of the decision thread. Each wake-up costs CPU time.
-constexpr Duration kTickPeriod = std::chrono::milliseconds(50);
-
 // Period of leadership confirmations by a quorum, at least, and for each
 // control host: a confirmation costs the leader two messages with each of them.
 // The period bounds the leader update age, which is well below the time for
@@ -22,16 +20,6 @@
 constexpr Duration kMinConfirmPeriod = std::chrono::milliseconds(150);
 constexpr Duration kConfirmPeriodPerHost = std::chrono::milliseconds(16);
 
-// Raft heartbeat interval when no confirmations are due.
-constexpr Duration kHeartbeat = std::chrono::milliseconds(250);
-
-// A lost leader is replaced within one to two election timeouts plus a vote.
-constexpr Duration kElectionTimeout = std::chrono::milliseconds(800);
-
-// Election timeout right after a start, when links are established within a few
-// tens of milliseconds.
-constexpr Duration kFirstElectionTimeout = std::chrono::milliseconds(200);
-
 // Minimum time between two pushed updates, so that changes are batched.
 constexpr Duration kPushPeriod = std::chrono::milliseconds(40);
 
@@ -51,9 +39,6 @@
 // megabytes.
 constexpr std::uint64_t kMaxCallBytes = std::uint64_t{16} << 20U;
 
-// Minimum time between two confirmations of changes by a relay, for each hub.
-constexpr Duration kMinConfirmationPerHub = std::chrono::milliseconds(4);
-
 // Minimum time between two log lines about hosts that lack changes.
 constexpr Duration kBehindLogPeriod = std::chrono::milliseconds(250);
 
@@ -71,8 +56,8 @@
   ControlHostSettings host;
   host.host = FleetHost(settings, settings.control);
   host.dynamic_membership = true;
-  host.raft.heartbeat_interval = kHeartbeat;
-  host.raft.election_timeout = kElectionTimeout;
+  host.raft.heartbeat_interval = kControlHeartbeat;
+  host.raft.election_timeout = kControlElectionTimeout;
   host.raft.first_election_timeout = kFirstElectionTimeout;
   host.hello_interval = std::chrono::milliseconds(300);
   host.stamp_interval = std::chrono::hours(1);
@@ -112,7 +97,7 @@
     raw->ApplyRecord(raw->Now());
     raw->Flush();
   });
-  process->thread_.StartTicks(kTickPeriod,
+  process->thread_.StartTicks(kControlTick,
                               [raw = process.get()] { raw->Tick(); });
   return process;
 }
@@ -182,8 +167,8 @@
 
 void ControlProcess::Tick() {
   const Instant now = Now();
-  if (last_tick_at_ && now - *last_tick_at_ > kTickPeriod + kLateTick) {
-    const Duration late = now - *last_tick_at_ - kTickPeriod;
+  if (last_tick_at_ && now - *last_tick_at_ > kControlTick + kLateTick) {
+    const Duration late = now - *last_tick_at_ - kControlTick;
     log_.Write(LogLevel::kInfo, "decisions_late",
                {{"ms", ToSeconds(late) * 1e3}, {"is_leader", is_leader_}});
   }
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -7,6 +7,7 @@
 
 #include "programs/fleet_host/control_process.h"
 #include "sapphirebank/core/cbor.h"
+#include "sapphirebank/fleet/control_timing.h"
 #include "sapphirebank/transport/await_callback.h"
 
 // Calls of operators, backend servers and callers to a control host.
@@ -15,10 +16,6 @@
 
 using nlohmann::json;
 
-// Timeout of a call that waits for the leader. Callers turn to another host
-// after a second without a response.
-constexpr Duration kCallTimeout = std::chrono::milliseconds(900);
-
 // Maximum age of the confirmed record for a read of the plan. An accepted plan
 // must be readable everywhere after 2 s.
 constexpr Duration kMaxReadAge = std::chrono::milliseconds(1000);
@@ -131,7 +128,7 @@
   PendingCall pending;
   pending.command = std::move(command);
   pending.callback = std::move(callback);
-  pending.deadline = Now() + kCallTimeout;
+  pending.deadline = Now() + kControlCallTimeout;
   pending_.emplace(next_call_++, std::move(pending));
 }
 
@@ -209,9 +206,8 @@
 
 // Schedules another attempt until the deadline, as the leader may have changed.
 void ControlProcess::RetryLater(PendingCall& call) {
-  constexpr Duration kRetryDelay = std::chrono::milliseconds(50);
   call.sent_to.reset();
-  call.not_before = Now() + kRetryDelay;
+  call.not_before = Now() + kControlCallRetry;
 }
 
 std::optional<std::uint64_t> ControlProcess::AppliedChange(
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "sapphirebank/core/json_read.h"
+#include "sapphirebank/fleet/control_timing.h"
 #include "sapphirebank/transport/process_clock.h"
 
 namespace sapphirebank {
@@ -11,10 +12,6 @@
 
 using nlohmann::json;
 
-// Minimum time between two messages that tell the hub which changes this host
-// acts on: servers of a whole zone may leave within seconds.
-constexpr Duration kMinConfirmationInterval = std::chrono::milliseconds(100);
-
 // An answer of the hub that takes longer is logged.
 constexpr Duration kLateAnswer = std::chrono::milliseconds(250);
 
