Messages between control hosts do not wait behind those of entry hosts

Cause: one queue. A timer message, an election message and a first report, whose answer carries the whole state, wait in the order of arrival. Ruled out: priorities of CAF's mailbox, which share by weight and leave the timer behind what is queued. Change: DecisionThread runs a due tick first, then urgent steps, then the rest; messages of links whose peer introduced itself as a control host, the ends of links, calls of operators and departures are urgent. Conclusion: an election needs the processor, not the end of the queue.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -181,16 +181,26 @@
   Flush();
 }
 
-void ControlProcess::FlushSoon() {
-  if (flush_is_posted_) return;
-  flush_is_posted_ = true;
-  thread_.Post([this] { Flush(); });
+void ControlProcess::FlushSoon(bool is_urgent) {
+  bool& is_posted = is_urgent ? urgent_flush_is_posted_ : flush_is_posted_;
+  if (std::exchange(is_posted, true)) return;
+  if (is_urgent) {
+    thread_.PostUrgent([this] {
+      urgent_flush_is_posted_ = false;
+      Flush();
+    });
+    return;
+  }
+  thread_.Post([this] {
+    flush_is_posted_ = false;
+    Flush();
+  });
 }
 
 void ControlProcess::Flush() {
-  flush_is_posted_ = false;
   const Instant now = Now();
   UpdateLeadership(now);
+  UpdateMembership(now);
   if (is_leader_) ConfirmLeadership(now);
   Send(host_.TakeEarlyMessages(now));
   ControlEffects effects = host_.Flush(now);
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -99,7 +100,9 @@
   // control_process.cc
   void Tick();
   void Flush();
-  void FlushSoon();
+  // Flushes behind the steps that are queued already; an urgent flush does not
+  // wait for those of entry hosts.
+  void FlushSoon(bool is_urgent);
   void ApplyRecord(Instant now);
   void UpdateLeadership(Instant now);
   void ConfirmLeadership(Instant now);
@@ -198,6 +201,7 @@
   std::uint64_t next_call_ = 1;
   bool is_leader_ = false;
   bool flush_is_posted_ = false;
+  bool urgent_flush_is_posted_ = false;
   // The record contains every command accepted before this time. Advanced by
   // this host's own leadership confirmations, or by updates of the leader.
   Instant confirmed_as_of_;
@@ -229,6 +233,10 @@
   std::shared_ptr<const AddressesByZone> published_addresses_;
   Random random_;  // Accessed by the event loop only.
 
+  // Links to peers that introduced themselves as control hosts. Accessed by the
+  // links' thread only.
+  std::set<LinkId> control_links_;
+
   DecisionThread thread_;
   FleetLink links_;
   std::optional<HttpServer> control_server_;
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -58,10 +58,19 @@
                                                   std::chrono::seconds(3)));
   }
   const std::function<void(Callback)> start = [this, &call](Callback callback) {
-    thread_.Post([this, moved = *call, callback = std::move(callback)] {
+    // Servers announce themselves by the hundred; operators wait for an answer.
+    const auto* heartbeat = std::get_if<HeartbeatCall>(&*call);
+    const bool is_urgent = heartbeat == nullptr || heartbeat->server.leaving;
+    auto execute = [this, is_urgent, moved = *call,
+                    callback = std::move(callback)] {
       Execute(moved, callback);
-      FlushSoon();
-    });
+      FlushSoon(is_urgent);
+    };
+    if (is_urgent) {
+      thread_.PostUrgent(std::move(execute));
+    } else {
+      thread_.Post(std::move(execute));
+    }
   };
   const Result<std::string> result =
       co_await AwaitCallback<Result<std::string>>(loop_, start);
@@ -178,7 +187,7 @@
                         pending_.erase(found);
                         done(std::move(result));
                       });
-      FlushSoon();
+      FlushSoon(true);
       break;  // The call may have completed, invalidating the iterator.
     }
     const auto link = LinkTo(*known_leader_);
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -29,22 +29,41 @@
 constexpr Duration kLateHandling = std::chrono::milliseconds(150);
 constexpr Duration kLateLogPeriod = std::chrono::milliseconds(250);
 
+// Time after a start, which may be that of the whole fleet, from which the
+// number of ready entry hosts tells how many there are.
+constexpr Duration kReadyHostsKnownAfter = std::chrono::seconds(10);
+
+// Period of log lines of a control host outside the group.
+constexpr Duration kOutsideLogPeriod = std::chrono::seconds(2);
+
 }  // namespace
 
 FleetLink::Hooks ControlProcess::LinkHooks() {
   FleetLink::Hooks hooks;
+  // Messages between control hosts never wait behind those of entry hosts,
+  // which come by the hundred when all of them search a hub.
   hooks.up = [this](LinkId link, const HostId& host) {
-    thread_.Post([this, link, host] { OnUp(link, host); });
+    thread_.PostUrgent([this, link, host] { OnUp(link, host); });
   };
   hooks.received = [this](LinkId link, const HostId& from, json message) {
     const Instant arrived_at = Now();
-    thread_.Post([this, link, from, arrived_at, moved = std::move(message)] {
+    const auto type = message.find("t");
+    if (type != message.end() && *type == "control") {
+      control_links_.insert(link);
+    }
+    auto handle = [this, link, from, arrived_at, moved = std::move(message)] {
       LogLateHandling(from, arrived_at);
       OnMessage(link, from, moved);
-    });
+    };
+    if (control_links_.contains(link)) {
+      thread_.PostUrgent(std::move(handle));
+    } else {
+      thread_.Post(std::move(handle));
+    }
   };
   hooks.down = [this](LinkId link, const std::string& reason) {
-    thread_.Post([this, link, reason] { OnDown(link, reason); });
+    control_links_.erase(link);
+    thread_.PostUrgent([this, link, reason] { OnDown(link, reason); });
   };
   return hooks;
 }
@@ -117,7 +136,7 @@
     if (peer.is_control) UpdateHubList();
     log_.Write(LogLevel::kInfo, "link_lost",
                {{"peer", peer.host.value()}, {"cause", reason}});
-    FlushSoon();
+    FlushSoon(peer.is_control);
   } else if (!reason.empty()) {
     log_.Write(LogLevel::kWarning, "link_refused", {{"cause", reason}});
   }
@@ -234,7 +253,7 @@
     } else {
       return;
     }
-    FlushSoon();
+    FlushSoon(peer.is_control);
   } catch (const std::exception& e) {
     log_.Write(LogLevel::kWarning, "message_refused",
                {{"from", from.value()}, {"cause", e.what()}});
@@ -360,7 +379,6 @@
                        {"ok", result.has_value()},
                        {"text", result ? *result : result.error().detail}});
   });
-  FlushSoon();
 }
 
 }  // namespace sapphirebank
--- a/sapphirebank/transport/decision_thread.h
+++ b/sapphirebank/transport/decision_thread.h
@@ -2,8 +2,12 @@
 
 #include <caf/actor.hpp>
 #include <caf/actor_system.hpp>
+#include <caf/behavior.hpp>
+#include <caf/event_based_actor.hpp>
+#include <deque>
 #include <functional>
-#include <string>
+#include <mutex>
+#include <optional>
 
 #include "sapphirebank/core/time.h"
 
@@ -12,6 +16,9 @@
 // Runs posted functions ("steps") one at a time on a dedicated thread. Each
 // thread is a detached CAF actor whose messages are the steps. State that only
 // these steps access needs no lock.
+//
+// A due tick goes first, then urgent steps in the order in which they were
+// posted, then the other steps.
 class DecisionThread {
  public:
   using Step = std::function<void()>;
@@ -36,9 +43,26 @@
   // Queues a step. Thread-safe.
   void Post(Step step);
 
+  // Queues a step that does not wait for those queued with Post(). Thread-safe.
+  void PostUrgent(Step step);
+
  private:
+  caf::behavior Behavior(caf::event_based_actor* self);
+  void RunDueTick();
+  void RunNextStep();
+  void Queue(std::deque<Step>& queue, Step step);
+
   caf::actor_system& system_;
-  caf::actor actor_;
+  std::mutex mutex_;
+  std::deque<Step> urgent_;  // Guarded by mutex_, like normal_.
+  std::deque<Step> normal_;
+
+  // Accessed by the thread only.
+  Step tick_;
+  Duration tick_period_{};
+  Instant next_tick_;
+
+  caf::actor actor_;  // Last, as its thread uses the rest.
 };
 
 }  // namespace sapphirebank
