Control hosts are admitted by a group whose leader they do not know

Cause: discovery ended at the seeds. A newcomer had links to its seeds alone, and only a leader admits, of those whose Hello it got itself. Class: a place to begin is taken for the whole. Change: whoever gets a Hello of a host outside the group answers with the group and the hosts that it hears; ControlHost::HostsToContact() is what a host links with. A member names newcomers that still wait to its leader, which contacts them; so newcomers of the build before are admitted too. Added fields are optional; earlier builds ignore them. ControlGroup delivers over links only, if asked: before, each host could reach all others, which hid the fault. Conclusion: one path to any member suffices.

--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -179,15 +179,13 @@
   }
   if (now < next_connect_) return;
   next_connect_ = now + kConnectPeriod;
-  const auto& members = host_.raft().membership().members();
+  const std::vector<HostId> known = host_.HostsToContact(now);
   std::vector<HostId> hosts;
-  hosts.reserve(settings_.seeds.size() + members.size());
+  hosts.reserve(settings_.seeds.size() + known.size());
   for (const Endpoint& seed : settings_.seeds) {
     hosts.emplace_back(ToString(settings_.FleetEndpoint(seed)));
   }
-  for (const GroupMember& member : members) {
-    hosts.push_back(member.host);
-  }
+  for (const HostId& host : known) hosts.push_back(host);
   for (const HostId& host : hosts) {
     if (host == self_ || connecting_.contains(host.value()) || LinkTo(host)) {
       continue;
--- a/sapphirebank/consensus/control_host.cc
+++ b/sapphirebank/consensus/control_host.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 #include <utility>
 
 #include "sapphirebank/core/random.h"
@@ -27,6 +28,11 @@
 // It equals the time after which the platform considers a machine lost.
 constexpr Duration kRemoveVoterAfter = std::chrono::seconds(3);
 
+// A newcomer that has announced itself for this long without becoming a member
+// is named to the leader, once in each interval: it may not reach the leader.
+constexpr Duration kIntroduceAfter = std::chrono::milliseconds(600);
+constexpr Duration kIntroductionInterval = std::chrono::milliseconds(1000);
+
 bool Contains(const std::vector<HostId>& hosts, const HostId& host) {
   return std::find(hosts.begin(), hosts.end(), host) != hosts.end();
 }
@@ -101,6 +107,7 @@
       node_(std::move(folder.node)),
       state_(std::move(state)),
       presence_(settings_.host, settings_.control_hosts),
+      contacts_(settings_.host),
       applied_(node_.snapshot().last) {
   BootstrapFromFounders();
 }
@@ -124,6 +131,7 @@
   node_.Tick(now);
   if (IsLeader()) RunLeaderTasks(now);
   SendHellos(now);
+  IntroduceNewcomers(now);
 }
 
 void ControlHost::RunLeaderTasks(Instant now) {
@@ -187,18 +195,69 @@
   }
   if (now < next_hello_) return;
   next_hello_ = now + settings_.hello_interval;
-  for (const HostId& host : presence_.others()) {
-    effects_.messages.push_back({host,
-                                 {node_.self(), NodeId(), node_.term(),
-                                  Hello{node_.IsEmpty(), false}}});
+  for (const HostId& host : presence_.others()) SendHello(host, false, {});
+}
+
+void ControlHost::SendHello(const HostId& host, bool is_answer,
+                            std::vector<HostId> hosts) {
+  effects_.messages.push_back(
+      {host,
+       {node_.self(), NodeId(), node_.term(),
+        Hello{node_.IsEmpty(), is_answer, std::move(hosts)}}});
+}
+
+void ControlHost::ReceiveHello(Instant now, const HostId& from,
+                               const NodeId& node, const Hello& hello) {
+  presence_.RecordHello(now, from, node, hello);
+  if (!settings_.dynamic_membership) {
+    if (!hello.answer) SendHello(from, true, {});
+    return;
+  }
+  contacts_.Learn(now, hello.hosts);
+  if (hello.answer) return;
+  if (node_.membership().Find(node) != nullptr) {
+    SendHello(from, true, {});
+    return;
   }
+  // Only what this host knows by itself, so that a lost host is forgotten.
+  std::set<HostId> group;
+  for (const GroupMember& member : node_.membership().members()) {
+    group.insert(member.host);
+  }
+  for (const auto& [host, present] : presence_.Present(now)) group.insert(host);
+  group.erase(from);
+  SendHello(from, true, {group.begin(), group.end()});
+}
+
+// Names newcomers to the leader, which then contacts them. The leader admits
+// only those whose announcement it gets itself.
+void ControlHost::IntroduceNewcomers(Instant now) {
+  if (!settings_.dynamic_membership || now < next_introduction_) return;
+  const auto leader = this->leader();
+  if (IsLeader() || !leader || !IsMember()) return;
+  std::vector<HostId> newcomers;
+  for (const auto& [host, node] : presence_.Announcing(now, kIntroduceAfter)) {
+    if (node_.membership().Find(node) == nullptr) newcomers.push_back(host);
+  }
+  if (newcomers.empty()) return;
+  next_introduction_ = now + kIntroductionInterval;
+  SendHello(*leader, true, std::move(newcomers));
+}
+
+std::vector<HostId> ControlHost::HostsToContact(Instant now) const {
+  std::vector<HostId> hosts = contacts_.Known(now);
+  for (const GroupMember& member : node_.membership().members()) {
+    hosts.push_back(member.host);
+  }
+  return hosts;
 }
 
 void ControlHost::Receive(Instant now, const HostId& from,
                           const PeerMessage& message) {
   if (failure_) return;
   if (const auto* hello = std::get_if<Hello>(&message.body)) {
-    presence_.RecordHello(now, from, message.from, hello->empty);
+    ReceiveHello(now, from, message.from, *hello);
+    return;
   }
   node_.Receive(now, from, message);
 }
--- a/sapphirebank/consensus/control_host.h
+++ b/sapphirebank/consensus/control_host.h
@@ -13,6 +13,7 @@
 #include "sapphirebank/consensus/control_state.h"
 #include "sapphirebank/consensus/file_system.h"
 #include "sapphirebank/consensus/log_storage.h"
+#include "sapphirebank/consensus/peer_contacts.h"
 #include "sapphirebank/consensus/peer_message.h"
 #include "sapphirebank/consensus/peer_presence.h"
 #include "sapphirebank/consensus/raft_node.h"
@@ -60,7 +61,8 @@
 
   // Hosts may join and leave at run time: any host that sends a Hello is
   // admitted, and a host that is lost loses its vote. `control_hosts` are then
-  // only the first ones to contact.
+  // only the first ones to contact: they, and any other host of the group, name
+  // the rest in their answers.
   bool dynamic_membership = false;
   // With dynamic_membership: the hosts that form the group when all data
   // folders are empty. Each founder bootstraps the same membership without
@@ -169,10 +171,21 @@
   // the other hosts first, or they will admit it again.
   void RemoveHost(Instant now, const HostId& host, RequestToken token);
 
-  // Adds a host of a group with dynamic membership that was discovered at run
-  // time.
+  // Adds a host of a group with dynamic membership that this host is linked
+  // with.
   void AddHost(const HostId& host) { presence_.Add(host); }
 
+  // Returns the hosts that this host should be linked with: the members of the
+  // group and the hosts that others named lately. Those in the settings are not
+  // repeated.
+  std::vector<HostId> HostsToContact(Instant now) const;
+
+  // Returns whether this host belongs to the group, as far as its own log
+  // tells. Only then does it learn what the group decides.
+  bool IsMember() const {
+    return node_.membership().Find(node_.self()) != nullptr;
+  }
+
   // Transfers the leadership to another host, for a graceful shutdown.
   void TransferLeadership(Instant now);
 
@@ -229,6 +242,10 @@
   void ProposeMembershipChange(Instant now);
   void BootstrapFromFounders();
   void SendHellos(Instant now);
+  void SendHello(const HostId& host, bool is_answer, std::vector<HostId> hosts);
+  void ReceiveHello(Instant now, const HostId& from, const NodeId& node,
+                    const Hello& hello);
+  void IntroduceNewcomers(Instant now);
   Result<ControlCommand> Check(ControlCommand command) const;
   Result<ControlCommand> CheckChange(ApplyChange change) const;
   Result<ControlCommand> CheckRestore(RestoreDeclarations restore) const;
@@ -252,12 +269,14 @@
   RaftNode node_;
   ControlState state_;
   PeerPresence presence_;
+  PeerContacts contacts_;
   LogPosition applied_;
   std::size_t log_bytes_since_snapshot_ = 0;
   WallTime wall_time_;
   Instant next_stamp_;
   Instant next_clock_;
   Instant next_hello_;
+  Instant next_introduction_;
   std::uint64_t stamp_counter_ = 0;
   std::map<LogIndex, PendingProposal> proposals_;
   std::deque<PendingRead> reads_;
--- a/sapphirebank/consensus/peer_message.cc
+++ b/sapphirebank/consensus/peer_message.cc
@@ -118,11 +118,19 @@
 
 static void to_json(json& out, const Hello& body) {
   out = {{"empty", body.empty}, {"answer", body.answer}};
+  if (body.hosts.empty()) return;
+  json& hosts = out["hosts"] = json::array();
+  for (const HostId& host : body.hosts) hosts.push_back(host.value());
 }
 
 static void from_json(const json& in, Hello& body) {
   in.at("empty").get_to(body.empty);
   in.at("answer").get_to(body.answer);
+  const auto hosts = in.find("hosts");
+  if (hosts == in.end()) return;
+  for (const json& host : *hosts) {
+    body.hosts.emplace_back(host.get<std::string>());
+  }
 }
 
 namespace {
--- a/sapphirebank/consensus/peer_message.h
+++ b/sapphirebank/consensus/peer_message.h
@@ -70,6 +70,10 @@
 struct Hello {
   bool empty = false;  // The log of the node has never held an entry.
   bool answer = false;
+  // Hosts that the receiver should be linked with: the group, when it announced
+  // itself, or hosts that announced themselves to the sender, when it leads.
+  // Earlier builds send none.
+  std::vector<HostId> hosts = {};
 };
 
 using PeerMessageBody =
--- a/sapphirebank/consensus/peer_presence.cc
+++ b/sapphirebank/consensus/peer_presence.cc
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace sapphirebank {
+namespace {
+
+// Several times the interval of announcements.
+constexpr Duration kAnnouncementGap = std::chrono::milliseconds(1500);
+
+}  // namespace
 
 PeerPresence::PeerPresence(HostId self, std::vector<HostId> control_hosts)
     : self_(std::move(self)), others_(std::move(control_hosts)) {
@@ -19,9 +25,30 @@
 }
 
 void PeerPresence::RecordHello(Instant now, const HostId& host,
-                               const NodeId& node, bool is_empty) {
+                               const NodeId& node, const Hello& hello) {
   if (!std::binary_search(others_.begin(), others_.end(), host)) return;
-  last_hellos_[host] = {node, is_empty, now};
+  LastHello& last = last_hellos_[host];
+  const bool is_same_node = last.node == node;
+  last.node = node;
+  last.is_empty = hello.empty;
+  last.received_at = now;
+  if (hello.answer) return;
+  if (!is_same_node || now - last.announced_at > kAnnouncementGap) {
+    last.announced_since = now;
+  }
+  last.announced_at = now;
+}
+
+std::map<HostId, NodeId> PeerPresence::Announcing(Instant now,
+                                                  Duration min_time) const {
+  std::map<HostId, NodeId> announcing;
+  for (const auto& [host, hello] : last_hellos_) {
+    const bool is_recent = now - hello.announced_at < kAnnouncementGap;
+    if (is_recent && now - hello.announced_since >= min_time) {
+      announcing[host] = hello.node;
+    }
+  }
+  return announcing;
 }
 
 std::map<HostId, NodeId> PeerPresence::Present(Instant now) const {
--- a/sapphirebank/consensus/peer_presence.h
+++ b/sapphirebank/consensus/peer_presence.h
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "sapphirebank/consensus/log_entry.h"
+#include "sapphirebank/consensus/peer_message.h"
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/time.h"
 
@@ -22,14 +23,18 @@
   // Adds a host that was discovered by other means than the settings.
   void Add(const HostId& host);
 
-  // Records a Hello of `node` on `host`; `is_empty` tells whether its log is
-  // empty. Ignored for hosts that are neither in the settings nor added.
+  // Records a Hello of `node` on `host`. Ignored for hosts that are neither in
+  // the settings nor added.
   void RecordHello(Instant now, const HostId& host, const NodeId& node,
-                   bool is_empty);
+                   const Hello& hello);
 
   // Returns the nodes whose last Hello is younger than kPresenceTimeout.
   std::map<HostId, NodeId> Present(Instant now) const;
 
+  // Returns the nodes that have announced themselves here for at least
+  // `min_time` and still do.
+  std::map<HostId, NodeId> Announcing(Instant now, Duration min_time) const;
+
   // Returns whether this host may bootstrap a new group: it is the first of the
   // hosts by name, and every other host has reported an empty log within
   // kPresenceTimeout. A host that lost its data folder never meets this
@@ -43,6 +48,9 @@
     NodeId node;
     bool is_empty = false;
     Instant received_at;
+    // The first and the last announcement of a series.
+    Instant announced_since;
+    Instant announced_at;
   };
 
   HostId self_;
--- a/sapphirebank/consensus/raft_leader.cc
+++ b/sapphirebank/consensus/raft_leader.cc
@@ -60,12 +60,6 @@
   if (member != nullptr) SendSnapshot(now, *member, *progress, true);
 }
 
-void RaftNode::Handle(Instant /*now*/, const HostId& host,
-                      const PeerMessage& message, const Hello& body) {
-  if (body.answer) return;
-  Send(host, message.from, hard_state_.term, Hello{IsEmpty(), true});
-}
-
 Result<std::uint64_t> RaftNode::StartReadRound() {
   if (role_ != ControlRole::kLeader) {
     return Fail(ErrorKind::kNotLeader, "this control host is not the leader");
--- a/sapphirebank/consensus/raft_node.cc
+++ b/sapphirebank/consensus/raft_node.cc
@@ -85,13 +85,10 @@
 
 void RaftNode::Receive(Instant now, const HostId& host,
                        const PeerMessage& message) {
-  const bool is_hello = std::holds_alternative<Hello>(message.body);
-  if (!is_hello) {
-    if (message.to != self_) return;
-    if (!ReconcileTerm(now, host, message)) return;
-    // There is only one leader in a term.
-    if (role_ == ControlRole::kLeader && IsFromLeader(message)) return;
-  }
+  if (message.to != self_) return;
+  if (!ReconcileTerm(now, host, message)) return;
+  // There is only one leader in a term.
+  if (role_ == ControlRole::kLeader && IsFromLeader(message)) return;
   std::visit([&](const auto& body) { Handle(now, host, message, body); },
              message.body);
 }
--- a/sapphirebank/consensus/raft_node.h
+++ b/sapphirebank/consensus/raft_node.h
@@ -233,8 +233,8 @@
               const AppendResponse& body);
   void Handle(Instant now, const HostId& host, const PeerMessage& message,
               const SnapshotResponse& body);
-  void Handle(Instant now, const HostId& host, const PeerMessage& message,
-              const Hello& body);
+  // Announcements concern the host, which handles them itself.
+  void Handle(Instant, const HostId&, const PeerMessage&, const Hello&) {}
   RaftProgress* UpdateProgress(Instant now, const PeerMessage& message,
                                std::uint64_t round);
   void SyncProgressWithMembership(Instant now);
--- a/unit_tests/consensus/control_group.cc
+++ b/unit_tests/consensus/control_group.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr Duration kStep = std::chrono::milliseconds(10);
+constexpr Duration kConnectPeriod = std::chrono::milliseconds(300);
 constexpr Duration kRunUntilTimeout = std::chrono::minutes(1);
 constexpr WallTime kWallClockStart{std::chrono::hours(24 * 365 * 50)};
 
@@ -29,7 +30,8 @@
 }
 
 std::size_t ControlGroup::IndexOf(const HostId& host) {
-  return static_cast<std::size_t>(host.value().back() - '0');
+  const std::string& id = host.value();
+  return std::stoul(id.substr(id.rfind('-') + 1));
 }
 
 void ControlGroup::Start(std::size_t host) {
@@ -48,6 +50,7 @@
     return;
   }
   hosts_[host].host.emplace(std::move(*created));
+  hosts_[host].seeds = settings.control_hosts;
   hosts_[host].checked = at(host).raft().log().base().index;
 }
 
@@ -91,8 +94,39 @@
   return true;
 }
 
+// Connects a host to those that it knows, as ControlProcess does.
+void ControlGroup::Connect(std::size_t from) {
+  std::vector<HostId> hosts = at(from).HostsToContact(now_);
+  const std::vector<HostId>& seeds = hosts_[from].seeds;
+  hosts.insert(hosts.end(), seeds.begin(), seeds.end());
+  for (const HostId& host : hosts) {
+    const std::size_t to = IndexOf(host);
+    if (to == from || !IsUp(to) || HasLink(from, to)) continue;
+    links_.insert(std::minmax(from, to));
+    at(from).AddHost(host);
+    at(to).AddHost(HostIdOf(from));
+  }
+}
+
+void ControlGroup::DropLostLinks() {
+  std::erase_if(links_, [&](const auto& link) {
+    const auto [a, b] = link;
+    return !IsUp(a) || !IsUp(b) || blocked_links_.contains({a, b}) ||
+           blocked_links_.contains({b, a});
+  });
+}
+
 void ControlGroup::Step() {
   now_ += kStep;
+  if (uses_links_) {
+    if (now_ >= next_connect_) {
+      next_connect_ = now_ + kConnectPeriod;
+      for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        if (IsUp(i)) Connect(i);
+      }
+    }
+    DropLostLinks();
+  }
   std::vector<Packet> due;
   std::erase_if(packets_, [&](Packet& packet) {
     const bool is_due = packet.due <= now_;
@@ -140,6 +174,7 @@
                         const std::vector<PeerEnvelope>& envelopes) {
   for (const PeerEnvelope& envelope : envelopes) {
     const std::size_t to = IndexOf(envelope.host);
+    if (uses_links_ && !HasLink(from, to)) continue;
     if (blocked_links_.contains({from, to}) || random_.Chance(network_.loss))
       continue;
     const int copies = random_.Chance(network_.duplication) ? 2 : 1;
--- a/unit_tests/consensus/control_group.h
+++ b/unit_tests/consensus/control_group.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <map>
@@ -44,6 +45,11 @@
   // Keeps processes running whose data folder fails; otherwise they crash.
   void KeepHostsWithFailedDisks() { crashes_with_disk_ = false; }
 
+  // Lets messages travel over links only. A host connects to the hosts in its
+  // settings and to those of HostsToContact(), as the program does; a link is
+  // lost with a process and while either direction is blocked.
+  void UseLinks() { uses_links_ = true; }
+
   // Starts or stops dropping everything that `from` sends to `to`.
   void BlockLink(std::size_t from, std::size_t to, bool is_blocked = true);
   void Isolate(std::size_t host);
@@ -75,6 +81,9 @@
   // Proposes to the leader until the completion is definite, and returns it.
   Completion Call(const ControlCommand& command);
 
+  static HostId HostIdOf(std::size_t host);
+  static std::size_t IndexOf(const HostId& host);
+
   ControlHost& at(std::size_t host) { return *hosts_[host].host; }
   MemoryFileSystem& files(std::size_t host) { return *hosts_[host].files; }
   Instant now() const { return now_; }
@@ -89,6 +98,7 @@
     std::optional<ControlHost> host;
     LogIndex checked = 0;
     Revision revision = 0;
+    std::vector<HostId> seeds;  // Of the settings.
   };
   struct Packet {
     Instant due;
@@ -97,12 +107,17 @@
     std::string bytes;
   };
 
-  static HostId HostIdOf(std::size_t host);
-  static std::size_t IndexOf(const HostId& host);
   void Step();
+  void Connect(std::size_t from);
+  void DropLostLinks();
+  bool HasLink(std::size_t a, std::size_t b) const {
+    return links_.contains(std::minmax(a, b));
+  }
   void Send(std::size_t from, const std::vector<PeerEnvelope>& envelopes);
   void Flush(std::size_t host);
   void CheckInvariants(std::size_t host);
+  void CheckStamp(const FreshnessStamp& stamp, Term leader_term,
+                  Instant former_rounds_end);
 
   std::uint64_t seed_;
   Random random_;
@@ -111,6 +126,9 @@
   std::vector<Host> hosts_;
   std::vector<Packet> packets_;
   std::set<std::pair<std::size_t, std::size_t>> blocked_links_;
+  bool uses_links_ = false;
+  std::set<std::pair<std::size_t, std::size_t>> links_;
+  Instant next_connect_;
   Instant now_{std::chrono::hours(1)};
   bool crashes_with_disk_ = true;
   RequestToken last_token_ = 0;
