Entry hosts that know the seeds only are sent on to their zone

What callers saw: as before; the election in which the group got a leader that is no seed was caused by 422 entry hosts at three control hosts. Cause: a host without a hub reported to the first seed that answered, and left it after 3 s; each first answer carries the whole state. Ruled out: longer pauses; they delay the return after a loss of power. Change: a control host says in its first message which hubs there are. A host that knew the seeds only turns to the hubs of its zone, the one that it belongs to first, before it reports anywhere. It asks one seed each 200 ms, as one answer suffices.

--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -132,8 +132,13 @@
   if (probe == probes_.end()) return;
   const Instant now = MonotonicNow();
   const std::string address = probe->second.address;
-  const HubState state = {ReadDuration(message.at("age")),
-                          message.at("electing").get<bool>()};
+  HubState state = {ReadDuration(message.at("age")),
+                    message.at("electing").get<bool>()};
+  state.is_member = message.value("member", true);
+  if (const auto hubs = message.find("hubs"); hubs != message.end()) {
+    state.hubs = hubs->get<std::vector<HubHost>>();
+    state.entry_hosts = message.at("entry_hosts").get<std::uint32_t>();
+  }
   if (selector_.RecordProbe(now, address, state,
                             hooks_.leader_update_age(now))) {
     Adopt(link, state);
@@ -143,6 +148,7 @@
   links_.Close(link);
   log_.Write(LogLevel::kInfo, "hub_not_used",
              {{"hub", address},
+              {"is_member", state.is_member},
               {"age_ms", Milliseconds(state.update_age)},
               {"electing", state.is_electing}});
 }
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -152,6 +152,7 @@
 
   // Returns the number of hubs, including this one.
   std::size_t hub_count() const { return hubs_.size(); }
+  const std::vector<HubHost>& hubs() const { return hubs_; }
 
   const ServerRegistry& registry() const { return registry_; }
 
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -57,9 +57,7 @@
     out["rates"][service.value()] = rate;
   }
   if (!update.quarantined.empty()) out["quarantined"] = update.quarantined;
-  for (const HubHost& hub : update.hubs) {
-    out["hubs"].push_back({hub.address, hub.zone.value()});
-  }
+  if (!update.hubs.empty()) out["hubs"] = update.hubs;
   if (!update.detour_hosts.empty()) out["detours"] = update.detour_hosts;
   return out;
 }
@@ -76,17 +74,21 @@
     update.request_rates = MapFromJson<ServiceId, double>(*found);
   }
   ReadOptional(in, "quarantined", update.quarantined);
-  if (const auto found = in.find("hubs"); found != in.end()) {
-    for (const auto& hub : *found) {
-      update.hubs.push_back(
-          {hub.at(0).get<std::string>(), ZoneId(hub.at(1).get<std::string>())});
-    }
-  }
+  ReadOptional(in, "hubs", update.hubs);
   ReadOptional(in, "detours", update.detour_hosts);
 }
 
 }  // namespace
 
+void to_json(json& out, const HubHost& hub) {
+  out = json::array({hub.address, hub.zone.value()});
+}
+
+void from_json(const json& in, HubHost& hub) {
+  in.at(0).get_to(hub.address);
+  hub.zone = ZoneId(in.at(1).get<std::string>());
+}
+
 void to_json(json& out, const ServerAnnouncement& server) {
   out = json::array({server.id.value(), server.service.value(),
                      ToString(server.endpoint), server.zone.value(),
--- a/sapphirebank/fleet/fleet_messages.h
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -37,6 +37,10 @@
   friend bool operator==(const HubHost&, const HubHost&) = default;
 };
 
+// Throws nlohmann::json::exception for malformed input.
+void to_json(nlohmann::json& out, const HubHost& hub);
+void from_json(const nlohmann::json& in, HubHost& hub);
+
 // Report of an entry host to its hub, or of a hub to the leading control host
 // for all entry hosts that report to it. Sent at once when something is needed,
 // otherwise a few times per second.
--- a/sapphirebank/fleet/hub_selector.cc
+++ b/sapphirebank/fleet/hub_selector.cc
@@ -83,7 +83,8 @@
     search_->pop_front();
     if (!probing_.insert(address).second) continue;
     probed_at_[address] = now;
-    next_probe_at_ = now + settings_.probe_interval;
+    next_probe_at_ = now + (known_.empty() ? settings_.seed_probe_interval
+                                           : settings_.probe_interval);
     return address;
   }
   if (probing_.empty()) EndSearchInVain(now);
@@ -159,6 +160,7 @@
 
 void HubSelector::EndSearchInVain(Instant now) {
   search_.reset();
+  sent_on_to_.clear();
   searched_in_vain_ = true;
   const Duration pause =
       hub_.empty() ? std::min<Duration>(settings_.search_pause_without_hub *
@@ -180,8 +182,14 @@
 bool HubSelector::RecordProbe(Instant now, const std::string& address,
                               const HubState& state, Duration update_age) {
   probing_.erase(address);
+  if (!state.is_member) {
+    LearnHubs(now, state);
+    backoff_until_[address] = now + settings_.failure_backoff;
+    return false;
+  }
   const bool is_recent = state.update_age <= settings_.max_new_hub_age;
   if (hub_.empty()) {
+    if (SendOn(now, address, state)) return false;
     // No hub has a newer update during an election, and any one is better than
     // none once all have been probed.
     const bool is_last = search_ && search_->empty() && probing_.empty();
@@ -198,6 +206,50 @@
   return true;
 }
 
+// Adds hubs that this host does not know to those it may choose and to the
+// search that goes on.
+void HubSelector::LearnHubs(Instant now, const HubState& state) {
+  for (const HubHost& hub : state.hubs) {
+    const bool is_new =
+        known_.emplace(hub.address, KnownHub{hub.zone, now}).second;
+    if (!is_new || !search_ || probing_.contains(hub.address)) continue;
+    if (std::find(search_->begin(), search_->end(), hub.address) ==
+        search_->end()) {
+      search_->push_back(hub.address);
+    }
+  }
+}
+
+// Returns whether this host, which knew the seeds only or was sent on before,
+// has to ask another hub than `address`: one of its own zone, the one that it
+// belongs to first.
+bool HubSelector::SendOn(Instant now, const std::string& address,
+                         const HubState& state) {
+  if (!sent_on_to_.empty()) return !sent_on_to_.contains(address);
+  if (!known_.empty() || state.hubs.empty()) return false;
+  LearnHubs(now, state);
+  std::vector<std::string> candidates;
+  for (const HubHost& hub : state.hubs) {
+    if (hub.zone == zone_) candidates.push_back(hub.address);
+  }
+  // Without the number of entry hosts, as at a start of the whole fleet, all
+  // hubs of the zone share them.
+  const std::string assigned = AssignedHub(
+      state.entry_hosts > 0 ? ActiveHubs(state.hubs, zone_, state.entry_hosts)
+                            : candidates,
+      member_);
+  if (assigned.empty() || assigned == address) return false;
+  for (std::size_t i = candidates.size(); i > 1; --i) {
+    std::swap(candidates[i - 1], candidates[random_.Below(i)]);
+  }
+  std::partition(candidates.begin(), candidates.end(),
+                 [&](const std::string& hub) { return hub == assigned; });
+  search_ = Search(candidates.begin(), candidates.end());
+  sent_on_to_ = {candidates.begin(), candidates.end()};
+  next_probe_at_ = now;
+  return true;
+}
+
 void HubSelector::Adopt(Instant now, const std::string& address) {
   hub_ = address;
   failed_searches_ = 0;
@@ -205,6 +257,7 @@
   hub_has_newest_update_ = false;
   search_.reset();
   probing_.clear();
+  sent_on_to_.clear();
   next_search_at_ = now + settings_.first_update_time;
   next_switch_at_ = now + settings_.switch_period;
 }
@@ -212,6 +265,7 @@
 void HubSelector::RecordProbeFailure(Instant now, const std::string& address) {
   probing_.erase(address);
   backoff_until_[address] = now + settings_.failure_backoff;
+  if (hub_.empty()) next_probe_at_ = now;
 }
 
 bool HubSelector::IsHubLost(Instant now, Instant asked_at,
--- a/sapphirebank/fleet/hub_selector.h
+++ b/sapphirebank/fleet/hub_selector.h
@@ -38,6 +38,9 @@
   Duration max_new_hub_age = kRecentUpdateAge;
   // Time between the starts of two probes of one search.
   Duration probe_interval = std::chrono::milliseconds(50);
+  // The same for a host that knows the seeds only, as all others that start
+  // then: one of them suffices to learn the rest.
+  Duration seed_probe_interval = std::chrono::milliseconds(200);
   // A hub that failed is probed again only after this time.
   Duration failure_backoff = std::chrono::seconds(2);
   // Pause after a search in vain, for a host with a hub, varied by half, and
@@ -70,6 +73,12 @@
   // Time since a quorum last confirmed the leader that the hub follows.
   Duration update_age{};
   bool is_electing = false;
+  // Whether it belongs to the control group; otherwise it is no hub.
+  bool is_member = true;
+  // The hubs that it knows, and the number of entry hosts or 0; earlier builds
+  // say neither.
+  std::vector<HubHost> hubs = {};
+  std::uint32_t entry_hosts = 0;
 };
 
 // Chooses the hub of an entry host. Any hub serves while its leader update is
@@ -83,6 +92,10 @@
 // better off: hundreds of hosts would search at once. A hub on the wrong side
 // of a partition lists only hubs of its own side, so those listed before remain
 // candidates.
+//
+// A host that has just started knows the seeds only. The first hub that answers
+// it sends it on to its own zone, so that the seeds do not serve the whole
+// fleet at a start.
 class HubSelector {
  public:
   // `zone` and `member` are the zone and the id of this entry host. `seeds`
@@ -147,6 +160,8 @@
   std::string AssignedAddress(Instant now) const;
   Search StartSearch(Instant now);
   void EndSearchInVain(Instant now);
+  void LearnHubs(Instant now, const HubState& state);
+  bool SendOn(Instant now, const std::string& address, const HubState& state);
   void Adopt(Instant now, const std::string& address);
   std::optional<std::string> ProbeAssigned(Instant now);
 
@@ -165,6 +180,8 @@
   std::map<std::string, Instant> probed_at_;
   std::optional<Search> search_;
   std::set<std::string> probing_;
+  // The hubs to which this host was sent on, while it is without a hub.
+  std::set<std::string> sent_on_to_;
   // The last search found no hub with a recent update.
   bool searched_in_vain_ = false;
   // Searches in vain since this host has no hub.
