A control host outside the group is no hub and says so

What callers saw: calls and reports at control hosts that no leader had admitted; no line or gauge told of it. Cause: "not in the group yet" was no state of ControlProcess. Ruled out: hiding it behind the age of the leader update, as before: a host without a hub takes the last one that answers, whatever its age. Outside, it lists only members as hubs, tells entry hosts that it is none, closes links on which one reports all the same (earlier builds), and refuses calls with that cause. Hubs list members only.

--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -136,6 +136,10 @@
   void OnServerRequest(LinkId link, const HostId& from,
                        const nlohmann::json& message);
   void OnCallDone(const nlohmann::json& message);
+  void UpdateMembership(Instant now);
+  bool TurnAway(LinkId link, const Peer& peer);
+  std::vector<HostId> ControlPeers() const;
+  bool IsMemberHost(const HostId& host) const;
   void UpdateHubList();
   void OnPeerCall(LinkId link, const nlohmann::json& message);
   void Send(const std::vector<PeerEnvelope>& messages);
@@ -195,6 +199,11 @@
   std::vector<ReadyHost> ready_hosts_;
   std::vector<ReadyHost> listed_hosts_;  // Those in published_addresses_.
   Instant started_at_;
+  // The members of the control group as of the last look, and whether this host
+  // is one of them.
+  GroupMembership known_membership_;
+  bool is_member_ = false;
+  Instant next_outside_log_at_;
   std::optional<HostId> known_leader_;
   Instant leader_changed_at_;
   RequestToken next_token_ = 1;
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -207,6 +207,7 @@
     call.mapped().callback(
         Fail(ErrorKind::kNoQuorum,
              is_accepted ? "the change is accepted and not in force everywhere"
+             : !is_member_      ? "this control host is outside the group"
              : !may_find_leader ? "no majority of control hosts is in contact"
                                 : "no quorum of control hosts within the call "
                                   "timeout"));
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -77,7 +77,53 @@
                      {"zone", settings_.zone.value()},
                      {"gates", true},
                      {"age", StateAge(now).count()},
-                     {"electing", IsElectingLeader(now)}});
+                     {"electing", IsElectingLeader(now)},
+                     {"member", is_member_},
+                     {"hubs", hub_.hubs()},
+                     {"entry_hosts", now - started_at_ < kReadyHostsKnownAfter
+                                         ? 0
+                                         : ready_hosts_.size()}});
+}
+
+// Follows whether this host belongs to the control group.
+void ControlProcess::UpdateMembership(Instant now) {
+  const GroupMembership& membership = host_.raft().membership();
+  if (membership == known_membership_ && now < next_outside_log_at_) return;
+  const bool was_member = is_member_;
+  known_membership_ = membership;
+  is_member_ = host_.IsMember();
+  metrics_->metrics().SetControlGroupMember(is_member_);
+  UpdateHubList();
+  if (is_member_) {
+    next_outside_log_at_ = Instant::max();
+    if (!was_member) {
+      log_.Write(LogLevel::kInfo, "group_joined",
+                 {{"members", membership.members().size()},
+                  {"after_ms", ToSeconds(now - started_at_) * 1e3}});
+    }
+    return;
+  }
+  if (!was_member && now < next_outside_log_at_) return;
+  next_outside_log_at_ = now + kOutsideLogPeriod;
+  const auto linked =
+      std::count_if(peers_.begin(), peers_.end(),
+                    [](const auto& item) { return item.second.is_control; });
+  log_.Write(LogLevel::kWarning, "outside_group",
+             {{"cause", linked == 0 ? "no control host is linked"
+                                    : "no leader has admitted this host yet"},
+              {"linked_control_hosts", linked},
+              {"after_ms", ToSeconds(now - started_at_) * 1e3}});
+}
+
+// Closes the link of an entry host to a control host that is no hub, and
+// returns whether it did. The entry host turns to another one.
+bool ControlProcess::TurnAway(LinkId link, const Peer& peer) {
+  if (is_member_ || peer.is_control) return false;
+  log_.Write(LogLevel::kInfo, "entry_host_turned_away",
+             {{"peer", peer.host.value()},
+              {"cause", "this control host is outside the group"}});
+  links_.Close(link);
+  return true;
 }
 
 bool ControlProcess::IsElectingLeader(Instant now) const {
@@ -217,7 +263,7 @@
       const auto decoded = DecodePeerMessage(CborBytes(message.at("m")));
       if (decoded) host_.Receive(peer.heard_at, from, *decoded);
     } else if (type == "ask") {
-      OnServerRequest(link, from, message);
+      if (!TurnAway(link, peer)) OnServerRequest(link, from, message);
       return;
     } else if (type == "end") {
       hub_.EndAssignment(
@@ -225,6 +271,7 @@
           ReadEnum(message.at("end"), AssignmentOutcome::kInconclusive));
       return;
     } else if (type == "report") {
+      if (TurnAway(link, peer)) return;
       OnReport(link, from, message);
     } else if (type == "applied") {
       gate_.RecordApplied(from, message.at("c").get<std::uint64_t>());
@@ -268,10 +315,26 @@
   if (is_leader_) links_.Send(link, {{"t", "ready"}, {"list", ready_hosts_}});
 }
 
+std::vector<HostId> ControlProcess::ControlPeers() const {
+  std::vector<HostId> hosts;
+  for (const auto& [link, peer] : peers_) {
+    if (peer.is_control) hosts.push_back(peer.host);
+  }
+  return hosts;
+}
+
+bool ControlProcess::IsMemberHost(const HostId& host) const {
+  const auto& members = known_membership_.members();
+  return std::any_of(
+      members.begin(), members.end(),
+      [&](const GroupMember& member) { return member.host == host; });
+}
+
 void ControlProcess::UpdateHubList() {
   std::vector<HubHost> hubs;
   for (const auto& [link, peer] : peers_) {
-    if (!peer.is_control) continue;
+    // A host outside the group has nothing to tell entry hosts.
+    if (!peer.is_control || !IsMemberHost(peer.host)) continue;
     const HubHost hub = {peer.host.value(), peer.zone};
     if (std::find(hubs.begin(), hubs.end(), hub) == hubs.end()) {
       hubs.push_back(hub);
--- a/sapphirebank/telemetry/fleet_metrics.cc
+++ b/sapphirebank/telemetry/fleet_metrics.cc
@@ -100,6 +100,9 @@
                           "Revision of the configuration in force.")),
       freshness_age_(Register<Gauge>("sapphirebank_control_stamp_age_seconds",
                                      "Age of the freshest stamp of control.")),
+      control_group_member_(Register<Gauge>(
+          "sapphirebank_control_group_member",
+          "1 on a control host that belongs to the control group, else 0.")),
       members_(Register<Gauge>("sapphirebank_members",
                                "Members of the fleet by state.")),
       zone_in_service_(
@@ -205,6 +208,10 @@
   freshness_age_.Add({}).Set(ToSeconds(age));
 }
 
+void FleetMetrics::SetControlGroupMember(bool is_member) {
+  control_group_member_.Add({}).Set(is_member ? 1 : 0);
+}
+
 void FleetMetrics::SetMembers(const MemberCounts& counts) {
   const std::pair<const char*, std::size_t> counts_by_state[] = {
       {"alive", counts.alive},
--- a/sapphirebank/telemetry/fleet_metrics.h
+++ b/sapphirebank/telemetry/fleet_metrics.h
@@ -94,6 +94,9 @@
   // Sets the age of the newest control stamp that this host has received.
   void SetFreshnessAge(Duration age);
 
+  // Sets whether this control host belongs to the control group.
+  void SetControlGroupMember(bool is_member);
+
   // Sets the number of members by state, as this host sees them.
   void SetMembers(const MemberCounts& counts);
 
@@ -139,6 +142,7 @@
   Family<prometheus::Histogram>& detection_;
   Family<prometheus::Gauge>& configuration_revision_;
   Family<prometheus::Gauge>& freshness_age_;
+  Family<prometheus::Gauge>& control_group_member_;
   Family<prometheus::Gauge>& members_;
   Family<prometheus::Gauge>& zone_in_service_;
   Family<prometheus::Counter>& control_bytes_;
