A new leader holds changes back only for what its predecessor may have confirmed

Cause: leases of the former leader are unknown to the next one, which counted them from its own election. Ruled out: a shorter lease, since all hosts would refuse during an election; asking every control host, since one that stalls does not answer. Change: a voter says with its vote how long it has not heard a leader. A majority voted and does not answer the former leader any more, so none of its rounds that began later was confirmed (RaftNode::former_rounds_end); the 2 s are counted from there. An earlier build says nothing and counts as having heard it just now. A former leader forgets the views of its relays, which report to the next one; it held back the next leader for them. Conclusion: the time of an election and that of a lease overlap, they do not add up.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -311,11 +311,16 @@
   is_leader_ = leads;
   if (!leads) {
     hub_.BecomeRelay();
+    gate_.EndLeadership(ControlPeers());
     is_first_report_ = true;
     return;
   }
   hub_.BecomeLeader(now);
-  gate_.BecomeLeader(now, host_.state().fleet().changes());
+  const Instant former_rounds_end = host_.raft().former_rounds_end();
+  gate_.BecomeLeader(now, host_.state().fleet().changes(), former_rounds_end);
+  log_.Write(LogLevel::kInfo, "leadership_begun",
+             {{"term", host_.raft().term()},
+              {"former_silence_ms", ToSeconds(now - former_rounds_end) * 1e3}});
   hub_.InheritReadyHosts(now, ready_hosts_);
   is_confirming_ = false;
   next_confirm_ = now;
--- a/sapphirebank/consensus/peer_message.cc
+++ b/sapphirebank/consensus/peer_message.cc
@@ -46,11 +46,15 @@
 
 static void to_json(json& out, const VoteResponse& body) {
   out = {{"pre_vote", body.pre_vote}, {"granted", body.granted}};
+  if (body.leader_silence) out["silence"] = body.leader_silence->count();
 }
 
 static void from_json(const json& in, VoteResponse& body) {
   in.at("pre_vote").get_to(body.pre_vote);
   in.at("granted").get_to(body.granted);
+  if (const auto silence = in.find("silence"); silence != in.end()) {
+    body.leader_silence = Duration(silence->get<Duration::rep>());
+  }
 }
 
 static void to_json(json& out, const AppendRequest& body) {
--- a/sapphirebank/consensus/peer_message.h
+++ b/sapphirebank/consensus/peer_message.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -9,6 +10,7 @@
 
 #include "sapphirebank/consensus/log_entry.h"
 #include "sapphirebank/core/error.h"
+#include "sapphirebank/core/time.h"
 
 namespace sapphirebank {
 
@@ -25,6 +27,9 @@
 struct VoteResponse {
   bool pre_vote = false;
   bool granted = false;
+  // With a granted vote: the time since the sender heard a leader, was one, or
+  // started. Earlier builds do not say it.
+  std::optional<Duration> leader_silence = {};
 };
 
 // Sends the entries that follow `previous`. Without entries it is a heartbeat.
--- a/sapphirebank/consensus/raft_election.cc
+++ b/sapphirebank/consensus/raft_election.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <cassert>
 
 #include "sapphirebank/consensus/raft_node.h"
@@ -29,23 +30,26 @@
     Send(member.host, member.node, hard_state_.term + 1,
          VoteRequest{true, false, log_.last()});
   }
-  CountVote(now, self_);
+  CountVote(now, self_, last_leader_contact_);
 }
 
 void RaftNode::RequestVotes(Instant now, bool transfer) {
   SetTerm(hard_state_.term + 1);
   hard_state_.vote = self_;
   votes_.clear();
+  former_rounds_end_ = last_leader_contact_;
   for (const GroupMember& member : membership().members()) {
     if (!member.voter || member.node == self_) continue;
     Send(member.host, member.node, hard_state_.term,
          VoteRequest{false, transfer, log_.last()});
   }
-  CountVote(now, self_);
+  CountVote(now, self_, last_leader_contact_);
 }
 
-void RaftNode::CountVote(Instant now, const NodeId& voter) {
+void RaftNode::CountVote(Instant now, const NodeId& voter,
+                         Instant leader_heard_at) {
   if (membership().IsVoter(voter)) votes_.insert(voter);
+  former_rounds_end_ = std::max(former_rounds_end_, leader_heard_at);
   if (votes_.size() < membership().Quorum()) return;
   if (role_ == ControlRole::kPreCandidate) {
     ApplyEvent(Event::kPreVoteWon);
@@ -127,7 +131,9 @@
   if (body.transfer && !is_up_to_date) {
     SetElectionDeadline(now, settings_.heartbeat_interval / 4);
   }
-  Reply(host, message, VoteResponse{false, granted});
+  VoteResponse response{false, granted};
+  if (granted) response.leader_silence = now - last_leader_contact_;
+  Reply(host, message, response);
 }
 
 void RaftNode::Handle(Instant now, const HostId& /*host*/,
@@ -136,10 +142,11 @@
   if (body.pre_vote) {
     const bool is_current = role_ == ControlRole::kPreCandidate &&
                             message.term == hard_state_.term + 1;
-    if (is_current) CountVote(now, message.from);
+    if (is_current) CountVote(now, message.from, last_leader_contact_);
     return;
   }
-  if (role_ == ControlRole::kCandidate) CountVote(now, message.from);
+  if (role_ != ControlRole::kCandidate) return;
+  CountVote(now, message.from, now - body.leader_silence.value_or(Duration()));
 }
 
 void RaftNode::Handle(Instant now, const HostId& /*host*/,
--- a/sapphirebank/consensus/raft_node.h
+++ b/sapphirebank/consensus/raft_node.h
@@ -154,6 +154,10 @@
   // Returns when this node became leader, if it is one.
   Instant leader_since() const { return leader_since_; }
 
+  // Returns, on a leader, a time such that no other leader has confirmed a
+  // round that began later: a majority has not answered any since.
+  Instant former_rounds_end() const { return former_rounds_end_; }
+
   // Returns when this node last received a message from a leader, or was last
   // leader itself.
   Instant last_leader_contact() const { return last_leader_contact_; }
@@ -207,7 +211,8 @@
   // raft_election.cc
   void StartElection(Instant now, bool transfer);
   void RequestVotes(Instant now, bool transfer);
-  void CountVote(Instant now, const NodeId& voter);
+  // `leader_heard_at` is when the voter last heard a leader, at the latest.
+  void CountVote(Instant now, const NodeId& voter, Instant leader_heard_at);
   void BecomeLeader(Instant now);
   bool HasLiveLeader(Instant now) const;
   bool ReconcileTerm(Instant now, const HostId& host,
@@ -268,6 +273,8 @@
   Instant last_leader_contact_;
   Instant election_deadline_;
   std::set<NodeId> votes_;
+  // The latest time at which one of those who voted heard a leader.
+  Instant former_rounds_end_;
   bool transfer_election_ = false;
 
   // Used by a leader only.
--- a/sapphirebank/fleet/change_gate.cc
+++ b/sapphirebank/fleet/change_gate.cc
@@ -5,13 +5,19 @@
 namespace sapphirebank {
 
 ChangeGate::ChangeGate(ViewLeaseSettings settings, Instant start)
-    : settings_(settings), known_since_(start) {}
+    : settings_(settings), own_known_since_(start), known_since_(start) {}
 
-void ChangeGate::BecomeLeader(Instant now, std::uint64_t changes) {
-  known_since_ = now;
+void ChangeGate::BecomeLeader(Instant now, std::uint64_t changes,
+                              Instant former_rounds_end) {
+  known_since_ = std::max(own_known_since_, former_rounds_end);
   commits_ = {{changes, now}};
 }
 
+void ChangeGate::EndLeadership(std::span<const HostId> relays) {
+  known_since_ = own_known_since_;
+  for (const HostId& relay : relays) views_.erase(relay);
+}
+
 void ChangeGate::RecordCommit(Instant now, std::uint64_t changes) {
   if (!commits_.empty() && commits_.back().changes >= changes) return;
   commits_.push_back({changes, now});
--- a/sapphirebank/fleet/change_gate.h
+++ b/sapphirebank/fleet/change_gate.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <span>
 #include <vector>
 
 #include "sapphirebank/core/ids.h"
@@ -34,9 +35,15 @@
   // earlier process are unknown to this one.
   ChangeGate(ViewLeaseSettings settings, Instant start);
 
-  // Records that this host began to lead, with `changes` in its record. Who
-  // reported to the leader before is unknown to this one.
-  void BecomeLeader(Instant now, std::uint64_t changes);
+  // Records that this host began to lead, with `changes` in its record. Which
+  // views the former leader confirmed is unknown to this one, but it confirmed
+  // none as of a time after `former_rounds_end`.
+  void BecomeLeader(Instant now, std::uint64_t changes,
+                    Instant former_rounds_end);
+
+  // Records that this host leads no longer. Its relays confirm changes to the
+  // next leader.
+  void EndLeadership(std::span<const HostId> relays);
 
   // Leader only: records that the record has `changes` changes now.
   void RecordCommit(Instant now, std::uint64_t changes);
@@ -99,7 +106,9 @@
   Instant CommitTime(std::uint64_t change) const;
 
   ViewLeaseSettings settings_;
-  // Views that were confirmed before then may be unknown.
+  // Views that were confirmed by this host, and by any leader, before these
+  // times may be unknown.
+  Instant own_known_since_;
   Instant known_since_;
   std::map<HostId, View> views_;
   // The commits of the last lease, oldest first.
--- a/unit_tests/consensus/control_group.cc
+++ b/unit_tests/consensus/control_group.cc
@@ -161,7 +161,12 @@
       violations_.push_back(fmt::format("token {} was completed twice", token));
     }
   }
-  if (effects.stamp) stamps_.push_back(*effects.stamp);
+  if (effects.stamp) {
+    stamps_.push_back(*effects.stamp);
+    for (const auto& [term, end] : former_rounds_ends_) {
+      CheckStamp(*effects.stamp, term, end);
+    }
+  }
   if (effects.failure && crashes_with_disk_) {
     Crash(host);
     return;
@@ -195,6 +200,12 @@
       violations_.push_back(
           fmt::format("more than one leader in term {}", raft.term()));
     }
+    const Instant end = raft.former_rounds_end();
+    if (former_rounds_ends_.emplace(raft.term(), end).second) {
+      for (const FreshnessStamp& stamp : stamps_) {
+        CheckStamp(stamp, raft.term(), end);
+      }
+    }
   }
   checked.checked = std::max(checked.checked, raft.log().base().index);
   for (; checked.checked < raft.commit(); ++checked.checked) {
@@ -208,6 +219,17 @@
   }
 }
 
+void ControlGroup::CheckStamp(const FreshnessStamp& stamp, Term leader_term,
+                              Instant former_rounds_end) {
+  if (stamp.term >= leader_term) return;
+  const WallTime end = kWallClockStart + former_rounds_end.time_since_epoch();
+  if (stamp.issued_at <= end) return;
+  violations_.push_back(
+      fmt::format("the leader of term {} confirmed a round after the end that "
+                  "the leader of term {} stated",
+                  stamp.term, leader_term));
+}
+
 std::optional<std::size_t> ControlGroup::Leader() const {
   std::optional<std::size_t> leader;
   for (std::size_t i = 0; i < hosts_.size(); ++i) {
--- a/unit_tests/consensus/control_group.h
+++ b/unit_tests/consensus/control_group.h
@@ -20,7 +20,8 @@
 // Simulation of a group of control hosts in one process, with a fake clock,
 // in-memory file systems and a network with configurable faults. After every
 // step it checks the invariants of Raft: at most one leader per term, and the
-// same committed entries on every host.
+// same committed entries on every host; and that no former leader confirms a
+// round that began after the time which a leader states for that.
 class ControlGroup {
  public:
   // Probability and extent of network faults.
@@ -134,6 +135,7 @@
   RequestToken last_token_ = 0;
   std::map<RequestToken, Completion> completions_;
   std::map<Term, NodeId> leaders_;
+  std::map<Term, Instant> former_rounds_ends_;  // By the term of the leader.
   std::map<LogIndex, LogEntry> committed_;
   std::vector<FreshnessStamp> stamps_;
   std::vector<std::string> violations_;
--- a/unit_tests/fleet/change_gate_simulation.h
+++ b/unit_tests/fleet/change_gate_simulation.h
@@ -105,7 +105,7 @@
       host.next_report_at =
           kStartTime + FromSeconds(random_.Unit() * ToSeconds(kReportTime));
     }
-    hubs_[0].gate.BecomeLeader(kStartTime, 0);
+    hubs_[0].gate.BecomeLeader(kStartTime, 0, kStartTime);
   }
 
   Outcome Run() {
@@ -224,7 +224,8 @@
     leader_ = settings_.cut_hubs;
     Hub& hub = hubs_[static_cast<std::size_t>(leader_)];
     hub.record = committed_;
-    hub.gate.BecomeLeader(now, committed_);
+    // Nobody answered the former leader after the cut.
+    hub.gate.BecomeLeader(now, committed_, cut_at);
   }
 
   void UpdateOutages(Instant now) {
--- a/unit_tests/fleet/change_gate_test.cc
+++ b/unit_tests/fleet/change_gate_test.cc
@@ -49,7 +49,9 @@
   ViewLeaseSettings settings = TestSettings();
   ChangeGate gate{settings, kStart - seconds(60)};
 
-  LeaderGate() { gate.BecomeLeader(kStart - seconds(30), 0); }
+  LeaderGate() {
+    gate.BecomeLeader(kStart - seconds(30), 0, kStart - seconds(30));
+  }
   bool MayAcknowledge(Instant now, std::uint64_t change) const {
     return gate.MayAcknowledge(now, change, settings.plan_bound);
   }
@@ -140,7 +142,7 @@
 TEST_CASE("a new leader waits for the leases that the last one gave",
           "[fleet]") {
   LeaderGate leader;
-  leader.gate.BecomeLeader(kStart, 7);
+  leader.gate.BecomeLeader(kStart, 7, kStart);
   leader.gate.RecordConfirmation(kStart, kHost, kStart, 0);
   leader.gate.RecordApplied(kHost, 7);
   CHECK_FALSE(leader.MayAcknowledge(kStart + milliseconds(1999), 7));
@@ -148,6 +150,41 @@
   CHECK(leader.MayAcknowledge(kStart + seconds(2), 7));
 }
 
+// Guards against changes that wait for 2 s from an election on although nobody
+// has answered the former leader for as long as the election took.
+TEST_CASE("a new leader waits from the end of its predecessor's last round on",
+          "[fleet]") {
+  LeaderGate leader;
+  leader.gate.BecomeLeader(kStart, 7, kStart - milliseconds(1500));
+  CHECK_FALSE(leader.MayAcknowledge(kStart + milliseconds(499), 7));
+  CHECK(leader.MayAcknowledge(kStart + milliseconds(500), 7));
+  leader.gate.RecordConfirmation(kStart, kHost, kStart, 0);
+  CHECK_FALSE(leader.MayAcknowledge(kStart + milliseconds(500), 7));
+}
+
+TEST_CASE("a leader that restarted does not know what it confirmed before",
+          "[fleet]") {
+  ChangeGate gate(TestSettings(), kStart);
+  gate.BecomeLeader(kStart + milliseconds(100), 7, kStart - seconds(5));
+  gate.RecordCommit(kStart + milliseconds(200), 8);
+  const Duration bound = gate.settings().plan_bound;
+  CHECK_FALSE(gate.MayAcknowledge(kStart + milliseconds(1999), 8, bound));
+  CHECK(gate.MayAcknowledge(kStart + seconds(2), 8, bound));
+}
+
+TEST_CASE("a former leader vouches for its own hosts, not for its relays",
+          "[fleet]") {
+  const HostId relay("relay-1");
+  ChangeGate gate(TestSettings(), kStart - seconds(30));
+  gate.BecomeLeader(kStart - seconds(30), 0, kStart - seconds(30));
+  gate.RecordConfirmation(kStart, relay, kStart, 0);
+  gate.RecordConfirmation(kStart, kHost, kStart, 0);
+  gate.RecordApplied(kHost, 5);
+  CHECK(gate.AppliedByAll(kStart, 5) == 0);
+  gate.EndLeadership(std::vector<HostId>{relay});
+  CHECK(gate.AppliedByAll(kStart, 5) == 5);
+}
+
 TEST_CASE("a relay that restarted vouches for no host until leases end",
           "[fleet]") {
   ChangeGate relay(TestSettings(), kStart);
