A vote without a winner is repeated sooner than a leader is given up

With one of five control hosts standing still, two of the others stood for election at the same time and each got two votes; the next try came after another election timeout or two. Cause: the timeout for the silence of a leader is used again although that silence has been waited out. Class: a wait that does not know what it waits for. Ruled out: a shorter election timeout, which replaces leaders that are only late. Conclusion: the time of an election has a limit for one undecided vote; two in a row have none.

--- a/sapphirebank/consensus/raft_election.cc
+++ b/sapphirebank/consensus/raft_election.cc
@@ -17,7 +17,8 @@
 
 void RaftNode::StartElection(Instant now, bool transfer) {
   ApplyEvent(Event::kElectionTimeout);
-  ResetElectionDeadline(now);
+  SetElectionDeadline(now, RetryTimeout());
+  ++elections_without_leader_;
   leader_.reset();
   votes_.clear();
   if (transfer) {
@@ -33,6 +34,16 @@
   CountVote(now, self_, last_leader_contact_);
 }
 
+// The silence of the leader has been waited out, so a vote without a winner is
+// repeated sooner, unless that happens again and again.
+Duration RaftNode::RetryTimeout() const {
+  constexpr int kMaxDoublings = 8;
+  const int doublings = std::min(elections_without_leader_, kMaxDoublings);
+  return std::min<Duration>(
+      settings_.election_timeout,
+      settings_.first_election_timeout * (1 << doublings));
+}
+
 void RaftNode::RequestVotes(Instant now, bool transfer) {
   SetTerm(hard_state_.term + 1);
   hard_state_.vote = self_;
@@ -64,6 +75,7 @@
   assert(hard_state_.vote == self_);
   leader_ = self_;
   last_leader_contact_ = now;
+  elections_without_leader_ = 0;
   leader_since_ = now;
   next_heartbeat_ = now;
   round_requested_ = true;
--- a/sapphirebank/consensus/raft_follower.cc
+++ b/sapphirebank/consensus/raft_follower.cc
@@ -11,6 +11,7 @@
   ApplyEvent(Event::kLeaderHeard);
   leader_ = message.from;
   last_leader_contact_ = now;
+  elections_without_leader_ = 0;
   ResetElectionDeadline(now);
 }
 
--- a/sapphirebank/consensus/raft_node.h
+++ b/sapphirebank/consensus/raft_node.h
@@ -30,7 +30,8 @@
   Duration election_timeout = std::chrono::milliseconds(600);
   // Election timeout of a node that has just started. It has no contact with a
   // leader to wait out, so it may be shorter; the pre-vote keeps the node from
-  // disturbing a leader that exists.
+  // disturbing a leader that exists. Also the first timeout after which a vote
+  // without a winner is repeated, doubled each time up to election_timeout.
   Duration first_election_timeout = std::chrono::milliseconds(600);
   std::size_t max_append_bytes = 256UL << 10;
   std::size_t snapshot_chunk_bytes = 256UL << 10;
@@ -210,6 +211,7 @@
 
   // raft_election.cc
   void StartElection(Instant now, bool transfer);
+  Duration RetryTimeout() const;
   void RequestVotes(Instant now, bool transfer);
   // `leader_heard_at` is when the voter last heard a leader, at the latest.
   void CountVote(Instant now, const NodeId& voter, Instant leader_heard_at);
@@ -273,6 +275,8 @@
   Instant last_leader_contact_;
   Instant election_deadline_;
   std::set<NodeId> votes_;
+  // Elections that this node started since it knew a leader.
+  int elections_without_leader_ = 0;
   // The latest time at which one of those who voted heard a leader.
   Instant former_rounds_end_;
   bool transfer_election_ = false;
