A host that lost its hub probes the next one at once

Cause: with the seeds probed 200 ms apart since, a host that knows the seeds only and lost its hub within that time waited for the rest of it. Ruled out: changing the expectation of the test: 50 ms is what a caller waits. Change: the loss of a hub ends the interval of the probes before it. Measured result: "a host without a hub takes one without a leader after all others" failed at (hub_selector_test.cc:375) and passes. Conclusion: the interval spreads a start and delays nothing else.

--- a/sapphirebank/fleet/hub_selector.cc
+++ b/sapphirebank/fleet/hub_selector.cc
@@ -281,6 +281,7 @@
   hub_has_newest_update_ = false;
   search_.reset();
   next_search_at_ = now;
+  next_probe_at_ = now;
 }
 
 }  // namespace sapphirebank
