The simulation of the chain notices leases counted from an election

Cause: the row of a former leader's leases was measured from the time that the gate was given, so that a gate which was given the election's time kept it. Ruled out: the other rows, which do not use that time. Change: the row is measured from the end of the former leader's last round; a test plays the gate of the build before and expects the row to break.

--- a/unit_tests/fleet/change_chain_simulation.h
+++ b/unit_tests/fleet/change_chain_simulation.h
@@ -242,11 +242,10 @@
           leader_lost_at_.reset();
         }
         hub.leads_since = now;
-        hub.former_rounds_end = settings_.uses_former_rounds_end
-                                    ? host.raft().former_rounds_end()
-                                    : now;
-        hub.gate.BecomeLeader(now, RecordOf(index).changes(),
-                              hub.former_rounds_end);
+        hub.former_rounds_end = host.raft().former_rounds_end();
+        hub.gate.BecomeLeader(
+            now, RecordOf(index).changes(),
+            settings_.uses_former_rounds_end ? hub.former_rounds_end : now);
       } else {
         std::vector<HostId> others;
         for (std::size_t i = 0; i < hubs_.size(); ++i) {
--- a/unit_tests/fleet/change_chain_test.cc
+++ b/unit_tests/fleet/change_chain_test.cc
@@ -70,6 +70,27 @@
   for (const ChainTrouble trouble : kTroubles) CheckRun(trouble, seed);
 }
 
+// The simulation has to notice a leader that counts from its own election.
+TEST_CASE("leases counted from an election break the limit of their hop",
+          "[chain]") {
+  ChainSettings settings;
+  settings.trouble = ChainTrouble::kLeaderDisk;
+  settings.uses_former_rounds_end = false;
+  const auto limits = ChangeHopLimits(settings.lease, settings.hubs);
+  const Duration limit =
+      limits[static_cast<std::size_t>(ChangeHop::kFormerLeader)].limit;
+  int broken = 0;
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    const auto outcome = ChangeChainSimulation(settings, seed).Run();
+    const auto longest = outcome.longest_hops.find(ChangeHop::kFormerLeader);
+    if (longest != outcome.longest_hops.end() &&
+        longest->second > limit + kStep) {
+      ++broken;
+    }
+  }
+  CHECK(broken > 0);
+}
+
 // The same over many seeds; run by hand: unit_tests "[chain_seeds]".
 TEST_CASE("a change is answered in time over 1,000 seeds", "[.chain_seeds]") {
   const auto seed = GENERATE(range<std::uint64_t>(1, 1001));
