Format of the control group of tests

Ruled out: other files, which it names none of. Change: format only. Measured result: the check of the format passes. Conclusion: nothing else.

--- a/unit_tests/consensus/control_group.h
+++ b/unit_tests/consensus/control_group.h
@@ -56,9 +56,7 @@
   void Suspend(std::size_t host, bool is_suspended = true) {
     hosts_[host].is_suspended = is_suspended;
   }
-  bool IsSuspended(std::size_t host) const {
-    return hosts_[host].is_suspended;
-  }
+  bool IsSuspended(std::size_t host) const { return hosts_[host].is_suspended; }
 
   // Starts or stops dropping everything that `from` sends to `to`.
   void BlockLink(std::size_t from, std::size_t to, bool is_blocked = true);
