--- a/unit_tests/fleet/hub_discovery_test.cc
+++ b/unit_tests/fleet/hub_discovery_test.cc
@@ -29,6 +29,7 @@
 // Hub i is in zone i mod 6; the first three are the seeds.
 std::vector<HubHost> Hubs(int count) {
   std::vector<HubHost> hubs;
+  hubs.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) hubs.push_back({HubAddress(i), ZoneOf(i)});
   return hubs;
 }
