Test of the decision thread: a promise outlives the call that fulfils it

Cause: the waiting thread destroyed the promise while set_value() was still running on the other one; UndefinedBehaviorSanitizer stopped there. Ruled out: DecisionThread itself, which is not on that path. Change: the promise is shared by both threads. Conclusion: a fault of the test.

--- a/unit_tests/transport/decision_thread_test.cc
+++ b/unit_tests/transport/decision_thread_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <future>
+#include <memory>
 #include <string>
 #include <thread>
 
@@ -17,21 +18,21 @@
 class BusyThread {
  public:
   BusyThread() {
-    std::promise<void> is_running;
-    thread.Post([this, &is_running] {
-      is_running.set_value();
+    const auto is_running = std::make_shared<std::promise<void>>();
+    thread.Post([this, is_running] {
+      is_running->set_value();
       release_.get_future().wait();
     });
-    is_running.get_future().wait();
+    is_running->get_future().wait();
   }
 
   void Release() { release_.set_value(); }
 
   // Waits until the steps posted before have run.
   void Wait() {
-    std::promise<void> is_done;
-    thread.Post([&is_done] { is_done.set_value(); });
-    is_done.get_future().wait();
+    const auto is_done = std::make_shared<std::promise<void>>();
+    thread.Post([is_done] { is_done->set_value(); });
+    is_done->get_future().wait();
   }
 
  private:
