Entry hosts log requests whose bytes leave late

Cause: no log told when the bytes of a request had left, so a late request at a server that had left could not be put down to its check or to its way.

Change: SendWatch looks each 0.1 s at what the peer has not acknowledged (SIOCOUTQ); request_left_late has the way, the check before it, what was left of the lease, the changes of the view and whether the server had left. No decision reads it.

Ruled out: a line for each request, as most leave before the first look; the time of the write, as the system takes bytes that wait for the link.

--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -114,6 +114,14 @@
     return !AttemptsAreOver() && state_.view().IsCurrent(at) &&
            state_.view().MayReceiveRequests(at, *server);
   };
+  Instant last_check;
+  exchange.may_send = [check = std::move(exchange.may_send), &last_check] {
+    last_check = MonotonicNow();
+    return check();
+  };
+  exchange.on_left = [this, server, &context, &last_check](Duration way) {
+    LogLongWay(context, *server, last_check, way);
+  };
   const std::shared_ptr<CallerWatch> watch = AddAttemptWatch();
   asio::steady_timer timer(loop_);
   std::shared_ptr<void> guard;
@@ -193,6 +201,25 @@
   return attempt;
 }
 
+void EntryRequestHandler::LogLongWay(const RequestContext& context,
+                                     const KnownServer& server,
+                                     Instant checked_at, Duration way) {
+  const EntryView& view = state_.view();
+  const Instant now = MonotonicNow();
+  const auto milliseconds = [](Duration time) { return ToSeconds(time) * 1e3; };
+  log_.Write(
+      LogLevel::kInfo, "request_left_late",
+      {{"request_id", context.info.id.value()},
+       {"server", server.state.announcement.id.value()},
+       {"bytes", context.request.body.size()},
+       {"before_check_ms", milliseconds(checked_at - context.arrival_time)},
+       {"way_ms", milliseconds(way)},
+       {"lease_left_ms", milliseconds(view.current_until() - now)},
+       {"update_age_ms", milliseconds(view.LeaderUpdateAge(now))},
+       {"changes", view.applied_changes()},
+       {"server_has_left", !view.MayReceiveRequests(now, server)}});
+}
+
 void EntryRequestHandler::LogFailedAttempt(const RequestContext& context,
                                            const KnownServer& server,
                                            const AttemptFailure& failure) {
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -115,6 +115,10 @@
                                            const std::string& host,
                                            AttemptResult& last);
 
+  // Logs a request that was checked at `checked_at` and whose bytes left `way`
+  // after the first one.
+  void LogLongWay(const RequestContext& context, const KnownServer& server,
+                  Instant checked_at, Duration way);
   void LogFailedAttempt(const RequestContext& context,
                         const KnownServer& server,
                         const AttemptFailure& failure);
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -69,6 +69,9 @@
   // record can be overdue here. Requests may be handled only then.
   bool IsCurrent(Instant now) const { return now < current_until_; }
 
+  // Returns when the lease of the view ends.
+  Instant current_until() const { return current_until_; }
+
   // Returns the age of the last confirmed update.
   Duration LeaderUpdateAge(Instant now) const { return now - confirmed_as_of_; }
 
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -15,6 +15,8 @@
 #include <optional>
 #include <utility>
 
+#include "sapphirebank/transport/send_watch.h"
+
 namespace sapphirebank {
 namespace {
 
@@ -375,11 +377,13 @@
 
   connection->stream.expires_after(exchange.answer_timeout);
   const auto request = RequestOf(exchange);
+  SendWatch send_watch(loop_, connection->stream.socket(), exchange.on_left);
   const std::size_t sent = co_await http::async_write(
       connection->stream, request, CaptureError(error));
   if (error && sent == 0) {
     co_return Failure(AttemptStage::kNotConnected, error, reused);
   }
+  send_watch.RecordWritten();
   const bool request_truncated = static_cast<bool>(error);
   if (request_truncated) connection->stream.expires_after(kEarlyAnswerTime);
 
@@ -395,6 +399,7 @@
     parser->body_limit(UINT64_MAX);
     if (exchange.method == "HEAD") parser->skip(true);
     co_await ReadHead(*connection, *parser, memory, error);
+    send_watch.End();
     if (error) co_return Failure(AttemptStage::kSent, error, reused);
     is_informational = parser->get().result_int() < 200;
     if (is_informational && ++informational > kMaxInformationalAnswers) {
--- a/sapphirebank/transport/http_client.h
+++ b/sapphirebank/transport/http_client.h
@@ -41,6 +41,10 @@
   // takes time. When it returns false nothing is sent, and the exchange fails
   // with AttemptStage::kWithheld. Null always sends.
   std::function<bool()> may_send;
+  // Called when the peer has acknowledged all bytes of the request, with the
+  // time since the first one, unless that took less than 0.2 s or the peer
+  // answered before. Null does nothing.
+  std::function<void(Duration)> on_left;
   // Open a new connection in place of reusing an idle one.
   bool fresh_connection = false;
 };
