Failing tests: bodies that go on to servers after the lease and the departure

Cause to be shown: nothing looks at a request between its first byte and its last. Two tests with a server that stops reading for 1.2 s: with a lease of 0.5 s, and with a departure that the host learns of while it sends.

Ruled out: that the reset of a time-out ends such requests; TCP_USER_TIMEOUT and the deadline are longer than the limit.

--- a/unit_tests/platform/entry_hosts.h
+++ b/unit_tests/platform/entry_hosts.h
@@ -82,9 +82,16 @@
   // Time for which the host may use what it was told.
   static constexpr Duration kLease = std::chrono::seconds(60);
 
+  static constexpr ViewLeaseSettings kLongLease = {.lease = kLease,
+                                                   .contact_lease = kLease,
+                                                   .plan_bound = kLease,
+                                                   .departure_bound = kLease,
+                                                   .zone_bound = kLease};
+
   // `fleet_port` is 0 for any; all hosts of a test use the same.
   TestEntryHost(LoopThread& loop, const std::string& ip,
-                std::uint16_t fleet_port = 0)
+                std::uint16_t fleet_port = 0,
+                const ViewLeaseSettings& lease = kLongLease)
       : loop_(loop) {
     HttpServerSettings settings;
     settings.ip = ip;
@@ -110,8 +117,7 @@
     state_hooks.end_assignment = [](std::uint64_t, AssignmentOutcome) {};
     state_ = std::make_unique<EntryState>(
         loop.loop(), ReadPlanDocument,
-        ServerPathMonitor::Create(ServerPathSettings()).value(),
-        ViewLeaseSettings{kLease, kLease, kLease, kLease, kLease}, 60,
+        ServerPathMonitor::Create(ServerPathSettings()).value(), lease, 60,
         ZoneId("kochi"), 1, std::move(state_hooks));
     constexpr std::size_t kMaxAnswerBytes = std::size_t{64} << 20U;
     handler_ = std::make_unique<EntryRequestHandler>(
@@ -135,6 +141,7 @@
               Duration age = Duration::zero()) {
     FleetUpdate update;
     update.full_registry = true;
+    update.gates_changes = true;
     for (const Endpoint& server : servers) {
       ServerAnnouncement announcement =
           MakeServer(fmt::format("s{}", update.servers.size()));
@@ -153,15 +160,17 @@
     });
   }
 
-  // Handles a caller's request. Paths below /order/ must run once.
-  HttpAnswer Send(const std::string& path, const std::string& id = "q1") {
+  // Handles a caller's request. Paths below /order/ must run once and have the
+  // body.
+  HttpAnswer Send(const std::string& path, const std::string& id = "q1",
+                  const std::string& body = "body") {
     HttpRequest request;
     request.head = {path.starts_with("/order/") ? "POST" : "GET",
                     path,
                     {{"host", "desk.example"},
                      {"sapphirebank-request-id", id},
                      {"sapphirebank-deadline-ms", "2000"}}};
-    if (request.head.method == "POST") request.body = "body";
+    if (request.head.method == "POST") request.body = body;
     request.watch = std::make_shared<CallerWatch>();
     return loop_.Run(handler_->Handle(std::move(request)));
   }
--- a/unit_tests/platform/entry_lease_test.cc
+++ b/unit_tests/platform/entry_lease_test.cc
@@ -1,10 +1,58 @@
 #include <catch2/catch.hpp>
+#include <future>
 
 #include "unit_tests/platform/entry_hosts.h"
+#include "unit_tests/transport/scripted_server.h"
 
 namespace sapphirebank {
 namespace {
 
+using std::chrono::milliseconds;
+
+// Longer than the socket buffers on both sides.
+constexpr std::size_t kLongBody = std::size_t{24} << 20U;
+
+// A server that reads the head of a request, stops reading for a while, and
+// then reads on to the end of the body or of the connection.
+class StallingServer {
+ public:
+  explicit StallingServer(Duration stall)
+      : server_([this, stall](boost::asio::ip::tcp::socket& socket,
+                              int number) {
+          // The host looks whether it still reaches the server.
+          if (number > 0) return;
+          std::string bytes;
+          boost::system::error_code error;
+          const std::size_t head = boost::asio::read_until(
+              socket, boost::asio::dynamic_buffer(bytes), "\r\n\r\n", error);
+          if (error) return;
+          has_head_.set_value();
+          std::this_thread::sleep_for(stall);
+          boost::asio::read(
+              socket, boost::asio::dynamic_buffer(bytes),
+              boost::asio::transfer_at_least(kLongBody + head - bytes.size()),
+              error);
+          body_.set_value(!error);
+        }) {}
+
+  Endpoint endpoint() const { return server_.endpoint(); }
+  void AwaitHead() { has_head_.get_future().wait(); }
+  // Waits for the end of the request and returns whether it came whole.
+  bool IsWhole() { return body_.get_future().get(); }
+
+ private:
+  std::promise<void> has_head_;
+  std::promise<bool> body_;
+  ScriptedServer server_;
+};
+
+// A caller's request with a long body, sent on a thread of its own.
+std::future<HttpAnswer> SendLongBody(TestEntryHost& host) {
+  return std::async(std::launch::async, [&host] {
+    return host.Send("/order/1", "q1", std::string(kLongBody, 'x'));
+  });
+}
+
 // Guards against requests without a key that are handled by a plan of any age,
 // at a host whose hub has lost the leader.
 TEST_CASE("a host whose lease is over refuses every request at once",
@@ -43,7 +91,6 @@
 // another one: the host had heard nothing since.
 TEST_CASE("a request that outlasts the lease is sent to no further server",
           "[platform]") {
-  using std::chrono::milliseconds;
   LoopThread loop;
   std::atomic<bool> is_full = false;
   const auto script = [&](const HttpRequest& request) {
@@ -71,5 +118,54 @@
   CHECK(backends[0].requests() + backends[1].requests() == before + 1);
 }
 
+// Guards against a body that goes on to a server long after the lease: the
+// server may have left, and its departure may have been acknowledged since.
+TEST_CASE("a request does not reach a server after the lease and its way",
+          "[platform]") {
+  LoopThread loop;
+  StallingServer server(milliseconds(1200));
+  ViewLeaseSettings lease = TestEntryHost::kLongLease;
+  lease.contact_lease = milliseconds(500);
+  TestEntryHost host(loop, "127.0.0.1", 0, lease);
+  host.Update({server.endpoint()}, {});
+  auto answer = SendLongBody(host);
+  CHECK_FALSE(server.IsWhole());
+  // A part has reached the server, so the outcome is not known.
+  CHECK(answer.get().status == 504);
+}
+
+// Guards against a departure that is acknowledged while the body of a request
+// is on its way to the server.
+TEST_CASE("a request does not reach a server that left long before",
+          "[platform]") {
+  LoopThread loop;
+  StallingServer server(milliseconds(1200));
+  ViewLeaseSettings lease = TestEntryHost::kLongLease;
+  lease.departure_bound = milliseconds(300);
+  TestEntryHost host(loop, "127.0.0.1", 0, lease);
+  host.Update({server.endpoint()}, {});
+  auto answer = SendLongBody(host);
+  server.AwaitHead();
+  host.Update({}, {}, 2);
+  CHECK_FALSE(server.IsWhole());
+  CHECK(answer.get().status == 504);
+}
+
+TEST_CASE("a request that is slow on its way reaches a server that stays",
+          "[platform]") {
+  LoopThread loop;
+  StallingServer server(milliseconds(1300));
+  ViewLeaseSettings lease = TestEntryHost::kLongLease;
+  lease.contact_lease = milliseconds(1000);
+  TestEntryHost host(loop, "127.0.0.1", 0, lease);
+  host.Update({server.endpoint()}, {});
+  auto answer = SendLongBody(host);
+  server.AwaitHead();
+  std::this_thread::sleep_for(milliseconds(700));
+  host.Update({server.endpoint()}, {});
+  CHECK(server.IsWhole());
+  answer.get();
+}
+
 }  // namespace
 }  // namespace sapphirebank
