Requests that are late on their way to a server are cut off

Cause: a check before the first byte stands for the whole way. 0.3 s were kept for the way; a body of 360 kB takes 1 s at 2.8 Mbit/s, several the sum, and a departure may be acknowledged while a body is on its way.

Change: an arrival limit for each request, by the lease and by the departure; what the peer has not acknowledged then is discarded with the connection. No request is begun for which the lease leaves no time by the rate of the link. A table of all ways to a server and a simulation that ends leaderships, control hosts and entry hosts at any moment and notices the lack of each guard.

Ruled out: a longer time for the way, since acknowledgements would be held for longer or leases would be shorter; refusal of large bodies.

--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -64,10 +64,12 @@
                  [this](std::uint64_t number, AssignmentOutcome outcome) {
                    link_.EndAssignment(number, outcome);
                  }}),
-      requests_(loop, state_, std::move(codec),
-                settings.FleetEndpoint(settings.callers),
-                FleetSecret(settings.fleet_secret), settings.MaxAnswerBytes(),
-                log, metrics_->metrics()),
+      requests_(
+          loop, state_, std::move(codec),
+          settings.FleetEndpoint(settings.callers),
+          FleetSecret(settings.fleet_secret),
+          EntryHostResources{settings.MaxAnswerBytes(), settings.LinkRate()},
+          log, metrics_->metrics()),
       timer_(loop),
       link_(loop, settings,
             EntryLink::Hooks{
--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -84,7 +84,8 @@
   context.tried.push_back(server);
   // The lease may have ended, and the server may have left, while the request
   // waited or the process was suspended.
-  if (!state_.view().IsCurrent(now)) {
+  const std::size_t bytes = context.request.body.size();
+  if (!state_.view().HasTimeFor(now, client_.ExpectedWay(bytes))) {
     AttemptResult attempt;
     attempt.failure = ErrorKind::kNoConfiguration;
     co_return attempt;
@@ -109,11 +110,15 @@
   };
   // The server may leave, or the process may be suspended, while the request
   // waits for a connection.
-  exchange.may_send = [this, server] {
+  exchange.may_send = [this, server, bytes] {
     const Instant at = MonotonicNow();
-    return !AttemptsAreOver() && state_.view().IsCurrent(at) &&
+    return !AttemptsAreOver() &&
+           state_.view().HasTimeFor(at, client_.ExpectedWay(bytes)) &&
            state_.view().MayReceiveRequests(at, *server);
   };
+  exchange.arrival_limit = [this, server] {
+    return state_.view().ArrivalLimit(*server);
+  };
   Instant last_check;
   exchange.may_send = [check = std::move(exchange.may_send), &last_check] {
     last_check = MonotonicNow();
@@ -146,7 +151,8 @@
         !context.request.watch->hung_up();
     const bool is_over = AttemptsAreOver();
     failure->timed_out = failure->timed_out || abandoned || is_over;
-    const bool blames_server = !is_over && !(abandoned && choice.is_busy);
+    const bool blames_server =
+        !is_over && !failure->cut_off && !(abandoned && choice.is_busy);
     AttemptResult attempt =
         ClassifyFailure(context, choice, *failure, blames_server);
     attempt.is_retry_charged = is_replaced;
@@ -232,6 +238,7 @@
               {"server", server.state.announcement.id.value()},
               {"stage", stage},
               {"timed_out", failure.timed_out},
+              {"cut_off", failure.cut_off},
               {"reused_connection", failure.reused_connection},
               {"caller_left", context.request.watch->hung_up()}});
 }
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -32,9 +32,10 @@
   return route.latency_objective / kTokenWaitDivisor;
 }
 
-HttpClientSettings ClientSettings(std::size_t max_answer_bytes) {
+HttpClientSettings ClientSettings(const EntryHostResources& resources) {
   HttpClientSettings settings;
-  settings.max_answer_bytes = max_answer_bytes;
+  settings.max_answer_bytes = resources.max_answer_bytes;
+  settings.link_rate = resources.link_rate;
   settings.max_idle_per_endpoint = 2;
   settings.max_idle_time = std::chrono::seconds(20);
   return settings;
@@ -46,7 +47,7 @@
                                          EntryState& state, EntryCodec codec,
                                          const Endpoint& self,
                                          FleetSecret secret,
-                                         std::size_t max_answer_bytes,
+                                         const EntryHostResources& resources,
                                          LogWriter& log, FleetMetrics& metrics)
     : state_(state),
       codec_(std::move(codec)),
@@ -56,7 +57,7 @@
       self_(ToString(self)),
       secret_(std::move(secret)),
       fleet_port_(self.port),
-      client_(loop, ClientSettings(max_answer_bytes)),
+      client_(loop, ClientSettings(resources)),
       path_prober_(loop, state, client_, self.port, log, RandomSeed()) {}
 
 Result<std::uint64_t> EntryRequestHandler::AcceptHead(
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -19,16 +19,24 @@
 
 namespace sapphirebank {
 
+// What an entry host may use.
+struct EntryHostResources {
+  // Memory in bytes for answers of backend servers.
+  std::size_t max_answer_bytes = std::size_t{64} << 20U;
+  // Rate of the host's link in bytes per second; 0 if it is not known.
+  double link_rate = 0;
+};
+
 // Handles callers' requests: finds the route, checks key and rate limit, sends
 // attempts to backend servers and returns the answer. Not thread-safe: all
 // calls must come from the thread of its event loop.
 class EntryRequestHandler {
  public:
   // `self` is the address at which this host gets requests of other entry
-  // hosts, and `max_answer_bytes` the memory for answers of backend servers.
+  // hosts.
   EntryRequestHandler(boost::asio::io_context& loop, EntryState& state,
                       EntryCodec codec, const Endpoint& self,
-                      FleetSecret secret, std::size_t max_answer_bytes,
+                      FleetSecret secret, const EntryHostResources& resources,
                       LogWriter& log, FleetMetrics& metrics);
 
   // Returns the maximum size of the request body in bytes: that of the plan, or
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -37,7 +37,7 @@
       update.full_registry || update.registry_id == registry_id_;
   if (has_registry) ApplyServers(now, update);
   if (update.shared_state) {
-    zones_out_ = update.zones_out;
+    ApplyZones(now, update.zones_out);
     quarantined_ = {update.quarantined.begin(), update.quarantined.end()};
     request_rates_ = update.request_rates;
     entry_hosts_ = update.entry_hosts;
@@ -58,6 +58,36 @@
   return {};
 }
 
+void EntryView::ApplyZones(Instant now, const std::set<ZoneId>& zones_out) {
+  for (auto& [id, server] : servers_) {
+    const ZoneId& zone = server->state.announcement.zone;
+    if (zones_out.contains(zone) == IsZoneOut(zone)) continue;
+    if (zones_out.contains(zone)) {
+      EndSending(now, *server, lease_.zone_bound);
+    } else {
+      server->arrival_limit.reset();
+    }
+  }
+  zones_out_ = zones_out;
+}
+
+// The departure was not acknowledged before this host knew of it, unless the
+// lease of the view before was so short that nobody waited for this host.
+void EntryView::EndSending(Instant now, KnownServer& server,
+                           Duration bound) const {
+  const Instant limit = std::min(now + bound, current_until_) + TimeOnWay();
+  server.arrival_limit = std::min(server.arrival_limit.value_or(limit), limit);
+}
+
+bool EntryView::HasTimeFor(Instant now, Duration way) const {
+  const Duration needed = std::min(way, lease_.contact_lease / 2);
+  return IsCurrent(now) && now + needed <= current_until_ + TimeOnWay();
+}
+
+Instant EntryView::ArrivalLimit(const KnownServer& server) const {
+  return server.arrival_limit.value_or(current_until_ + TimeOnWay());
+}
+
 Result<void> EntryView::ApplyPlan(const PlanUpdate& server_update) {
   const PlanVersion held_version = plan_ ? plan_->version() : 0;
   if (server_update.version <= held_version) return {};
@@ -92,7 +122,10 @@
   for (const ServerUpdate& server_update : update.servers) {
     const BackendId& id = server_update.announcement.id;
     if (server_update.retired) {
-      servers_.erase(id);
+      const auto left = servers_.find(id);
+      if (left == servers_.end()) continue;
+      EndSending(now, *left->second, lease_.departure_bound);
+      servers_.erase(left);
       continue;
     }
     listed.insert(id);
@@ -100,7 +133,10 @@
     const bool is_new_incarnation =
         !server || server->state.announcement.incarnation !=
                        server_update.announcement.incarnation;
-    if (is_new_incarnation) server = std::make_shared<KnownServer>();
+    if (is_new_incarnation) {
+      if (server) EndSending(now, *server, lease_.departure_bound);
+      server = std::make_shared<KnownServer>();
+    }
     const bool has_recovered = server->state.health == ServerHealth::kDown &&
                                server_update.health == ServerHealth::kUp;
     if (has_recovered) server->avoid_until = Instant();
@@ -114,7 +150,9 @@
   }
   if (update.full_registry) {
     std::erase_if(servers_, [&](const auto& item) {
-      return !listed.contains(item.first);
+      if (listed.contains(item.first)) return false;
+      EndSending(now, *item.second, lease_.departure_bound);
+      return true;
     });
   }
   registry_id_ = update.registry_id;
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -34,6 +34,9 @@
   // This host could not reach the server and sends it no requests until then,
   // whatever other hosts report.
   Instant avoid_until;
+  // By when requests on their way to the server must have arrived; set once it
+  // has left or its zone is out of service.
+  std::optional<Instant> arrival_limit;
   // Since when this host knows of a rate limit of the server.
   Instant limited_since;
   int in_flight = 0;  // From this host.
@@ -72,6 +75,18 @@
   // Returns when the lease of the view ends.
   Instant current_until() const { return current_until_; }
 
+  // Returns whether a request whose bytes take `way` to the server may be sent
+  // now: the view is current, and the lease leaves enough time. A way that is
+  // longer than half of the contact lease needs that half only, as no lease may
+  // be long enough for it; ArrivalLimit() holds all the same.
+  bool HasTimeFor(Instant now, Duration way) const;
+
+  // Returns by when a request on its way to `server` must have arrived whole,
+  // as far as is known now: no acknowledged departure of the server, or of its
+  // zone, is longer ago then than its limit. Later leases move it further, and
+  // the departure ends that.
+  Instant ArrivalLimit(const KnownServer& server) const;
+
   // Returns the age of the last confirmed update.
   Duration LeaderUpdateAge(Instant now) const { return now - confirmed_as_of_; }
 
@@ -117,6 +132,15 @@
  private:
   Result<void> ApplyPlan(const PlanUpdate& news);
   void ApplyServers(Instant now, const FleetUpdate& update);
+  void ApplyZones(Instant now, const std::set<ZoneId>& zones_out);
+
+  // Sets the limit for requests on their way to a server that may get no more
+  // of them, where a host has `bound` from an acknowledgement on.
+  void EndSending(Instant now, KnownServer& server, Duration bound) const;
+
+  // Returns the time for which requests may be on their way once no more may be
+  // sent; the rest covers what the host and the network add to a limit.
+  Duration TimeOnWay() const { return lease_.way / 2; }
 
   PlanReader reader_;
   ViewLeaseSettings lease_;
--- a/sapphirebank/fleet/fleet_settings.cc
+++ b/sapphirebank/fleet/fleet_settings.cc
@@ -74,6 +74,11 @@
   return memory_mb * kBytesPerMb / kParts;
 }
 
+double FleetSettings::LinkRate() const {
+  constexpr double kBytesPerMegabit = 1e6 / 8;
+  return link_mbps * kBytesPerMegabit;
+}
+
 Result<FleetSettings> FleetSettings::Parse(std::string_view text,
                                            std::string_view file_name) {
   auto document = ParseStrictJson(text, file_name, ErrorKind::kInvalidSettings);
@@ -118,6 +123,7 @@
   reader.Number("retry_slack", settings.retry_slack, Range<double>{0, 1e6});
   reader.Count("memory_mb", settings.memory_mb,
                Range<std::uint32_t>{kMinMemoryMb, kMaxMemoryMb});
+  reader.Number("link_mbps", settings.link_mbps, Range<double>{0, 1e6});
   reader.Finish();
   if (!problems.empty()) {
     const Error error = problems.AsError(ErrorKind::kInvalidSettings);
--- a/sapphirebank/fleet/fleet_settings.h
+++ b/sapphirebank/fleet/fleet_settings.h
@@ -59,6 +59,8 @@
   double retry_slack = 60;
   // Memory that the process may use, in MiB.
   std::uint32_t memory_mb = 256;
+  // Rate of the host's own link in megabits per second; 0 if it is not known.
+  double link_mbps = 0;
 
   // Parses `text`. Fails with kInvalidSettings and names file, place and cause.
   static Result<FleetSettings> Parse(std::string_view text,
@@ -67,6 +69,9 @@
   // Entry host: returns the bytes that answers of backend servers may take.
   std::size_t MaxAnswerBytes() const;
 
+  // Returns the rate of the host's own link in bytes per second, or 0.
+  double LinkRate() const;
+
   // Returns the address of the fleet process on the host of `address`.
   Endpoint FleetEndpoint(const Endpoint& address) const {
     return {address.ip, fleet_port};
--- a/sapphirebank/fleet/view_lease_settings.cc
+++ b/sapphirebank/fleet/view_lease_settings.cc
@@ -27,6 +27,8 @@
   settings.plan_bound = Fraction(limits.plan, kBoundFraction);
   settings.departure_bound = Fraction(limits.departure, kBoundFraction);
   settings.zone_bound = Fraction(limits.zone, kBoundFraction);
+  settings.way = std::min(limits.departure - settings.departure_bound,
+                          limits.zone - settings.zone_bound);
   const Duration least_bound = UngatedLease(settings);
   settings.lease = std::min(
       Fraction(limits.key_withdrawal, kBoundFraction),
--- a/sapphirebank/fleet/view_lease_settings.h
+++ b/sapphirebank/fleet/view_lease_settings.h
@@ -18,6 +18,8 @@
   Duration plan_bound = std::chrono::milliseconds(1700);
   Duration departure_bound = std::chrono::milliseconds(1700);
   Duration zone_bound = std::chrono::milliseconds(4250);
+  // The least time that a limit leaves for that way.
+  Duration way = std::chrono::milliseconds(300);
 };
 
 // Limits from which the settings of leases are derived: times from the
--- a/sapphirebank/request/attempt_policy.h
+++ b/sapphirebank/request/attempt_policy.h
@@ -20,6 +20,8 @@
 struct AttemptFailure {
   AttemptStage stage = AttemptStage::kNotConnected;
   bool timed_out = false;
+  // The sender discarded what had not left in time; the peer is not the cause.
+  bool cut_off = false;
   // The connection had carried an earlier request.
   bool reused_connection = false;
   // Error kind reported by the peer; used with kRefusedByPeer.
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -15,7 +15,7 @@
 #include <optional>
 #include <utility>
 
-#include "sapphirebank/transport/send_watch.h"
+#include "sapphirebank/transport/process_clock.h"
 
 namespace sapphirebank {
 namespace {
@@ -250,6 +250,30 @@
   return {failure, reused};
 }
 
+// Returns the failure of a request of which `sent` bytes were written when it
+// was cut off.
+ExchangeResult CutOff(std::size_t sent, bool reused) {
+  ExchangeResult result =
+      Failure(sent == 0 ? AttemptStage::kWithheld : AttemptStage::kSent,
+              beast::error::timeout, reused);
+  std::get<AttemptFailure>(result.outcome).cut_off = true;
+  return result;
+}
+
+// Writes a request and returns the number of bytes that were written. The limit
+// is looked at before each part, as a suspended process fires no timers.
+asio::awaitable<std::size_t> WriteRequest(
+    Connection& connection, const http::request<http::string_body>& request,
+    SendWatch& watch, error_code& error) {
+  http::request_serializer<http::string_body> serializer(request);
+  std::size_t sent = 0;
+  while (!error && !serializer.is_done() && !watch.CutIfLate(MonotonicNow())) {
+    sent += co_await http::async_write_some(connection.stream, serializer,
+                                            CaptureError(error));
+  }
+  co_return sent;
+}
+
 // Returns the time-out in the Keep-Alive header field, or zero if it has none.
 Duration KeepAliveTimeout(const HeaderFields& fields) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -352,6 +376,12 @@
   co_return true;
 }
 
+Duration HttpClient::ExpectedWay(std::size_t bytes) const {
+  if (settings_.link_rate <= 0) return Duration::zero();
+  const auto waiting = static_cast<double>(*bytes_on_way_ + bytes);
+  return FromSeconds(waiting / settings_.link_rate);
+}
+
 void HttpClient::CloseIdleConnections(const Endpoint& to) {
   pool_->CloseIdleConnections(to);
 }
@@ -377,9 +407,12 @@
 
   connection->stream.expires_after(exchange.answer_timeout);
   const auto request = RequestOf(exchange);
-  SendWatch send_watch(loop_, connection->stream.socket(), exchange.on_left);
-  const std::size_t sent = co_await http::async_write(
-      connection->stream, request, CaptureError(error));
+  SendWatch send_watch(loop_, connection->stream, exchange.body.size(),
+                       bytes_on_way_,
+                       {exchange.arrival_limit, exchange.on_left});
+  const std::size_t sent =
+      co_await WriteRequest(*connection, request, send_watch, error);
+  if (send_watch.was_cut()) co_return CutOff(sent, reused);
   if (error && sent == 0) {
     co_return Failure(AttemptStage::kNotConnected, error, reused);
   }
@@ -399,6 +432,7 @@
     parser->body_limit(UINT64_MAX);
     if (exchange.method == "HEAD") parser->skip(true);
     co_await ReadHead(*connection, *parser, memory, error);
+    if (send_watch.was_cut()) co_return CutOff(sent, reused);
     send_watch.End();
     if (error) co_return Failure(AttemptStage::kSent, error, reused);
     is_informational = parser->get().result_int() < 200;
--- a/sapphirebank/transport/http_client.h
+++ b/sapphirebank/transport/http_client.h
@@ -14,6 +14,7 @@
 #include "sapphirebank/core/time.h"
 #include "sapphirebank/request/attempt_policy.h"
 #include "sapphirebank/transport/http_message.h"
+#include "sapphirebank/transport/send_watch.h"
 
 namespace sapphirebank {
 
@@ -41,6 +42,11 @@
   // takes time. When it returns false nothing is sent, and the exchange fails
   // with AttemptStage::kWithheld. Null always sends.
   std::function<bool()> may_send;
+  // Returns by when the peer must have the whole request, as far as is known
+  // now. Bytes that are still on their way then are discarded with the
+  // connection, so that the peer never gets the request whole, and the exchange
+  // fails as cut off. Null sets no limit.
+  std::function<Instant()> arrival_limit;
   // Called when the peer has acknowledged all bytes of the request, with the
   // time since the first one, unless that took less than 0.2 s or the peer
   // answered before. Null does nothing.
@@ -59,6 +65,8 @@
   // Memory in bytes for all answers together until they are passed on,
   // including what was read and is not parsed yet.
   std::size_t max_answer_bytes = std::size_t{64} << 20U;
+  // Rate of this host's own link in bytes per second; 0 if it is not known.
+  double link_rate = 0;
 };
 
 // Outcome of an exchange.
@@ -88,6 +96,11 @@
   boost::asio::awaitable<bool> OpenIdleConnection(Endpoint to,
                                                   Duration timeout);
 
+  // Returns the time in which a request with a body of `bytes` bytes leaves
+  // this host, behind those that are on their way now; zero where the rate of
+  // its link is not known.
+  Duration ExpectedWay(std::size_t bytes) const;
+
   // Closes all idle connections to `to`.
   void CloseIdleConnections(const Endpoint& to);
 
@@ -98,6 +111,7 @@
   HttpClientSettings settings_;
   std::shared_ptr<Pool> pool_;
   std::shared_ptr<ByteBudget> memory_;
+  BytesOnWay bytes_on_way_ = std::make_shared<std::size_t>(0);
 };
 
 }  // namespace sapphirebank
--- a/unit_tests/fleet/change_chain_simulation.h
+++ b/unit_tests/fleet/change_chain_simulation.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,7 @@
 #include "sapphirebank/fleet/entry_view.h"
 #include "unit_tests/consensus/control_group.h"
 #include "unit_tests/fleet/fleet_fixtures.h"
+#include "unit_tests/fleet/request_traffic.h"
 
 namespace sapphirebank {
 
@@ -30,6 +32,7 @@
   kEntryHosts,    // Entry hosts stand still, one after the other.
   kLoad,          // Links of entry hosts are full for most of a second.
   kLostAnswers,   // Half of the answers to the operator.
+  kEnds,  // Leaderships, control hosts and entry hosts end at any moment.
 };
 
 struct ChainSettings {
@@ -41,6 +44,15 @@
   // Whether a new leader counts leases of the former one from the end of its
   // last round, or from the election as earlier builds do.
   bool uses_former_rounds_end = true;
+  // Whether acknowledgements wait for the leases of hosts.
+  bool holds_acknowledgements = true;
+  // Whether the changes are departures of servers, to which the entry hosts
+  // send requests.
+  bool has_departures = false;
+  RequestGuards guards;
+  // An entry host of an earlier build counts on the whole lease, and leaves the
+  // bytes of requests alone.
+  bool has_old_host = false;
 };
 
 // An operator, a control group, its hubs and their entry hosts, with the links
@@ -52,6 +64,8 @@
     int changes = 0;
     int answered = 0;
     int overdue = 0;  // Requests that were handled without a due change.
+    int arrived = 0;  // Requests at servers.
+    int late = 0;     // Those at servers whose departure was due.
     Duration longest_order{};
     std::map<ChangeHop, Duration> longest_hops;
   };
@@ -71,7 +85,7 @@
       hubs_.emplace_back(settings.lease, group_.now());
     }
     for (std::size_t i = 0; i < settings.hosts; ++i) {
-      Host& host = hosts_.emplace_back(settings.lease);
+      Host& host = hosts_.emplace_back(LeaseOf(i), RequestsOf(i));
       host.name = HostId("entry-" + std::to_string(i));
       host.hub = i % settings.hubs;
       host.next_report_at = group_.now() + Between(0, 500);
@@ -107,6 +121,7 @@
     bool leads = false;
     Instant leads_since;
     Instant former_rounds_end;
+    Instant away_until;
     std::uint64_t record = 0;
     std::uint64_t told = 0;
     Instant confirmed_as_of;
@@ -116,9 +131,12 @@
     Instant next_report_at;
   };
   struct Host {
-    explicit Host(const ViewLeaseSettings& lease)
-        : view([](std::string_view) { return MakePlan(MakePlanParts()); },
-               lease) {}
+    Host(const ViewLeaseSettings& lease, RequestTraffic traffic)
+        : view(NewView(lease)), requests(std::move(traffic)) {}
+    static EntryView NewView(const ViewLeaseSettings& lease) {
+      return {[](std::string_view) { return MakePlan(MakePlanParts()); },
+              lease};
+    }
 
     HostId name;
     std::size_t hub = 0;
@@ -127,6 +145,12 @@
     std::optional<Instant> asked_at;
     std::uint64_t told = 0;
     Instant suspended_until;
+    int starts = 0;
+    // Its links to hubs are cut off.
+    Instant cut_until;
+    // Machines that stood still or started are not judged for a while.
+    Instant judged_from;
+    RequestTraffic requests;
   };
   struct Order {
     PlanVersion version = 0;
@@ -151,6 +175,37 @@
     return std::chrono::milliseconds(low_ms +
                                      random_.Below(high_ms - low_ms + 1));
   }
+  // The first host is the one of an earlier build.
+  bool IsOld(std::size_t host) const {
+    return settings_.has_old_host && host == 0;
+  }
+  ViewLeaseSettings LeaseOf(std::size_t host) const {
+    ViewLeaseSettings lease = settings_.lease;
+    if (IsOld(host)) lease.contact_lease = lease.lease;
+    return lease;
+  }
+  RequestTraffic RequestsOf(std::size_t host) const {
+    RequestGuards guards = settings_.guards;
+    if (!IsOld(host)) {
+      return {settings_.lease, guards, std::chrono::seconds(3)};
+    }
+    guards.cuts_with_lease = guards.cuts_after_departure = false;
+    return {LeaseOf(host), guards, settings_.lease.way / 2};
+  }
+  bool IsAway(std::size_t hub) const {
+    return !group_.IsUp(hub) || group_.IsSuspended(hub);
+  }
+  bool MayAcknowledge(Instant now, std::size_t hub,
+                      std::uint64_t change) const {
+    return !settings_.holds_acknowledgements ||
+           hubs_[hub].gate.MayAcknowledge(now, change,
+                                          settings_.lease.plan_bound);
+  }
+  // More servers than leave, so that some always stay.
+  static constexpr PlanVersion kServers = 16;
+  static BackendId ServerOf(PlanVersion number) {
+    return BackendId("server-" + std::to_string(number));
+  }
   static HostId NameOf(std::size_t hub) { return ControlGroup::HostIdOf(hub); }
   const FleetRecord& RecordOf(std::size_t hub) {
     return group_.at(hub).state().fleet();
@@ -162,7 +217,7 @@
       group_.Run(kStep);
       const Instant now = group_.now();
       for (std::size_t i = 0; i < hubs_.size(); ++i) {
-        if (!group_.IsSuspended(i)) RunHub(now, i);
+        if (!IsAway(i)) RunHub(now, i);
       }
       Deliver(now);
       for (std::size_t i = 0; i < hosts_.size(); ++i) RunHost(now, i);
@@ -185,10 +240,10 @@
          next != messages_.end() && next->first <= now;) {
       const auto message = next++;
       const auto hub = message->second.to_hub;
-      if (hub && group_.IsSuspended(*hub)) continue;
+      if (hub && group_.IsUp(*hub) && group_.IsSuspended(*hub)) continue;
       const auto action = std::move(message->second.action);
       messages_.erase(message);
-      action(now);
+      if (!hub || group_.IsUp(*hub)) action(now);
     }
   }
 
@@ -220,12 +275,111 @@
               now + Between(200, 3000);
         }
         break;
+      case ChainTrouble::kEnds:
+        if (is_sending_) EndSomething(now);
+        break;
       default:
         break;
     }
     is_loaded_ = is_on && settings_.trouble == ChainTrouble::kLoad;
   }
 
+  void EndSomething(Instant now) {
+    ReturnHubs(now);
+    const double kind = random_.Unit();
+    if (kind < 0.01) {
+      EndHub(now);
+    } else if (kind < 0.014) {
+      const auto leader = group_.Leader();
+      if (leader && !IsAway(*leader))
+        group_.at(*leader).TransferLeadership(now);
+    } else if (kind < 0.07) {
+      EndHost(now);
+    }
+  }
+
+  // Crashes, suspends or isolates a control host, the leader as often as not.
+  void EndHub(Instant now) {
+    const auto away = std::count_if(hubs_.begin(), hubs_.end(), [&](Hub& hub) {
+      return now < hub.away_until;
+    });
+    const auto leader = group_.Leader();
+    const std::size_t hub =
+        leader && random_.Chance(0.5) ? *leader : random_.Below(hubs_.size());
+    if (away >= static_cast<long>(hubs_.size() / 2) || IsAway(hub) ||
+        now < hubs_[hub].away_until) {
+      return;
+    }
+    hubs_[hub].away_until = now + Between(100, 5000);
+    switch (random_.Below(3)) {
+      case 0:
+        group_.Crash(hub);
+        hubs_[hub].leads = false;
+        for (Order& order : orders_) {
+          if (order.leader == hub) order.leader.reset();
+        }
+        break;
+      case 1:
+        group_.Suspend(hub);
+        break;
+      default:
+        group_.Isolate(hub);
+        isolated_.insert(hub);
+    }
+  }
+
+  void ReturnHubs(Instant now) {
+    for (std::size_t i = 0; i < hubs_.size(); ++i) {
+      if (now < hubs_[i].away_until) continue;
+      if (isolated_.erase(i) > 0) {
+        for (std::size_t other = 0; other < hubs_.size(); ++other) {
+          group_.BlockLink(i, other, isolated_.contains(other));
+          group_.BlockLink(other, i, isolated_.contains(other));
+        }
+      }
+      if (!group_.IsUp(i)) {
+        group_.Start(i);
+        hubs_[i] = Hub(settings_.lease, now);
+      }
+      if (group_.IsSuspended(i)) group_.Suspend(i, false);
+    }
+  }
+
+  // Restarts, suspends, cuts off or sends on an entry host.
+  void EndHost(Instant now) {
+    constexpr Duration kContact = std::chrono::seconds(3);
+    const std::size_t index = random_.Below(hosts_.size());
+    Host& host = hosts_[index];
+    if (now < host.suspended_until) return;
+    switch (random_.Below(4)) {
+      case 0:
+        for (Host& other : hosts_) other.requests.ForgetView(&host.view);
+        host.view = Host::NewView(LeaseOf(index));
+        host.requests.Clear();
+        host.told = 0;
+        host.asked_at.reset();
+        host.next_report_at = now;
+        host.hub = random_.Below(hubs_.size());
+        ++host.starts;
+        host.judged_from = now + kContact;
+        break;
+      case 1: {
+        const Duration time = Between(100, 3000);
+        host.suspended_until = now + time;
+        host.judged_from = host.suspended_until + kContact;
+        host.requests.Delay(time);
+        break;
+      }
+      case 2:
+        host.cut_until = now + Between(500, 4000);
+        break;
+      default:
+        host.hub = random_.Below(hubs_.size());
+        host.asked_at.reset();
+        host.next_report_at = now;
+    }
+  }
+
   Duration LinkDelay() {
     return is_loaded_ && random_.Chance(0.2) ? Between(100, 600)
                                              : Between(2, 20);
@@ -292,9 +446,10 @@
     if (now < hub.next_report_at && applied <= hub.told) return;
     const auto leader = group_.at(index).leader();
     if (!leader) return;
+    const std::size_t to = ControlGroup::IndexOf(*leader);
+    if (isolated_.contains(index) || isolated_.contains(to)) return;
     hub.next_report_at = now + kRelayReportTime;
     hub.told = applied;
-    const std::size_t to = ControlGroup::IndexOf(*leader);
     const std::string link = NameOf(index).value() + NameOf(to).value();
     Send(now, link, Between(1, 10), to,
          [this, index, to, applied, link, sent = now](Instant at) {
@@ -317,6 +472,7 @@
   void RunHost(Instant now, std::size_t index) {
     Host& host = hosts_[index];
     if (now < host.suspended_until) return;
+    if (settings_.has_departures) RunRequests(now, host);
     if (host.view.IsCurrent(now) &&
         host.view.applied_changes() < DueChange(now)) {
       ++outcome_.overdue;
@@ -332,42 +488,82 @@
     host.next_report_at = now + kReportTime;
     host.told = host.view.applied_changes();
     if (!host.asked_at) host.asked_at = now;
+    if (now < host.cut_until) return;
     const std::size_t to = host.hub;
     const std::string link = host.name.value() + NameOf(to).value();
     Send(now, link, LinkDelay(), to,
-         [this, index, to, link, sent = now, applied = host.told](Instant at) {
+         [this, index, to, link, sent = now, applied = host.told,
+          starts = host.starts](Instant at) {
            Hub& hub = hubs_[to];
            const HostId& name = hosts_[index].name;
            hub.gate.RecordApplied(name, applied);
-           hub.gate.RecordContact(at, name, hub.confirmed_as_of, hub.record);
-           FleetUpdate update;
-           update.record_changes = hub.record;
-           update.quorum_age = at - hub.confirmed_as_of;
-           update.gates_changes = true;
-           update.full_registry = true;
+           if (IsOld(index)) {
+             hub.gate.RecordConfirmation(at, name, hub.confirmed_as_of,
+                                         hub.record);
+           } else {
+             hub.gate.RecordContact(at, name, hub.confirmed_as_of, hub.record);
+           }
+           const FleetUpdate update = MakeUpdate(at, to);
            Send(at, link + "back", LinkDelay(), std::nullopt,
-                [this, index, to, sent, update](Instant back) {
+                [this, index, to, sent, starts, update](Instant back) {
                   Host& asked = hosts_[index];
                   if (asked.hub != to || back < asked.suspended_until) return;
+                  if (asked.starts != starts || back < asked.cut_until) return;
                   asked.asked_at.reset();
                   asked.view.Apply(back, sent, update);
                 });
          });
   }
 
-  // Sends a hub's hosts the changes that it has got.
-  void Push(Instant now, std::size_t index) {
+  // Advances the requests of a host.
+  void RunRequests(Instant now, Host& host) {
+    if (random_.Chance(0.1)) {
+      host.requests.Start(now, host.view, random_, [&]() -> const EntryView* {
+        Host& other = hosts_[random_.Below(hosts_.size())];
+        // The machine that sends a request to the server is judged too.
+        const bool is_sound =
+            now >= other.judged_from && now >= other.suspended_until;
+        return is_sound ? &other.view : nullptr;
+      });
+    }
+    host.requests.Run(now, random_, [&](const BackendId& server) {
+      ++outcome_.arrived;
+      const auto departure = departures_.find(server);
+      if (departure == departures_.end() || now < host.judged_from) return;
+      if (now > departure->second + settings_.lease.plan_bound +
+                    settings_.lease.way) {
+        ++outcome_.late;
+      }
+    });
+  }
+
+  FleetUpdate MakeUpdate(Instant now, std::size_t hub) {
     FleetUpdate update;
-    update.record_changes = hubs_[index].record;
-    update.quorum_age = now - hubs_[index].confirmed_as_of;
+    update.record_changes = hubs_[hub].record;
+    update.quorum_age = now - hubs_[hub].confirmed_as_of;
     update.gates_changes = true;
     update.full_registry = true;
+    if (!settings_.has_departures) return update;
+    for (PlanVersion i = 1; i <= kServers; ++i) {
+      const BackendId server = ServerOf(i);
+      if (RecordOf(hub).IsRetired(server, 1)) continue;
+      update.servers.push_back({MakeServer(server.value())});
+    }
+    return update;
+  }
+
+  // Sends a hub's hosts the changes that it has got.
+  void Push(Instant now, std::size_t index) {
+    const FleetUpdate update = MakeUpdate(now, index);
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
       if (hosts_[i].hub != index) continue;
       Send(now, hosts_[i].name.value() + NameOf(index).value() + "back",
            LinkDelay(), std::nullopt, [this, i, index, update](Instant at) {
              Host& host = hosts_[i];
-             if (host.hub != index || at < host.suspended_until) return;
+             if (host.hub != index || at < host.suspended_until ||
+                 at < host.cut_until) {
+               return;
+             }
              host.view.Apply(at, std::nullopt, update);
            });
     }
@@ -377,7 +573,7 @@
   void Release(Instant now, std::size_t leader) {
     const Hub& hub = hubs_[leader];
     for (Order& order : orders_) {
-      if (order.released_at || !order.committed_at) continue;
+      if (order.released_at || !order.committed_at || !order.change) continue;
       if (!hub.gate.MayAcknowledge(now, *order.change,
                                    settings_.lease.plan_bound)) {
         // Nobody that the leader knows of is waited for.
@@ -430,8 +626,7 @@
       order.leader.reset();
     }
     const Duration waited = now - *order.call_at;
-    const bool is_silent =
-        group_.IsSuspended(order.called) || order.answer_is_lost;
+    const bool is_silent = IsAway(order.called) || order.answer_is_lost;
     if (waited >= kOperatorCallTime ||
         (waited >= kControlCallTimeout && !is_silent)) {
       Longest(ChangeHop::kCall, waited);
@@ -451,11 +646,18 @@
       order.leader = leader;
       order.proposal.reset();
     }
-    if (group_.IsSuspended(leader) || !hubs_[leader].leads) return;
-    order.change = RecordOf(leader).PlanChange(order.version);
+    if (IsAway(leader) || !hubs_[leader].leads) return;
+    order.change =
+        settings_.has_departures
+            ? RecordOf(leader).RetirementChange(ServerOf(order.version), 1)
+            : RecordOf(leader).PlanChange(order.version);
     if (!order.change) {
       if (!order.proposal) {
-        order.proposal = group_.Propose(leader, StorePlan{order.version, "{}"});
+        order.proposal =
+            settings_.has_departures
+                ? group_.Propose(leader,
+                                 RetireBackend{ServerOf(order.version), 1})
+                : group_.Propose(leader, StorePlan{order.version, "{}"});
         order.proposed_at = now;
       }
       return;
@@ -466,12 +668,12 @@
         Longest(ChangeHop::kCommit, now - *order.proposed_at);
       }
     }
-    if (!hubs_[leader].gate.MayAcknowledge(now, *order.change,
-                                           settings_.lease.plan_bound)) {
-      return;
-    }
+    if (!MayAcknowledge(now, leader, *order.change)) return;
     if (!order.acknowledged_at) {
       order.acknowledged_at = now;
+      if (settings_.has_departures) {
+        departures_[ServerOf(order.version)] = now;
+      }
       if (settings_.trouble == ChainTrouble::kLostAnswers &&
           random_.Chance(0.5)) {
         order.answer_is_lost = true;
@@ -505,6 +707,9 @@
   bool is_sending_ = false;
   Instant next_order_at_;
   std::optional<Instant> trouble_at_;
+  std::set<std::size_t> isolated_;
+  // When the departures of servers were acknowledged first.
+  std::map<BackendId, Instant> departures_;
   std::optional<std::size_t> victim_;
   std::optional<Instant> leader_lost_at_;
   bool is_loaded_ = false;
--- a/unit_tests/fleet/change_chain_test.cc
+++ b/unit_tests/fleet/change_chain_test.cc
@@ -1,6 +1,7 @@
 #include "sapphirebank/fleet/change_chain.h"
 
 #include <catch2/catch.hpp>
+#include <functional>
 #include <string>
 
 #include "unit_tests/fleet/change_chain_simulation.h"
@@ -91,6 +92,75 @@
   CHECK(broken > 0);
 }
 
+ChangeChainSimulation::Outcome RunDepartures(std::uint64_t seed,
+                                             ChainSettings settings = {}) {
+  settings.trouble = ChainTrouble::kEnds;
+  settings.has_departures = true;
+  settings.hosts = 12;
+  return ChangeChainSimulation(settings, seed).Run();
+}
+
+void CheckDepartures(std::uint64_t seed) {
+  CAPTURE(seed);
+  ChainSettings settings;
+  settings.has_old_host = seed % 4 == 0;
+  const auto outcome = RunDepartures(seed, settings);
+  CHECK(outcome.arrived > 100);
+  CHECK(outcome.answered > 0);
+  CHECK(outcome.late == 0);
+}
+
+// Guards against requests that reach a server later than the limit after its
+// departure was acknowledged, by whatever way, while leaderships, control hosts
+// and entry hosts end at any moment.
+TEST_CASE("no request reaches a server long after its departure", "[chain]") {
+  const auto seed = GENERATE(range<std::uint64_t>(1, 31));
+  CheckDepartures(seed);
+}
+
+// The simulation has to notice the lack of each guard.
+TEST_CASE("without one of the guards requests reach servers that left",
+          "[chain]") {
+  struct Row {
+    const char* guard;
+    std::function<void(ChainSettings&)> remove;
+  };
+  const Row rows[] = {
+      {"acknowledgements wait for leases",
+       [](ChainSettings& s) { s.holds_acknowledgements = false; }},
+      {"bytes on their way are cut off with the lease",
+       [](ChainSettings& s) { s.guards.cuts_with_lease = false; }},
+      {"bytes on their way are cut off after a departure",
+       [](ChainSettings& s) { s.guards.cuts_after_departure = false; }},
+      {"the lease is checked before the first byte, or cuts off what is sent",
+       [](ChainSettings& s) {
+         s.guards.checks_lease = s.guards.cuts_with_lease = false;
+       }},
+      {"the server is checked before the first byte, or its departure cuts off "
+       "what is sent",
+       [](ChainSettings& s) {
+         s.guards.checks_server = s.guards.cuts_after_departure = false;
+       }},
+  };
+  for (const Row& row : rows) {
+    INFO(row.guard);
+    ChainSettings settings;
+    row.remove(settings);
+    int late = 0;
+    for (std::uint64_t seed = 1; seed <= 40 && late == 0; ++seed) {
+      late += RunDepartures(seed, settings).late;
+    }
+    CHECK(late > 0);
+  }
+}
+
+// The same over many seeds; run by hand: unit_tests "[chain_seeds]".
+TEST_CASE("no request reaches a server long after its departure, 1,000 seeds",
+          "[.chain_seeds]") {
+  const auto seed = GENERATE(range<std::uint64_t>(1, 1001));
+  CheckDepartures(seed);
+}
+
 // The same over many seeds; run by hand: unit_tests "[chain_seeds]".
 TEST_CASE("a change is answered in time over 1,000 seeds", "[.chain_seeds]") {
   const auto seed = GENERATE(range<std::uint64_t>(1, 1001));
--- a/unit_tests/platform/entry_hosts.h
+++ b/unit_tests/platform/entry_hosts.h
@@ -119,11 +119,10 @@
         loop.loop(), ReadPlanDocument,
         ServerPathMonitor::Create(ServerPathSettings()).value(), lease, 60,
         ZoneId("kochi"), 1, std::move(state_hooks));
-    constexpr std::size_t kMaxAnswerBytes = std::size_t{64} << 20U;
     handler_ = std::make_unique<EntryRequestHandler>(
         loop.loop(), *state_, PlatformEntryCodec(),
-        Endpoint{ip, server_->port()}, FleetSecret("secret"), kMaxAnswerBytes,
-        *log_, *metrics_);
+        Endpoint{ip, server_->port()}, FleetSecret("secret"),
+        EntryHostResources(), *log_, *metrics_);
   }
 
   // Coroutines of the host may run until the loop has stopped.
