A former leader counts its own rounds when it votes

Callers: a server may get requests up to one late tick longer than the limit after its departure was acknowledged by a leader elected right after another.

Cause: a vote tells how long the voter has not heard a leader; a leader took the time of its last tick for that, not of its last round. When the former leader is the only voter that knows of the round, the next one takes the leases of that round for older than they are by the lateness of the tick.

Evidence: the test, a round 300 ms after the last tick, failed before.

Change: a round that begins counts as heard. Ruled out: the voters that answered the round, which are covered by their own contact; restarted voters, which count from their start. Result: the test passes. Conclusion: not the users' fault.

--- a/sapphirebank/consensus/raft_leader.cc
+++ b/sapphirebank/consensus/raft_leader.cc
@@ -133,6 +133,8 @@
   round_requested_ = false;
   next_heartbeat_ = now + settings_.heartbeat_interval;
   ++round_;
+  // Its vote for a successor tells when the last round began.
+  last_leader_contact_ = now;
   for (const GroupMember& member : membership().members()) {
     const auto found = progress_.find(member.node);
     if (found != progress_.end()) SendAppend(now, member, found->second);
--- a/unit_tests/consensus/raft_node_test.cc
+++ b/unit_tests/consensus/raft_node_test.cc
@@ -126,6 +126,36 @@
   }
 }
 
+// Guards against a new leader that takes the leases of the former one for older
+// than they are: the former one may be the only voter that knows of its last
+// round.
+TEST_CASE("a former leader counts its own rounds when it votes",
+          "[consensus]") {
+  using std::chrono::milliseconds;
+  RaftNode node = NodeWithTerms({1});
+  const Instant elected = kStart + std::chrono::seconds(10);
+  node.Tick(elected);
+  const Term term = node.term() + 1;
+  for (const bool pre_vote : {true, false}) {
+    node.Receive(elected, kLeaderHost,
+                 {kLeader, kSelf, term, VoteResponse{pre_vote, true}});
+  }
+  REQUIRE(node.role() == ControlRole::kLeader);
+  node.TakeEffects(elected);
+  // The next tick of the process is late.
+  const Instant round_at = elected + milliseconds(300);
+  REQUIRE(node.StartReadRound());
+  node.TakeEffects(round_at);
+  node.Receive(
+      round_at + milliseconds(5), kLeaderHost,
+      {kLeader, kSelf, term + 1, VoteRequest{false, true, node.log().last()}});
+  const RaftEffects effects = node.TakeEffects(round_at + milliseconds(5));
+  REQUIRE(effects.messages.size() == 1);
+  const auto vote = std::get<VoteResponse>(effects.messages[0].message.body);
+  REQUIRE(vote.granted);
+  CHECK(vote.leader_silence <= milliseconds(5));
+}
+
 TEST_CASE("a vote is stored before it is sent", "[consensus]") {
   // In a new term, and in one that the node entered without voting.
   for (const Term term : {5U, 1U}) {
