A view that lacks a plan confirms no change until it has it

Callers: a request may be handled by a plan that was replaced, later than the limit after the acknowledgement of the newer one.

Cause: when a host cannot read a plan, it refuses the update, but the next one, which brings no plan, was taken as a confirmation of all changes.

Change: neither a change nor a lease counts until a plan of that version or a later one is held. Ruled out: the registry, which is told by its number of changes in each report.

--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -43,9 +43,15 @@
     entry_hosts_ = update.entry_hosts;
   }
   Result<void> plan_applied;
-  if (update.plan) plan_applied = ApplyPlan(*update.plan);
-  // The confirmation only counts if all that was sent with it was applied.
-  if (!plan_applied || !has_registry) return plan_applied;
+  if (update.plan) {
+    plan_applied = ApplyPlan(*update.plan);
+    if (!plan_applied) missing_plan_ = update.plan->version;
+  }
+  // The confirmation only counts if all that was sent with it, and before it,
+  // was applied.
+  const PlanVersion held = plan_ ? plan_->version() : 0;
+  const bool has_plan = held >= missing_plan_;
+  if (!plan_applied || !has_plan || !has_registry) return plan_applied;
   applied_changes_ = update.record_changes;
   if (!requested_at) return {};
   const Instant as_of = *requested_at - update.quorum_age;
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -146,6 +146,8 @@
   ViewLeaseSettings lease_;
   std::shared_ptr<const TrafficPlan> plan_;
   nlohmann::json plan_document_;
+  // The last plan that could not be read.
+  PlanVersion missing_plan_ = 0;
   Instant confirmed_as_of_;
   Instant current_until_;
   std::map<BackendId, KnownServerPtr> servers_;
--- a/unit_tests/fleet/entry_view_test.cc
+++ b/unit_tests/fleet/entry_view_test.cc
@@ -135,6 +135,25 @@
   CHECK(view.plan()->version() == 8);
 }
 
+// Guards against a plan that is confirmed, and whose acknowledgement follows,
+// although this host could not read it: the next update brings no plan.
+TEST_CASE("a view that lacks a plan confirms no change until it has it",
+          "[fleet]") {
+  EntryView view(ReadTestPlan, kLeaseSettings);
+  REQUIRE(view.Apply(kStart, std::nullopt, MakeUpdate(1, 7)));
+  FleetUpdate patch = MakeUpdate(2);
+  patch.plan = PlanUpdate{9, PlanVersion{8}, Compress("[]")};
+  CHECK_FALSE(view.Apply(kStart, kStart, patch));
+  REQUIRE(view.Apply(kStart, std::nullopt, MakeUpdate(2)));
+  REQUIRE(view.Apply(kStart, kStart, MakeUpdate(2)));
+  REQUIRE(view.Apply(kStart, kStart, MakeUpdate(2, 8)));
+  CHECK(view.applied_changes() == 1);
+  CHECK_FALSE(view.IsCurrent(kStart));
+  REQUIRE(view.Apply(kStart, kStart, MakeUpdate(2, 9)));
+  CHECK(view.applied_changes() == 2);
+  CHECK(view.IsCurrent(kStart));
+}
+
 TEST_CASE("updates add, change and remove servers", "[fleet]") {
   EntryView view(ReadTestPlan, kLeaseSettings);
   const ServiceId desk("desk");
