A departure without a start covers starts that the leader does not know

Cause: a server that leaves without draining does not say when it started. The leader filled in the start that it knew, or none, stored that and acknowledged. i-ff99a78dd0 and i-63de16047d had started 0.2 s after the control group was cut in two, known to hubs on the other side only; they left 1 s later, and the departure of start 0 retired nothing. The same call 2.5 s later was committed again, with the right start (changes 4 and 21). Class: an identity completed from partial knowledge and acknowledged as if it were whole.

Ruled out: the way of the bytes (85 ms and 29 ms at the host), late updates (the hosts had changes 4 and 11 0.3 s before the release), leases (none was over).

Change: such a departure covers every start until then, by the largest clock of the control host that got the call and of the leader, which does not go back. A repeated one within the limit is the one in the record. What is stored is as before; builds before ignore the two new fields of the call.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -173,7 +173,9 @@
                {{"ms", ToSeconds(late) * 1e3}, {"is_leader", is_leader_}});
   }
   last_tick_at_ = now;
-  host_.Tick(now, WallNow());
+  const WallTime wall = WallNow();
+  latest_start_.Read(now, wall);
+  host_.Tick(now, wall);
   hub_.Tick(now);
   ConnectToOthers(now);
   has_newest_update_ = HasNewestUpdate(now);
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -17,6 +17,7 @@
 #include "sapphirebank/consensus/file_system.h"
 #include "sapphirebank/core/random.h"
 #include "sapphirebank/fleet/change_gate.h"
+#include "sapphirebank/fleet/departure_start.h"
 #include "sapphirebank/fleet/fleet_call.h"
 #include "sapphirebank/fleet/fleet_hub.h"
 #include "sapphirebank/fleet/fleet_settings.h"
@@ -72,6 +73,8 @@
   struct PendingCall {
     // The command to replicate; nothing for a read of the plan.
     std::optional<ControlCommand> command;
+    // Of a departure.
+    DepartureKnowledge knowledge;
     Callback callback;
     Instant deadline;
     Instant not_before;  // Earliest time of the next attempt.
@@ -154,7 +157,10 @@
   Callback LogAcknowledgement(const ControlCommand& command, Callback callback);
   void ProcessPendingCalls(Instant now);
   void RetryLater(PendingCall& call);
+  // `knowledge` is what the control host that got the call knows of a server
+  // that leaves.
   void ExecuteAsLeader(std::optional<ControlCommand> command,
+                       const DepartureKnowledge& knowledge,
                        const Callback& callback);
   // Returns the number of the change with which the record contains the effect
   // of `command`, or nothing if it does not.
@@ -165,7 +171,7 @@
   Duration BoundFor(const ControlCommand& command) const;
   void AcknowledgeWhenSafe(const ControlCommand& command, Callback callback);
   void ReleaseAcknowledgements(Instant now);
-  ControlCommand FillIncarnation(ControlCommand command) const;
+  DepartureKnowledge KnowledgeOf(const BackendId& server);
   void OnServerHeartbeat(const ServerAnnouncement& server);
   std::vector<std::string> AddressesFor(const ZoneId& zone);
 
@@ -190,6 +196,7 @@
   std::map<std::uint64_t, PendingCall> pending_;
   ChangeGate gate_;
   std::vector<HeldAcknowledgement> held_acknowledgements_;
+  LatestStartClock latest_start_;
   // What the leader said of itself and the other control hosts.
   bool leader_gates_changes_ = false;
   std::uint64_t reported_applied_ = 0;
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -9,6 +9,7 @@
 #include "sapphirebank/core/cbor.h"
 #include "sapphirebank/fleet/control_timing.h"
 #include "sapphirebank/transport/await_callback.h"
+#include "sapphirebank/transport/process_clock.h"
 
 // Calls of operators, backend servers and callers to a control host.
 namespace sapphirebank {
@@ -135,6 +136,10 @@
                                  Callback callback) {
   if (command) callback = LogAcknowledgement(*command, std::move(callback));
   PendingCall pending;
+  if (command) {
+    const auto* retire = std::get_if<RetireBackend>(&*command);
+    if (retire != nullptr) pending.knowledge = KnowledgeOf(retire->backend);
+  }
   pending.command = std::move(command);
   pending.callback = std::move(callback);
   pending.deadline = Now() + kControlCallTimeout;
@@ -175,7 +180,7 @@
     if (!known_leader_ || is_sent || now < call.not_before) continue;
     if (is_leader_) {
       call.sent_to = known_leader_;
-      ExecuteAsLeader(call.command,
+      ExecuteAsLeader(call.command, call.knowledge,
                       [this, id = number](Result<std::string> result) {
                         const auto found = pending_.find(id);
                         if (found == pending_.end()) return;
@@ -196,6 +201,8 @@
     json message = {{"t", "call"}, {"call", number}};
     if (call.command) {
       message["command"] = CborBinary(EncodeCommand(*call.command));
+      message["known_start"] = call.knowledge.known_start;
+      message["latest_start"] = call.knowledge.latest_start;
     }
     links_.Send(*link, message);
   }
@@ -289,22 +296,21 @@
                                 std::make_move_iterator(waiting.end()));
 }
 
-// Fills in the incarnation of a leaving server from the registry, since its
-// call may omit it.
-ControlCommand ControlProcess::FillIncarnation(ControlCommand command) const {
-  auto* retire = std::get_if<RetireBackend>(&command);
-  if (retire == nullptr || retire->incarnation > 0) return command;
+DepartureKnowledge ControlProcess::KnowledgeOf(const BackendId& server) {
+  DepartureKnowledge knowledge;
   const auto& entries = hub_.registry().entries();
-  const auto known = entries.find(retire->backend);
+  const auto known = entries.find(server);
   if (known != entries.end()) {
-    retire->incarnation = known->second.state.announcement.incarnation;
+    knowledge.known_start = known->second.state.announcement.incarnation;
   }
-  return command;
+  knowledge.latest_start = latest_start_.Read(Now(), WallNow());
+  return knowledge;
 }
 
 // Executes a call on the leader. A read whose confirmation is too old confirms
 // the leadership first.
 void ControlProcess::ExecuteAsLeader(std::optional<ControlCommand> command,
+                                     const DepartureKnowledge& knowledge,
                                      const Callback& callback) {
   const Instant now = Now();
   if (!is_leader_) {
@@ -320,7 +326,7 @@
         return;
       }
       confirmed_as_of_ = std::max(confirmed_as_of_, now);
-      ExecuteAsLeader(std::nullopt, callback);
+      ExecuteAsLeader(std::nullopt, {}, callback);
     };
     host_.Read(now, token);
     return;
@@ -335,9 +341,17 @@
     }
     return;
   }
-  ControlCommand complete = FillIncarnation(std::move(*command));
-  log_.Write(LogLevel::kInfo, "change_at_leader",
-             {{"change", ChangeName(complete)}});
+  ControlCommand complete = std::move(*command);
+  json line = {{"change", ChangeName(complete)}};
+  if (auto* retire = std::get_if<RetireBackend>(&complete)) {
+    const DepartureKnowledge all = knowledge | KnowledgeOf(retire->backend);
+    line["names_start"] = retire->incarnation > 0;
+    *retire = CompleteDeparture(*retire, host_.state().fleet(), all,
+                                settings_.change_limits.departure);
+    line["start"] = retire->incarnation;
+    line["known_start"] = all.known_start;
+  }
+  log_.Write(LogLevel::kInfo, "change_at_leader", std::move(line));
   if (!std::holds_alternative<SetZoneOut>(complete) &&
       AppliedChange(complete)) {
     AcknowledgeWhenSafe(complete, callback);
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -433,13 +433,18 @@
     if (!decoded) return;
     command = std::move(*decoded);
   }
-  ExecuteAsLeader(std::move(command), [this, link, number](
-                                          const Result<std::string>& result) {
-    links_.Send(link, {{"t", "done"},
-                       {"call", number},
-                       {"ok", result.has_value()},
-                       {"text", result ? *result : result.error().detail}});
-  });
+  // Earlier builds do not tell.
+  const DepartureKnowledge knowledge = {
+      message.value("known_start", Incarnation{0}),
+      message.value("latest_start", Incarnation{0})};
+  ExecuteAsLeader(
+      std::move(command), knowledge,
+      [this, link, number](const Result<std::string>& result) {
+        links_.Send(link, {{"t", "done"},
+                           {"call", number},
+                           {"ok", result.has_value()},
+                           {"text", result ? *result : result.error().detail}});
+      });
 }
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/fleet_record.cc
+++ b/sapphirebank/fleet/fleet_record.cc
@@ -52,6 +52,13 @@
   return found != retired_.end() && incarnation <= found->second.incarnation;
 }
 
+std::optional<Incarnation> FleetRecord::RetiredUpTo(
+    const BackendId& backend) const {
+  const auto found = retired_.find(backend);
+  if (found == retired_.end()) return std::nullopt;
+  return found->second.incarnation;
+}
+
 std::optional<std::uint64_t> FleetRecord::RetirementChange(
     const BackendId& backend, Incarnation incarnation) const {
   if (!IsRetired(backend, incarnation)) return std::nullopt;
--- a/sapphirebank/fleet/fleet_record.h
+++ b/sapphirebank/fleet/fleet_record.h
@@ -67,6 +67,9 @@
   // Returns whether this incarnation of the backend server is retired.
   bool IsRetired(const BackendId& backend, Incarnation incarnation) const;
 
+  // Returns the last incarnation of the backend server that is retired, if any.
+  std::optional<Incarnation> RetiredUpTo(const BackendId& backend) const;
+
   // Returns the number of the change with which the record had a plan of
   // `version` or a higher one first, or nothing if it has none. Changes are
   // numbered from 1.
--- a/unit_tests/fleet/change_chain_simulation.h
+++ b/unit_tests/fleet/change_chain_simulation.h
@@ -15,6 +15,7 @@
 #include "sapphirebank/fleet/change_chain.h"
 #include "sapphirebank/fleet/change_gate.h"
 #include "sapphirebank/fleet/control_timing.h"
+#include "sapphirebank/fleet/departure_start.h"
 #include "sapphirebank/fleet/entry_view.h"
 #include "unit_tests/consensus/control_group.h"
 #include "unit_tests/fleet/fleet_fixtures.h"
@@ -47,8 +48,11 @@
   // Whether acknowledgements wait for the leases of hosts.
   bool holds_acknowledgements = true;
   // Whether the changes are departures of servers, to which the entry hosts
-  // send requests.
+  // send requests. They name no start, and some of the servers started just
+  // before, known to one control host.
   bool has_departures = false;
+  // Whether such a departure covers starts that the leader does not know.
+  bool covers_unknown_starts = true;
   RequestGuards guards;
   // An entry host of an earlier build counts on the whole lease, and leaves the
   // bytes of requests alone.
@@ -107,6 +111,7 @@
 
  private:
   static constexpr Duration kStep = std::chrono::milliseconds(10);
+  static constexpr Duration kOrderPeriod = std::chrono::milliseconds(700);
   static constexpr Duration kReportTime = std::chrono::milliseconds(500);
   static constexpr Duration kRelayReportTime = std::chrono::milliseconds(100);
   static constexpr Duration kConfirmTime = std::chrono::milliseconds(150);
@@ -122,6 +127,8 @@
     Instant leads_since;
     Instant former_rounds_end;
     Instant away_until;
+    // Servers that it knows, by their numbers.
+    std::set<PlanVersion> known;
     std::uint64_t record = 0;
     std::uint64_t told = 0;
     Instant confirmed_as_of;
@@ -130,6 +137,10 @@
     Instant next_read_at;
     Instant next_report_at;
   };
+  struct Server {
+    Instant started_at;
+    Instant next_ping_at;
+  };
   struct Host {
     Host(const ViewLeaseSettings& lease, RequestTraffic traffic)
         : view(NewView(lease)), requests(std::move(traffic)) {}
@@ -203,6 +214,12 @@
   }
   // More servers than leave, so that some always stay.
   static constexpr PlanVersion kServers = 16;
+  static Incarnation Milliseconds(Instant at) {
+    return static_cast<Incarnation>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            at.time_since_epoch())
+            .count());
+  }
   static BackendId ServerOf(PlanVersion number) {
     return BackendId("server-" + std::to_string(number));
   }
@@ -220,6 +237,7 @@
         if (!IsAway(i)) RunHub(now, i);
       }
       Deliver(now);
+      if (settings_.has_departures) RunServers(now);
       for (std::size_t i = 0; i < hosts_.size(); ++i) RunHost(now, i);
       RunOperator(now);
     }
@@ -452,16 +470,20 @@
     hub.told = applied;
     const std::string link = NameOf(index).value() + NameOf(to).value();
     Send(now, link, Between(1, 10), to,
-         [this, index, to, applied, link, sent = now](Instant at) {
+         [this, index, to, applied, link, sent = now,
+          known = hub.known](Instant at) {
            Hub& at_leader = hubs_[to];
            if (!at_leader.leads) return;
+           at_leader.known.insert(known.begin(), known.end());
            at_leader.gate.RecordApplied(NameOf(index), applied);
            at_leader.gate.RecordConfirmation(
                at, NameOf(index), at_leader.confirmed_as_of, at_leader.record);
            const Instant as_of = sent - (at - at_leader.confirmed_as_of);
            Send(at, link + "back", Between(1, 10), index,
-                [this, index, as_of, record = at_leader.record](Instant) {
+                [this, index, as_of, record = at_leader.record,
+                 all = at_leader.known](Instant) {
                   Hub& relay = hubs_[index];
+                  relay.known.insert(all.begin(), all.end());
                   if (relay.record < record) return;
                   relay.confirmed_as_of =
                       std::max(relay.confirmed_as_of, as_of);
@@ -544,14 +566,53 @@
     update.gates_changes = true;
     update.full_registry = true;
     if (!settings_.has_departures) return update;
-    for (PlanVersion i = 1; i <= kServers; ++i) {
-      const BackendId server = ServerOf(i);
-      if (RecordOf(hub).IsRetired(server, 1)) continue;
-      update.servers.push_back({MakeServer(server.value())});
+    for (const PlanVersion number : hubs_[hub].known) {
+      const std::string server = ServerOf(number).value();
+      const Incarnation start = Milliseconds(servers_[number].started_at);
+      if (RecordOf(hub).IsRetired(BackendId(server), start)) continue;
+      update.servers.push_back({MakeServer(server, "kochi", start)});
     }
     return update;
   }
 
+  // Servers announce themselves to any control host until they leave. Every
+  // second one starts a short time before that.
+  void RunServers(Instant now) {
+    for (PlanVersion number = 1; number <= kServers; ++number) {
+      if (number <= last_version_) continue;
+      const bool is_new = !servers_.contains(number);
+      if (is_new && number % 2 == 0) {
+        const Duration until_order =
+            next_order_at_ - now + kOrderPeriod * (number - last_version_ - 1);
+        if (!is_sending_ || until_order > Between(100, 3000)) continue;
+      }
+      Server& server = servers_[number];
+      if (is_new) server.started_at = now;
+      if (now < server.next_ping_at) continue;
+      server.next_ping_at = now + std::chrono::milliseconds(1500);
+      const std::size_t hub = random_.Below(hubs_.size());
+      if (!IsAway(hub)) hubs_[hub].known.insert(number);
+    }
+  }
+
+  // Returns the departure as the leader stores it.
+  RetireBackend DepartureAt(Instant now, const Order& order,
+                            std::size_t leader) {
+    const RetireBackend departure = {ServerOf(order.version), 0};
+    const auto knowledge_of = [&](std::size_t hub) {
+      const bool is_known = hubs_[hub].known.contains(order.version);
+      const Instant start = servers_[order.version].started_at;
+      return DepartureKnowledge{is_known ? Milliseconds(start) : 0,
+                                Milliseconds(now)};
+    };
+    if (!settings_.covers_unknown_starts) {
+      return {departure.backend, knowledge_of(leader).known_start};
+    }
+    return CompleteDeparture(departure, RecordOf(leader),
+                             knowledge_of(order.called) | knowledge_of(leader),
+                             settings_.lease.plan_bound + settings_.lease.way);
+  }
+
   // Sends a hub's hosts the changes that it has got.
   void Push(Instant now, std::size_t index) {
     const FleetUpdate update = MakeUpdate(now, index);
@@ -605,7 +666,7 @@
 
   void RunOperator(Instant now) {
     if (is_sending_ && now >= next_order_at_) {
-      next_order_at_ = now + std::chrono::milliseconds(700);
+      next_order_at_ = now + kOrderPeriod;
       Order& order = orders_.emplace_back();
       order.version = ++last_version_;
       order.first_sent_at = order.next_call_at = now;
@@ -647,16 +708,19 @@
       order.proposal.reset();
     }
     if (IsAway(leader) || !hubs_[leader].leads) return;
-    order.change =
-        settings_.has_departures
-            ? RecordOf(leader).RetirementChange(ServerOf(order.version), 1)
-            : RecordOf(leader).PlanChange(order.version);
+    RetireBackend departure;
+    if (settings_.has_departures) {
+      departure = DepartureAt(now, order, leader);
+      order.change = RecordOf(leader).RetirementChange(departure.backend,
+                                                       departure.incarnation);
+    } else {
+      order.change = RecordOf(leader).PlanChange(order.version);
+    }
     if (!order.change) {
       if (!order.proposal) {
         order.proposal =
             settings_.has_departures
-                ? group_.Propose(leader,
-                                 RetireBackend{ServerOf(order.version), 1})
+                ? group_.Propose(leader, departure)
                 : group_.Propose(leader, StorePlan{order.version, "{}"});
         order.proposed_at = now;
       }
@@ -708,6 +772,7 @@
   Instant next_order_at_;
   std::optional<Instant> trouble_at_;
   std::set<std::size_t> isolated_;
+  std::map<PlanVersion, Server> servers_;
   // When the departures of servers were acknowledged first.
   std::map<BackendId, Instant> departures_;
   std::optional<std::size_t> victim_;
--- a/unit_tests/fleet/change_chain_test.cc
+++ b/unit_tests/fleet/change_chain_test.cc
@@ -128,6 +128,9 @@
   const Row rows[] = {
       {"acknowledgements wait for leases",
        [](ChainSettings& s) { s.holds_acknowledgements = false; }},
+      {"a departure without a start covers starts that the leader does not "
+       "know",
+       [](ChainSettings& s) { s.covers_unknown_starts = false; }},
       {"bytes on their way are cut off with the lease",
        [](ChainSettings& s) { s.guards.cuts_with_lease = false; }},
       {"bytes on their way are cut off after a departure",
