--- a/unit_tests/fleet/change_chain_simulation.h
+++ b/unit_tests/fleet/change_chain_simulation.h
@@ -174,6 +174,7 @@
     std::optional<RequestToken> proposal;
     std::optional<Instant> proposed_at;
     std::optional<Instant> committed_at;
+    std::uint64_t committed_change = 0;
     std::optional<Instant> released_at;
     bool waits_for_former_leader = false;
     std::optional<Instant> acknowledged_at;
@@ -634,13 +635,14 @@
   void Release(Instant now, std::size_t leader) {
     const Hub& hub = hubs_[leader];
     for (Order& order : orders_) {
-      if (order.released_at || !order.committed_at || !order.change) continue;
-      if (!hub.gate.MayAcknowledge(now, *order.change,
+      if (order.released_at || !order.committed_at) continue;
+      if (!hub.gate.MayAcknowledge(now, order.committed_change,
                                    settings_.lease.plan_bound)) {
         // Nobody that the leader knows of is waited for.
         order.waits_for_former_leader =
             hub.gate
-                .HoldersBehind(now, *order.change, settings_.lease.plan_bound)
+                .HoldersBehind(now, order.committed_change,
+                               settings_.lease.plan_bound)
                 .empty();
         continue;
       }
@@ -728,6 +730,7 @@
     }
     if (!order.committed_at) {
       order.committed_at = now;
+      order.committed_change = *order.change;
       if (order.proposal) {
         Longest(ChangeHop::kCommit, now - *order.proposed_at);
       }
