Tests of the arrival limit of a request and of the time that a lease leaves

Callers: as for the change of the arrival limit, of which these are the decisions alone, without a socket: a departure, a later start of the server, a list without it, a zone out of service and back, and bodies that no lease suffices for. The link's rate is read from the settings.

Ruled out: a test by wall time for each of these. Conclusion: no change of logic.

--- a/unit_tests/fleet/entry_view_test.cc
+++ b/unit_tests/fleet/entry_view_test.cc
@@ -179,6 +179,70 @@
   CHECK(view.Find(BackendId("a")) == nullptr);
 }
 
+// Guards against long bodies that are begun at the end of the lease and have to
+// be cut off.
+TEST_CASE("a request is begun where the lease leaves time for its way",
+          "[fleet]") {
+  ViewLeaseSettings lease = kLeaseSettings;
+  lease.way = milliseconds(300);
+  EntryView view(ReadTestPlan, lease);
+  REQUIRE(view.Apply(kStart, kStart, MakeUpdate(1, 1)));
+  const Instant end = kStart + kLease;
+  CHECK(view.HasTimeFor(end - milliseconds(1), milliseconds(100)));
+  CHECK_FALSE(view.HasTimeFor(end, Duration::zero()));
+  CHECK(view.HasTimeFor(end - milliseconds(850), seconds(1)));
+  CHECK_FALSE(view.HasTimeFor(end - milliseconds(849), seconds(1)));
+  // No lease suffices for this one.
+  CHECK(view.HasTimeFor(kStart, 2 * kLease));
+  CHECK_FALSE(view.HasTimeFor(kStart + kLease / 2 + seconds(1), 2 * kLease));
+}
+
+// Guards against requests that are on their way to a server for longer than the
+// limit after its departure, or that of its zone, was acknowledged.
+TEST_CASE("requests on their way have a limit once their server has left",
+          "[fleet]") {
+  ViewLeaseSettings lease = kLeaseSettings;
+  lease.way = milliseconds(300);
+  EntryView view(ReadTestPlan, lease);
+  FleetUpdate update = MakeUpdate(1, 1);
+  for (const char* id : {"left", "again", "gone", "stays"}) {
+    update.servers.push_back({MakeServer(id)});
+  }
+  update.servers.push_back({MakeServer("zone", "thrissur")});
+  REQUIRE(view.Apply(kStart, kStart, update));
+  const auto find = [&](const char* id) { return view.Find(BackendId(id)); };
+  const KnownServerPtr left = find("left");
+  const KnownServerPtr again = find("again");
+  const KnownServerPtr gone = find("gone");
+  const KnownServerPtr stays = find("stays");
+  const KnownServerPtr zone = find("zone");
+  const Instant lease_limit = kStart + kLease + milliseconds(150);
+  CHECK(view.ArrivalLimit(*left) == lease_limit);
+
+  const Instant now = kStart + milliseconds(500);
+  FleetUpdate next = MakeUpdate(2);
+  next.servers = {{MakeServer("left")}, {MakeServer("again", "kochi", 2)}};
+  next.servers[0].retired = true;
+  next.shared_state = true;
+  next.zones_out = {ZoneId("thrissur")};
+  REQUIRE(view.Apply(now, now, next));
+  const Instant limit = now + lease.departure_bound + milliseconds(150);
+  CHECK(view.ArrivalLimit(*left) == limit);
+  CHECK(view.ArrivalLimit(*again) == limit);
+  // The lease from before is over sooner than the bound of a zone.
+  CHECK(view.ArrivalLimit(*zone) == lease_limit);
+  CHECK(view.ArrivalLimit(*stays) == lease_limit + milliseconds(500));
+
+  FleetUpdate full = MakeUpdate(3);
+  full.full_registry = true;
+  full.servers = {{MakeServer("stays")}, {MakeServer("zone", "thrissur")}};
+  full.shared_state = true;
+  REQUIRE(view.Apply(now, now, full));
+  CHECK(view.ArrivalLimit(*gone) == limit);
+  CHECK(view.ArrivalLimit(*left) == limit);
+  CHECK(view.ArrivalLimit(*zone) == view.ArrivalLimit(*stays));
+}
+
 // Guards against servers that left, at a host whose hub has restarted: it
 // confirmed the host's view before it had servers to tell of.
 TEST_CASE("a hub without its servers confirms no view", "[fleet]") {
--- a/unit_tests/fleet/fleet_settings_test.cc
+++ b/unit_tests/fleet/fleet_settings_test.cc
@@ -25,7 +25,8 @@
           {"zone_change", "5s"},
           {"acknowledgement", "4s"},
           {"retry_slack", 62},
-          {"memory_mb", 160}};
+          {"memory_mb", 160},
+          {"link_mbps", 2.8}};
 }
 
 TEST_CASE("settings of an entry host are read", "[fleet]") {
@@ -45,6 +46,7 @@
   CHECK(settings->change_limits.acknowledgement == std::chrono::seconds(4));
   CHECK(settings->found_group);
   CHECK(settings->MaxAnswerBytes() == std::size_t{40} << 20U);
+  CHECK(settings->LinkRate() == Approx(350'000));
 }
 
 TEST_CASE("errors in settings name file, place and cause", "[fleet]") {
