The check before the first byte of a request is one function

Readability only: the wrapper that noted the time of the check is part of the check, and a comment stands above the lines that it explains. Ruled out: nothing. Conclusion: no change of logic.

--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -82,9 +82,9 @@
   const Instant now = MonotonicNow();
   const ServerAnnouncement& target = server->state.announcement;
   context.tried.push_back(server);
+  const std::size_t bytes = context.request.body.size();
   // The lease may have ended, and the server may have left, while the request
   // waited or the process was suspended.
-  const std::size_t bytes = context.request.body.size();
   if (!state_.view().HasTimeFor(now, client_.ExpectedWay(bytes))) {
     AttemptResult attempt;
     attempt.failure = ErrorKind::kNoConfiguration;
@@ -110,22 +110,18 @@
   };
   // The server may leave, or the process may be suspended, while the request
   // waits for a connection.
-  exchange.may_send = [this, server, bytes] {
-    const Instant at = MonotonicNow();
+  Instant checked_at;
+  exchange.may_send = [this, server, bytes, &checked_at] {
+    checked_at = MonotonicNow();
     return !AttemptsAreOver() &&
-           state_.view().HasTimeFor(at, client_.ExpectedWay(bytes)) &&
-           state_.view().MayReceiveRequests(at, *server);
+           state_.view().HasTimeFor(checked_at, client_.ExpectedWay(bytes)) &&
+           state_.view().MayReceiveRequests(checked_at, *server);
   };
   exchange.arrival_limit = [this, server] {
     return state_.view().ArrivalLimit(*server);
   };
-  Instant last_check;
-  exchange.may_send = [check = std::move(exchange.may_send), &last_check] {
-    last_check = MonotonicNow();
-    return check();
-  };
-  exchange.on_left = [this, server, &context, &last_check](Duration way) {
-    LogLongWay(context, *server, last_check, way);
+  exchange.on_left = [this, server, &context, &checked_at](Duration way) {
+    LogLongWay(context, *server, checked_at, way);
   };
   const std::shared_ptr<CallerWatch> watch = AddAttemptWatch();
   asio::steady_timer timer(loop_);
