--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -529,6 +529,8 @@
   // Each start has an id of its own, as most have on the platform.
   bool has_new_id_per_start = false;
   std::size_t answer_bytes = 16;
+  // Further field lines of all answers.
+  std::string fields;
   // Returns the status of a run; 200 without it.
   std::function<int(const std::string& request)> status_of;
   // Returns bytes that belong to no request and are sent, late, once the next
@@ -688,6 +690,7 @@
             std::to_string(std::min(running, settings_.slots)) + "," +
             std::to_string(std::max(running - settings_.slots, 0)) + "," +
             std::to_string(settings_.slots) + "\r\n";
+    text += settings_.fields;
     text += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     return text + body;
   }
@@ -812,6 +815,8 @@
 
 struct Sent {
   Seconds at = 0;
+  Seconds answered_at = 0;
+  std::size_t entry = 0;
   std::string request;
   Answer answer;
 };
@@ -823,6 +828,7 @@
                  int time_left_ms = 3000) {
   Sent sent;
   sent.at = Now();
+  sent.entry = entry;
   sent.request = RandomId();
   std::vector<std::pair<std::string, std::string>> fields = {
       {"Sapphirebank-Request-Id", sent.request},
@@ -831,6 +837,7 @@
   sent.answer = Exchange(fleet.EntryIp(entry), kCallerPort,
                          RequestText(method, target, kHostName, fields, body),
                          time_left_ms / 1e3);
+  sent.answered_at = Now();
   return sent;
 }
 
