--- a/review/harness/harness.h
+++ b/review/harness/harness.h
@@ -561,6 +561,8 @@
   const ServerSettings& settings() const { return settings_; }
   int crashes() const { return crashes_; }
   int runs_lost() const { return runs_lost_; }
+  // Requests that were rejected because the server was full.
+  int rejections() const { return rejections_; }
 
  private:
   void Listen() {
@@ -676,10 +678,14 @@
       const char* status, const Head& head,
       const std::vector<std::pair<std::string, std::string>>& fields,
       const std::string& body) {
-    std::string text = std::string("HTTP/1.1 ") + status +
-                       "\r\nServer: desk/1.4 (backend)\r\n"
-                       "Date: Sun, 06 Dec 2026 05:00:00 GMT\r\n"
-                       "Content-Type: application/octet-stream\r\n";
+    std::string text = std::string("HTTP/1.1 ") + status + "\r\n";
+    const bool has_run =
+        status[0] != '4' && std::strncmp(status, "503", 3) != 0;
+    if (!has_run) text += "Sapphirebank-Not-Executed: 1\r\n";
+    text +=
+        "Server: desk/1.4 (backend)\r\n"
+        "Date: Sun, 06 Dec 2026 05:00:00 GMT\r\n"
+        "Content-Type: application/octet-stream\r\n";
     const std::string id = head.Field("sapphirebank-request-id");
     if (!id.empty()) text += "Sapphirebank-Request-Id: " + id + "\r\n";
     for (const auto& [name, value] : fields) {
@@ -706,14 +712,13 @@
     }
     const std::string expected = head.Field("sapphirebank-expect-instance");
     if (!expected.empty() && expected != id()) {
-      return AnswerText("421 Misdirected Request", head,
-                        {{"Sapphirebank-Not-Executed", "1"}}, "");
+      return AnswerText("421 Misdirected Request", head, {}, "");
     }
     const int lifetime = lifetime_;
     if (++running_ > settings_.slots + settings_.queue) {
       --running_;
-      return AnswerText("503 Service Unavailable", head,
-                        {{"Sapphirebank-Not-Executed", "1"}}, "");
+      ++rejections_;
+      return AnswerText("503 Service Unavailable", head, {}, "");
     }
     {
       std::unique_lock<std::mutex> lock(slots_mutex_);
@@ -796,6 +801,7 @@
   std::atomic<int> running_{0};
   std::atomic<int> crashes_{0};
   std::atomic<int> runs_lost_{0};
+  std::atomic<int> rejections_{0};
   std::atomic<int> connections_{0};
   mutable std::mutex mutex_;
   std::string id_;
@@ -821,7 +827,8 @@
   Answer answer;
 };
 
-// Sends one request to an entry host and waits for its answer.
+// Sends one request to an entry host and waits for its answer. A target that
+// ends with a slash is completed with the request's id.
 inline Sent Call(const Fleet& fleet, std::size_t entry,
                  const std::string& method, const std::string& target,
                  const std::string& key, const std::string& body = "",
@@ -830,12 +837,14 @@
   sent.at = Now();
   sent.entry = entry;
   sent.request = RandomId();
+  const std::string path =
+      target.ends_with('/') ? target + sent.request : target;
   std::vector<std::pair<std::string, std::string>> fields = {
       {"Sapphirebank-Request-Id", sent.request},
       {"Sapphirebank-Deadline-Ms", std::to_string(time_left_ms)}};
   if (!key.empty()) fields.emplace_back("Authorization", "Token " + key);
   sent.answer = Exchange(fleet.EntryIp(entry), kCallerPort,
-                         RequestText(method, target, kHostName, fields, body),
+                         RequestText(method, path, kHostName, fields, body),
                          time_left_ms / 1e3);
   sent.answered_at = Now();
   return sent;
