Log what each attempt sent, received and counts as

Each attempt, also at another entry host, is now in the request's line: connection and number of the request on it, bytes sent, status, whose id the answer bore, answers skipped, and the evidence by which it did not run. No logic is changed, but for one word: a connection that a path probe opened and that carried no request no longer counts as reused.

--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -139,6 +139,15 @@
   context.backend_time += MonotonicNow() - now;
   timer.cancel();
   context.request.watch->set_on_hang_up(nullptr);
+  AttemptResult attempt = Classify(context, choice, result, guard, now);
+  context.attempts.push_back(
+      {target.id.value(), result.trace, attempt.evidence});
+  co_return attempt;
+}
+
+EntryRequestHandler::AttemptResult EntryRequestHandler::Classify(
+    RequestContext& context, const EntryState::Choice& choice,
+    ExchangeResult& result, std::shared_ptr<void>& guard, Instant sent_at) {
   if (auto* failure = std::get_if<AttemptFailure>(&result.outcome)) {
     guard.reset();
     const bool is_replaced = context.next_choice.has_value();
@@ -150,23 +159,26 @@
     const bool blames_server =
         !is_over && !failure->cut_off && !(abandoned && choice.is_busy);
     AttemptResult attempt =
-        ClassifyFailure(context, choice, *failure, blames_server);
+        ClassifyFailure(context, choice, result, blames_server);
     attempt.is_retry_charged = is_replaced;
     path_prober_.Start();
-    co_return attempt;
+    return attempt;
   }
-  co_return ClassifyAnswer(
-      context, *server, std::move(std::get<HttpAnswer>(result.outcome)), now);
+  return ClassifyAnswer(context, *choice.server,
+                        std::move(std::get<HttpAnswer>(result.outcome)),
+                        sent_at);
 }
 
 EntryRequestHandler::AttemptResult EntryRequestHandler::ClassifyFailure(
     RequestContext& context, const EntryState::Choice& choice,
-    const AttemptFailure& failure, bool blames_server) {
+    const ExchangeResult& result, bool blames_server) {
   KnownServer& server = *choice.server;
+  const auto& failure = std::get<AttemptFailure>(result.outcome);
   AttemptResult attempt;
   const Instant now = MonotonicNow();
-  LogFailedAttempt(context, server, failure);
+  LogFailedAttempt(context, server, result);
   if (failure.stage == AttemptStage::kWithheld) {
+    attempt.evidence = NotRunEvidence::kNothingSent;
     attempt.failure = ErrorKind::kNoBackendServer;
     attempt.may_retry = true;
     return attempt;
@@ -175,6 +187,7 @@
   unanswered.server = server.state.announcement.id;
   unanswered.assignment = choice.assignment;
   if (failure.stage == AttemptStage::kNotConnected) {
+    attempt.evidence = NotRunEvidence::kNothingSent;
     attempt.failure = ErrorKind::kBackendUnreachable;
     attempt.may_retry = true;
     if (context.request.watch->hung_up() || AttemptsAreOver()) return attempt;
@@ -224,7 +237,8 @@
 
 void EntryRequestHandler::LogFailedAttempt(const RequestContext& context,
                                            const KnownServer& server,
-                                           const AttemptFailure& failure) {
+                                           const ExchangeResult& result) {
+  const auto& failure = std::get<AttemptFailure>(result.outcome);
   const std::string_view stage =
       failure.stage == AttemptStage::kWithheld       ? "withheld"
       : failure.stage == AttemptStage::kNotConnected ? "not_connected"
@@ -236,6 +250,10 @@
               {"timed_out", failure.timed_out},
               {"cut_off", failure.cut_off},
               {"reused_connection", failure.reused_connection},
+              {"connection", result.trace.connection},
+              {"request_number", result.trace.request_number},
+              {"bytes_sent", result.trace.bytes_sent},
+              {"answers_skipped", result.trace.answers_skipped},
               {"caller_left", context.request.watch->hung_up()}});
 }
 
@@ -250,6 +268,7 @@
   state_.RecordAnswer(now);
   if (info.load) server.load = *info.load;
   if (info.misdirected) {
+    attempt.evidence = NotRunEvidence::kMisdirected;
     attempt.failure = ErrorKind::kNoBackendServer;
     attempt.may_retry = true;
     attempt.assignment_outcome = AssignmentOutcome::kFailed;
@@ -258,6 +277,7 @@
   }
   RecordSignals(now, sent_at, server, info);
   if (info.not_run) {
+    attempt.evidence = NotRunEvidence::kServerRejected;
     attempt.failure = ErrorKind::kQueueFull;
     attempt.may_retry = true;
     // Refusing requests with free slots is an error; being full is not.
--- a/programs/fleet_host/entry_request_context.h
+++ b/programs/fleet_host/entry_request_context.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "programs/fleet_host/entry_request_handler.h"
+#include "sapphirebank/request/execution_record.h"
 #include "sapphirebank/transport/detour_fields.h"
 
 namespace sapphirebank {
@@ -14,6 +15,14 @@
 // on; longer ones are streamed.
 inline constexpr std::uint64_t kMaxBufferedAnswer = std::uint64_t{1} << 20U;
 
+// One attempt of a request, for the logs.
+struct AttemptRecord {
+  // Id of the backend server, or address of the entry host.
+  std::string to;
+  ExchangeTrace trace;
+  NotRunEvidence evidence = NotRunEvidence::kNone;
+};
+
 // State of a request from its arrival to its answer.
 struct EntryRequestHandler::RequestContext {
   HttpRequest request;
@@ -29,6 +38,7 @@
   Instant caller_deadline;  // Passed on to backend servers.
   RequestFingerprint fingerprint = 0;
   std::vector<KnownServerPtr> tried;
+  std::vector<AttemptRecord> attempts;
   // Attempts that reached a backend server.
   int attempts_received = 0;
   // Attempts to which no connection could be made.
--- a/programs/fleet_host/entry_request_detour.cc
+++ b/programs/fleet_host/entry_request_detour.cc
@@ -122,7 +122,10 @@
   ExchangeResult result = co_await client_.Exchange(std::move(exchange), watch);
   context.request.watch->set_on_hang_up(nullptr);
   context.backend_time += MonotonicNow() - now;
-  co_return ClassifyDetour(context, std::move(result), host, last);
+  const ExchangeTrace trace = result.trace;
+  auto answer = ClassifyDetour(context, std::move(result), host, last);
+  context.attempts.push_back({host, trace, last.evidence});
+  co_return answer;
 }
 
 std::optional<HttpAnswer> EntryRequestHandler::ClassifyDetour(
@@ -142,6 +145,7 @@
                 {"host", host},
                 {"stage", is_sent ? "sent" : "not_connected"},
                 {"timed_out", failure->timed_out}});
+    if (!is_sent) last.evidence = NotRunEvidence::kNothingSent;
     last.received_by_server = is_sent;
     last.may_retry = !is_sent || context.route->idempotent;
     last.failure = !is_sent ? ErrorKind::kBackendUnreachable
@@ -177,6 +181,7 @@
     context.may_have_run = true;
     return Refuse(context, kind, Duration::zero());
   }
+  last.evidence = NotRunEvidence::kHostRefused;
   // Another host may be able to help.
   constexpr int kUnavailableStatus = 503;
   const bool is_final = row.http_status != kUnavailableStatus;
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -32,6 +32,30 @@
   return route.latency_objective / kTokenWaitDivisor;
 }
 
+std::string_view MatchName(AnswerMatch match) {
+  switch (match) {
+    case AnswerMatch::kOwn:
+      return "own";
+    case AnswerMatch::kOther:
+      return "other";
+    case AnswerMatch::kUnknown:
+      break;
+  }
+  return "none";
+}
+
+nlohmann::json AttemptJson(const AttemptRecord& attempt) {
+  const ExchangeTrace& trace = attempt.trace;
+  return {{"to", attempt.to},
+          {"connection", trace.connection},
+          {"request_number", trace.request_number},
+          {"bytes_sent", trace.bytes_sent},
+          {"answers_skipped", trace.answers_skipped},
+          {"status", trace.status},
+          {"answer_id", MatchName(trace.match)},
+          {"not_run_by", EvidenceName(attempt.evidence)}};
+}
+
 HttpClientSettings ClientSettings(const EntryHostResources& resources) {
   HttpClientSettings settings;
   settings.max_answer_bytes = resources.max_answer_bytes;
@@ -374,6 +398,10 @@
   for (const KnownServerPtr& server : context.tried) {
     servers.push_back(server->state.announcement.id.value());
   }
+  nlohmann::json attempts = nlohmann::json::array();
+  for (const AttemptRecord& attempt : context.attempts) {
+    attempts.push_back(AttemptJson(attempt));
+  }
   log_.Write(
       level, "request",
       {{"request_id", context.info.id.value()},
@@ -384,6 +412,7 @@
        {"service",
         context.service != nullptr ? context.service->id.value() : ""},
        {"servers", std::move(servers)},
+       {"attempts", std::move(attempts)},
        {"detours", context.detour_hosts},
        {"by_detour", context.detour.has_value()},
        {"refusal", context.refusal_kind
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -12,6 +12,7 @@
 #include "programs/fleet_host/entry_state.h"
 #include "programs/fleet_host/server_path_prober.h"
 #include "sapphirebank/fleet/drain_schedule.h"
+#include "sapphirebank/request/execution_record.h"
 #include "sapphirebank/telemetry/fleet_metrics.h"
 #include "sapphirebank/telemetry/log_writer.h"
 #include "sapphirebank/transport/fleet_secret.h"
@@ -74,6 +75,7 @@
     bool may_retry = false;
     // The server may have received a part of the request.
     bool received_by_server = false;
+    NotRunEvidence evidence = NotRunEvidence::kNone;
     // The retry budget has been charged for the next attempt already.
     bool is_retry_charged = false;
     // Outcome for the server's health; nothing when it is not known yet whether
@@ -102,11 +104,17 @@
   boost::asio::awaitable<HttpAnswer> Forward(RequestContext& context);
   boost::asio::awaitable<AttemptResult> RunAttempt(RequestContext& context,
                                                    EntryState::Choice choice);
+  // Classifies the result of an attempt that began at `sent_at`. Ends the
+  // attempt's `guard` where the attempt has failed.
+  AttemptResult Classify(RequestContext& context,
+                         const EntryState::Choice& choice,
+                         ExchangeResult& result, std::shared_ptr<void>& guard,
+                         Instant sent_at);
   // `blames_server` tells whether a failure is due to the server: a request
   // that was abandoned in its queue is not.
   AttemptResult ClassifyFailure(RequestContext& context,
                                 const EntryState::Choice& choice,
-                                const AttemptFailure& failure,
+                                const ExchangeResult& result,
                                 bool blames_server);
 
   // entry_request_detour.cc
@@ -129,7 +137,7 @@
                   Instant checked_at, Duration way);
   void LogFailedAttempt(const RequestContext& context,
                         const KnownServer& server,
-                        const AttemptFailure& failure);
+                        const ExchangeResult& result);
   AttemptResult ClassifyAnswer(RequestContext& context, KnownServer& server,
                                HttpAnswer answer, Instant sent_at);
   // Records what the server says about itself in an answer to a request sent at
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -77,7 +77,10 @@
   SteadyTime idle_since;
   // Keep-alive time that the server stated; zero if it stated none.
   Duration server_idle_time{};
-  bool reused = false;
+  // Counted by the client from 1.
+  std::uint64_t number = 0;
+  // Requests that were sent on it.
+  std::uint32_t requests = 0;
 };
 
 using ConnectionPtr = std::shared_ptr<Connection>;
@@ -247,7 +250,7 @@
   failure.timed_out =
       error == beast::error::timeout || error == asio::error::timed_out;
   failure.reused_connection = reused;
-  return {failure, reused};
+  return {failure, reused, {}};
 }
 
 // Returns the failure of a request of which `sent` bytes were written when it
@@ -309,7 +312,6 @@
       const bool within_idle_limit =
           now - connection->idle_since < IdleLimit(*connection);
       if (within_idle_limit && IsOpenAndSilent(*connection)) {
-        connection->reused = true;
         return connection;
       }
     }
@@ -320,6 +322,7 @@
   asio::awaitable<ConnectionPtr> Open(Endpoint to, Duration timeout,
                                       error_code& error) {
     auto connection = std::make_shared<Connection>(loop_);
+    connection->number = ++connections_opened_;
     connection->stream.expires_after(timeout);
     const tcp::endpoint endpoint(asio::ip::make_address(to.ip), to.port);
     co_await connection->stream.async_connect(endpoint, CaptureError(error));
@@ -358,6 +361,7 @@
   asio::io_context& loop_;
   HttpClientSettings settings_;
   std::map<Endpoint, std::deque<ConnectionPtr>> idle_;
+  std::uint64_t connections_opened_ = 0;
 };
 
 HttpClient::HttpClient(asio::io_context& loop, HttpClientSettings settings)
@@ -388,6 +392,16 @@
 
 asio::awaitable<ExchangeResult> HttpClient::Exchange(
     HttpExchange exchange, std::shared_ptr<CallerWatch> watch) {
+  ExchangeTrace trace;
+  ExchangeResult result =
+      co_await Exchange(std::move(exchange), std::move(watch), trace);
+  result.trace = trace;
+  co_return result;
+}
+
+asio::awaitable<ExchangeResult> HttpClient::Exchange(
+    HttpExchange exchange, std::shared_ptr<CallerWatch> watch,
+    ExchangeTrace& trace) {
   error_code error;
   ConnectionPtr connection;
   if (!exchange.fresh_connection) connection = pool_->TakeIdle(exchange.to);
@@ -396,7 +410,9 @@
         co_await pool_->Open(exchange.to, exchange.connect_timeout, error);
     if (error) co_return Failure(AttemptStage::kNotConnected, error, false);
   }
-  const bool reused = connection->reused;
+  const bool reused = connection->requests > 0;
+  trace.connection = connection->number;
+  trace.request_number = connection->requests + 1;
   if (watch && watch->hung_up()) {
     co_return Failure(AttemptStage::kNotConnected, error, reused);
   }
@@ -410,8 +426,10 @@
   SendWatch send_watch(loop_, connection->stream, exchange.body.size(),
                        bytes_on_way_,
                        {exchange.arrival_limit, exchange.on_left});
+  ++connection->requests;
   const std::size_t sent =
       co_await WriteRequest(*connection, request, send_watch, error);
+  trace.bytes_sent = sent;
   if (send_watch.was_cut()) co_return CutOff(sent, reused);
   if (error && sent == 0) {
     co_return Failure(AttemptStage::kNotConnected, error, reused);
@@ -435,7 +453,8 @@
     if (send_watch.was_cut()) co_return CutOff(sent, reused);
     send_watch.End();
     if (error) co_return Failure(AttemptStage::kSent, error, reused);
-    is_informational = parser->get().result_int() < 200;
+    trace.status = static_cast<int>(parser->get().result_int());
+    is_informational = trace.status < 200;
     if (is_informational && ++informational > kMaxInformationalAnswers) {
       co_return Failure(AttemptStage::kSent, error, reused);
     }
@@ -443,6 +462,7 @@
         is_informational || !exchange.match_request
             ? AnswerMatch::kOwn
             : exchange.match_request(AnswerOf(parser->get()).fields);
+    if (!is_informational) trace.match = match;
     if (match == AnswerMatch::kUnknown && (reused || strays > 0)) {
       co_return Failure(AttemptStage::kSent, error, reused);
     }
@@ -450,7 +470,8 @@
     if (!is_stray) continue;
     co_await ReadBody(*connection, *parser, memory, exchange.max_buffered_bytes,
                       error);
-    if (error || !parser->is_done() || ++strays > kMaxStrayAnswers) {
+    trace.answers_skipped = ++strays;
+    if (error || !parser->is_done() || strays > kMaxStrayAnswers) {
       co_return Failure(AttemptStage::kSent, error, reused);
     }
   } while (is_stray || is_informational);
--- a/sapphirebank/transport/http_client.h
+++ b/sapphirebank/transport/http_client.h
@@ -69,10 +69,26 @@
   double link_rate = 0;
 };
 
+// What an exchange sent and received, whatever its outcome.
+struct ExchangeTrace {
+  // Number of the connection, counted by the client from 1; 0 for none.
+  std::uint64_t connection = 0;
+  // Requests on the connection up to this one: 1 for the first.
+  std::uint32_t request_number = 0;
+  // Bytes of the request that the system accepted for sending.
+  std::size_t bytes_sent = 0;
+  // Complete answers to other requests that came before the answer.
+  int answers_skipped = 0;
+  // Status of the answer that came last; 0 for none.
+  int status = 0;
+  AnswerMatch match = AnswerMatch::kUnknown;
+};
+
 // Outcome of an exchange.
 struct ExchangeResult {
   std::variant<HttpAnswer, AttemptFailure> outcome;
   bool reused_connection = false;
+  ExchangeTrace trace;
 };
 
 // HTTP/1.1 client with a pool of idle connections; no pipelining. A connection
@@ -107,6 +123,10 @@
  private:
   class Pool;
 
+  boost::asio::awaitable<ExchangeResult> Exchange(
+      HttpExchange exchange, std::shared_ptr<CallerWatch> watch,
+      ExchangeTrace& trace);
+
   boost::asio::io_context& loop_;
   HttpClientSettings settings_;
   std::shared_ptr<Pool> pool_;
