--- a/unit_tests/platform/odd_answers_test.cc
+++ b/unit_tests/platform/odd_answers_test.cc
@@ -1,4 +1,6 @@
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <set>
 
 #include "unit_tests/platform/entry_hosts.h"
 #include "unit_tests/transport/scripted_server.h"
@@ -52,6 +54,155 @@
   }
 }
 
+// Returns an answer whose request id stands behind its other fields.
+std::string LateIdResponse(const std::string& status, const std::string& id,
+                           const std::string& fields) {
+  return "HTTP/1.1 " + status + "\r\n" + fields +
+         "Server: desk/1.4\r\nSapphirebank-Request-Id: " + id +
+         "\r\nSapphirebank-Server-Stamp: stamp-" + id +
+         "\r\nContent-Length: 4\r\n\r\nbody";
+}
+
+bool PromisesNotRun(int status) {
+  return std::set<int>{408, 421, 429, 503}.contains(status);
+}
+
+// Outcome of a request that follows `late_bytes` on its connection.
+struct AfterLateBytes {
+  HttpAnswer answer;
+  int runs = 0;
+  bool shared_connection = false;
+};
+
+// Sends a request which the server answers with `first`, then one of `path`
+// before whose answer `second` it writes `late_bytes`.
+AfterLateBytes SendAfterLateBytes(const std::string& first,
+                                  const std::string& late_bytes,
+                                  const std::string& second,
+                                  const std::string& path) {
+  std::atomic<int> runs = 0;
+  std::atomic<bool> shared = false;
+  ScriptedServer server([&](tcp::socket& socket, int number) {
+    if (!ScriptedServer::ReadRequest(socket)) return;
+    if (number > 0) {
+      ++runs;
+      ScriptedServer::Write(socket, second);
+      ScriptedServer::ReadRequest(socket);
+      return;
+    }
+    ScriptedServer::Write(socket, first);
+    if (!ScriptedServer::ReadRequest(socket)) return;
+    shared = true;
+    ++runs;
+    ScriptedServer::Write(socket, late_bytes + second);
+    ScriptedServer::ReadRequest(socket);
+  });
+  LoopThread loop;
+  TestEntryHost host(loop, "127.0.0.1");
+  host.Update({server.endpoint()}, {});
+  host.Send("/lookup/1", "q1");
+  AfterLateBytes result;
+  result.answer = host.Send(path, "q2");
+  result.runs = runs;
+  result.shared_connection = shared;
+  return result;
+}
+
+// Guards against REFUSED and MIXED: a late copy of an answer that is cut inside
+// the value of a field takes in the status line of the next answer, whose
+// request then gets the status of the copy.
+TEST_CASE("a cut copy of an answer does not change the next one's status",
+          "[platform]") {
+  const std::string rejection =
+      LateIdResponse("503 Service Unavailable", "q1", kNotRun);
+  const std::string success = LateIdResponse("200 OK", "q1", "");
+  const std::string failure =
+      LateIdResponse("500 Internal Server Error", "q1", "");
+  struct Row {
+    const std::string* copy;
+    const char* cut_after;
+    int status;
+  };
+  const Row rows[] = {
+      {&rejection, "desk/", 200}, {&rejection, "desk/", 500},
+      {&rejection, "Exec", 200},  {&rejection, "Executed: ", 200},
+      {&rejection, "Serv", 200},  {&success, "desk/", 500},
+      {&failure, "desk/", 200},   {&failure, "Internal", 200},
+  };
+  for (const Row& row : rows) {
+    for (const char* path : {"/order/1", "/lookup/2"}) {
+      CAPTURE(row.copy->substr(0, 20), row.cut_after, row.status, path);
+      const auto end = row.copy->find(row.cut_after);
+      REQUIRE(end != std::string::npos);
+      const std::string late =
+          row.copy->substr(0, end + std::string(row.cut_after).size());
+      const AfterLateBytes result = SendAfterLateBytes(
+          success, late,
+          LateIdResponse(std::to_string(row.status) + " X", "q2", ""), path);
+      CHECK(result.runs >= 1);
+      CHECK_FALSE(PromisesNotRun(result.answer.status));
+      const bool has_stamp =
+          !FieldValue(result.answer.fields, "sapphirebank-server-stamp")
+               .empty();
+      if (has_stamp) CHECK(result.answer.status == row.status);
+    }
+  }
+}
+
+// Guards against REFUSED: a request that comes again under the same id, and the
+// copy of its first rejection arrives while it runs.
+TEST_CASE("a copy of a rejection does not count for the same id sent again",
+          "[platform]") {
+  std::atomic<int> runs = 0;
+  const std::string rejection =
+      Response("503 Service Unavailable", "q1", kNotRun, "");
+  ScriptedServer server([&](tcp::socket& socket, int number) {
+    if (!ScriptedServer::ReadRequest(socket)) return;
+    if (number == 0) {
+      ScriptedServer::Write(socket, rejection);
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+      if (socket.available() == 0) return;
+      ScriptedServer::ReadRequest(socket);
+      ScriptedServer::Write(socket, rejection);
+    }
+    ++runs;
+    ScriptedServer::Write(socket, Response("200 OK", "q1", "", "ran"));
+    ScriptedServer::ReadRequest(socket);
+  });
+  LoopThread loop;
+  TestEntryHost host(loop, "127.0.0.1");
+  host.Update({server.endpoint()}, {});
+  CHECK(host.Send("/order/1", "q1").status == 503);
+  const HttpAnswer answer = host.Send("/order/1", "q1");
+  CHECK(runs == 1);
+  CHECK(answer.status == 200);
+}
+
+// Guards against REFUSED: to the caller a status that promises "not run" is the
+// proxy's word, also where a server sent it without saying so.
+TEST_CASE("a server's 503 that does not say that it did not run is no promise",
+          "[platform]") {
+  for (const char* status : {"503 Service Unavailable", "429 Too Many Requests",
+                             "408 Request Timeout"}) {
+    for (const char* path : {"/order/1", "/lookup/1"}) {
+      CAPTURE(status, path);
+      ScriptedServer server([&](tcp::socket& socket, int) {
+        while (ScriptedServer::ReadRequest(socket)) {
+          ScriptedServer::Write(
+              socket,
+              Response(status, "q1", "Sapphirebank-Server-Stamp: s\r\n", ""));
+        }
+      });
+      LoopThread loop;
+      TestEntryHost host(loop, "127.0.0.1");
+      host.Update({server.endpoint()}, {});
+      const HttpAnswer answer = host.Send(path);
+      CHECK(answer.status == 502);
+      CHECK(FieldValue(answer.fields, "sapphirebank-server-stamp").empty());
+    }
+  }
+}
+
 // Guards against an empty or short answer that looks complete because the
 // server stopped in the middle of its head.
 TEST_CASE("a head that ends in the middle is no answer", "[platform]") {
