An answer that was spliced with a cut copy of another is not believed

Cause: a late copy of an earlier answer, cut inside the value of a field, takes the next answer's status line into that value; the request id behind it is the right one, so the head counted as the answer, with the copy's status and its claim not to have run.

An own id cannot stand in bytes that were written before the request. So a head with it reaches up to the own answer, and if it began earlier that answer's status line is inside it. For 10 s after bytes that belong to no request no connection to that server is kept, so that the next requests are not in doubt.

--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -208,7 +208,9 @@
   // it was sent; the hub has seen it overdue since.
   unanswered.is_fault = !failure.timed_out || now < context.deadline;
   unanswered.request = context.fingerprint;
-  unanswered.may_have_crashed = !failure.timed_out;
+  // A server that wrote an answer of another request did not crash on this one.
+  unanswered.may_have_crashed =
+      !failure.timed_out && result.trace.doubt == AnswerDoubt::kNone;
   if (unanswered.is_fault) {
     client_.CloseIdleConnections(server.state.announcement.endpoint);
   }
@@ -254,6 +256,7 @@
               {"request_number", result.trace.request_number},
               {"bytes_sent", result.trace.bytes_sent},
               {"answers_skipped", result.trace.answers_skipped},
+              {"doubt", DoubtName(result.trace.doubt)},
               {"caller_left", context.request.watch->hung_up()}});
 }
 
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -53,6 +53,7 @@
           {"answers_skipped", trace.answers_skipped},
           {"status", trace.status},
           {"answer_id", MatchName(trace.match)},
+          {"doubt", DoubtName(trace.doubt)},
           {"not_run_by", EvidenceName(attempt.evidence)}};
 }
 
--- /dev/null
+++ b/sapphirebank/transport/answer_sequence.cc
@@ -0,0 +1,103 @@
+#include "sapphirebank/transport/answer_sequence.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace sapphirebank {
+namespace {
+
+// Answers to earlier requests that are skipped before the connection is closed.
+// A faulty server that sends each answer twice leaves one.
+constexpr int kMaxStrayAnswers = 2;
+
+// Informational answers (1xx) that may precede an answer.
+constexpr int kMaxInformationalAnswers = 8;
+
+constexpr int kFirstFinalStatus = 200;
+
+// A status line up to its status code; 'd' stands for any digit.
+constexpr std::string_view kStatusLinePattern = "HTTP/d.d ddd";
+
+bool IsStatusLine(std::string_view text) {
+  return text.size() >= kStatusLinePattern.size() &&
+         std::equal(kStatusLinePattern.begin(), kStatusLinePattern.end(),
+                    text.begin(), [](char expected, char c) {
+                      const auto byte = static_cast<unsigned char>(c);
+                      return expected == 'd' ? std::isdigit(byte) != 0
+                                             : c == expected;
+                    });
+}
+
+}  // namespace
+
+std::string_view DoubtName(AnswerDoubt doubt) {
+  switch (doubt) {
+    case AnswerDoubt::kSplicedAnswers:
+      return "spliced_answers";
+    case AnswerDoubt::kNoRequestId:
+      return "no_request_id";
+    case AnswerDoubt::kTooManyAnswers:
+      return "too_many_answers";
+    case AnswerDoubt::kNone:
+      break;
+  }
+  return "none";
+}
+
+bool HoldsStatusLine(std::string_view text) {
+  constexpr std::string_view kBegin = "HTTP/";
+  for (auto at = text.find(kBegin); at != std::string_view::npos;
+       at = text.find(kBegin, at + 1)) {
+    if (IsStatusLine(text.substr(at))) return true;
+  }
+  return false;
+}
+
+AnswerSequence::AnswerSequence(bool carried_requests, Matcher matcher)
+    : carried_requests_(carried_requests), matcher_(std::move(matcher)) {}
+
+AnswerSequence::Verdict AnswerSequence::JudgeHead(const AnswerHead& head) {
+  ++messages_;
+  const bool is_spliced = HoldsStatusLine(head.reason) ||
+                          std::any_of(head.fields.begin(), head.fields.end(),
+                                      [](const HeaderField& field) {
+                                        return HoldsStatusLine(field.value);
+                                      });
+  if (is_spliced) return Reject(AnswerDoubt::kSplicedAnswers);
+  if (head.status < kFirstFinalStatus) {
+    if (++informational_ > kMaxInformationalAnswers) {
+      return Reject(AnswerDoubt::kTooManyAnswers);
+    }
+    return Verdict::kSkip;
+  }
+  match_ = matcher_ ? matcher_(head.fields) : AnswerMatch::kOwn;
+  switch (match_) {
+    case AnswerMatch::kOwn:
+      return Verdict::kAccept;
+    case AnswerMatch::kUnknown:
+      if (carried_requests_ || answers_skipped_ > 0) {
+        return Reject(AnswerDoubt::kNoRequestId);
+      }
+      return Verdict::kAccept;
+    case AnswerMatch::kOther:
+      break;
+  }
+  if (++answers_skipped_ > kMaxStrayAnswers) {
+    return Reject(AnswerDoubt::kTooManyAnswers);
+  }
+  return Verdict::kSkip;
+}
+
+bool AnswerSequence::RecordSkipped(std::string_view body) {
+  if (!HoldsStatusLine(body)) return true;
+  doubt_ = AnswerDoubt::kSplicedAnswers;
+  return false;
+}
+
+AnswerSequence::Verdict AnswerSequence::Reject(AnswerDoubt doubt) {
+  doubt_ = doubt;
+  return Verdict::kReject;
+}
+
+}  // namespace sapphirebank
--- /dev/null
+++ b/sapphirebank/transport/answer_sequence.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <functional>
+#include <string_view>
+
+#include "sapphirebank/transport/http_message.h"
+
+namespace sapphirebank {
+
+// Why none of the answers on a connection can be taken for that to the request.
+enum class AnswerDoubt {
+  kNone,
+  // A status line stands inside a head, or in the body of an answer to another
+  // request: one of the two answers was cut and runs into the other.
+  kSplicedAnswers,
+  // The answer names no request, and the connection has carried others.
+  kNoRequestId,
+  kTooManyAnswers,
+};
+
+// Returns the text that stands for `doubt` in logs.
+std::string_view DoubtName(AnswerDoubt doubt);
+
+// Returns whether a status line (RFC 9112, section 4) stands in `text`.
+bool HoldsStatusLine(std::string_view text);
+
+// The head of an answer.
+struct AnswerHead {
+  int status = 0;
+  std::string_view reason;
+  const HeaderFields& fields;
+};
+
+// Decides which of the answers that arrive on a connection after a request is
+// the one to that request. A faulty server may write others before it, whole or
+// cut, and bytes that are no answer.
+//
+// A request's id is unknown to all bytes that the server wrote for earlier
+// requests, so a head that has it reaches up to the own answer; what comes
+// before the own answer in that head leaves that answer's status line inside.
+class AnswerSequence {
+ public:
+  enum class Verdict {
+    kAccept,  // It is the answer to the request.
+    kSkip,    // Its body, if any, is to be read and passed to RecordSkipped().
+    kReject,  // No answer on this connection can be trusted.
+  };
+
+  // Tells from header fields whether an answer belongs to the request.
+  using Matcher = std::function<AnswerMatch(const HeaderFields&)>;
+
+  // `carried_requests` tells whether the connection was used before. A null
+  // matcher takes every answer for the request's own.
+  AnswerSequence(bool carried_requests, Matcher matcher);
+
+  Verdict JudgeHead(const AnswerHead& head);
+
+  // Records the body of an answer to another request. Returns false when
+  // nothing behind it can be trusted.
+  bool RecordSkipped(std::string_view body);
+
+  AnswerDoubt doubt() const { return doubt_; }
+  // Whether the server wrote bytes that belong to no request.
+  bool HasStrayBytes() const {
+    return answers_skipped_ > 0 || doubt_ != AnswerDoubt::kNone;
+  }
+  // How the last final answer matched the request.
+  AnswerMatch match() const { return match_; }
+  // Complete answers to other requests so far.
+  int answers_skipped() const { return answers_skipped_; }
+  // Whether no other message, informational ones included, came before the last
+  // one.
+  bool is_first() const { return messages_ <= 1; }
+
+ private:
+  Verdict Reject(AnswerDoubt doubt);
+
+  bool carried_requests_;
+  Matcher matcher_;
+  AnswerDoubt doubt_ = AnswerDoubt::kNone;
+  AnswerMatch match_ = AnswerMatch::kUnknown;
+  int messages_ = 0;
+  int informational_ = 0;
+  int answers_skipped_ = 0;
+};
+
+}  // namespace sapphirebank
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -14,6 +14,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "sapphirebank/transport/process_clock.h"
 
@@ -30,13 +31,6 @@
 
 constexpr std::uint32_t kMaxAnswerHeadBytes = 64 * 1024;
 
-// Answers to earlier requests that are skipped before the connection is closed.
-// A faulty server that sends each answer twice leaves one.
-constexpr int kMaxStrayAnswers = 2;
-
-// Informational answers (1xx) that may precede an answer.
-constexpr int kMaxInformationalAnswers = 8;
-
 // Bytes of an answer that are read ahead of its parser. A head, a chunk header
 // or a trailer section beyond it is not read to its end.
 constexpr std::size_t kMaxUnparsedBytes = 2 * std::size_t{kMaxAnswerHeadBytes};
@@ -65,6 +59,17 @@
 // keep-alive time, so that a request does not race with the server's close.
 constexpr double kServerIdleTimeFraction = 0.7;
 
+// Requests on one connection; bounds the identities that it remembers.
+constexpr std::size_t kMaxRequestsPerConnection = 256;
+
+// Time for which no connection to a server is kept after one of them had bytes
+// that belong to no request.
+constexpr Duration kStrayBytesPause = std::chrono::seconds(10);
+
+// Servers for which that is remembered. Beyond it the oldest is forgotten: a
+// connection is then kept again, and its answers are checked all the same.
+constexpr std::size_t kMaxStrayServers = 1024;
+
 auto CaptureError(error_code& error) {
   return asio::redirect_error(asio::use_awaitable, error);
 }
@@ -79,18 +84,27 @@
   Duration server_idle_time{};
   // Counted by the client from 1.
   std::uint64_t number = 0;
-  // Requests that were sent on it.
-  std::uint32_t requests = 0;
+  // Identities of the requests that were sent on it.
+  std::vector<std::uint64_t> carried;
+
+  bool HasCarried(std::uint64_t identity) const {
+    return identity != 0 &&
+           std::find(carried.begin(), carried.end(), identity) != carried.end();
+  }
 };
 
 using ConnectionPtr = std::shared_ptr<Connection>;
 
-// Returns whether an idle connection is open and has no bytes to read.
-bool IsOpenAndSilent(Connection& connection) {
+enum class IdleState { kSilent, kClosed, kHasBytes };
+
+// Returns whether an idle connection is open and has bytes to read.
+IdleState StateOf(Connection& connection) {
   char byte = 0;
   const auto got = ::recv(connection.stream.socket().native_handle(), &byte, 1,
                           MSG_PEEK | MSG_DONTWAIT);
-  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (got > 0) return IdleState::kHasBytes;
+  const bool is_silent = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return is_silent ? IdleState::kSilent : IdleState::kClosed;
 }
 
 void SetSocketOptions(tcp::socket& socket, Duration unacknowledged) {
@@ -301,23 +315,40 @@
   Pool(asio::io_context& loop, HttpClientSettings settings)
       : loop_(loop), settings_(settings) {}
 
-  ConnectionPtr TakeIdle(const Endpoint& to) {
+  // Returns an idle connection for a request with this identity, or null.
+  ConnectionPtr TakeIdle(const Endpoint& to, std::uint64_t identity) {
     const auto found = idle_.find(to);
     if (found == idle_.end()) return nullptr;
     auto& connections = found->second;
     const auto now = std::chrono::steady_clock::now();
-    while (!connections.empty()) {
-      ConnectionPtr connection = std::move(connections.back());
-      connections.pop_back();
-      const bool within_idle_limit =
-          now - connection->idle_since < IdleLimit(*connection);
-      if (within_idle_limit && IsOpenAndSilent(*connection)) {
-        return connection;
-      }
+    for (auto it = connections.end(); it != connections.begin();) {
+      --it;
+      if ((*it)->HasCarried(identity)) continue;
+      ConnectionPtr connection = std::move(*it);
+      it = connections.erase(it);
+      if (now - connection->idle_since >= IdleLimit(*connection)) continue;
+      const IdleState state = StateOf(*connection);
+      if (state == IdleState::kSilent) return connection;
+      if (state != IdleState::kHasBytes) continue;
+      RecordStrayBytes(to);
+      return nullptr;
     }
     return nullptr;
   }
 
+  // Records that a server wrote bytes that belong to no request: its idle
+  // connections may have more of them on their way.
+  void RecordStrayBytes(const Endpoint& to) {
+    const auto now = std::chrono::steady_clock::now();
+    if (stray_bytes_.size() >= kMaxStrayServers && !stray_bytes_.contains(to)) {
+      stray_bytes_.erase(std::min_element(
+          stray_bytes_.begin(), stray_bytes_.end(),
+          [](const auto& a, const auto& b) { return a.second < b.second; }));
+    }
+    stray_bytes_[to] = now;
+    idle_.erase(to);
+  }
+
   // Opens a connection; failures are stored in `error`.
   asio::awaitable<ConnectionPtr> Open(Endpoint to, Duration timeout,
                                       error_code& error) {
@@ -334,6 +365,15 @@
   }
 
   void ReturnIdle(const Endpoint& to, ConnectionPtr connection) {
+    if (connection->carried.size() >= kMaxRequestsPerConnection) return;
+    const auto now = std::chrono::steady_clock::now();
+    const auto stray = stray_bytes_.find(to);
+    const bool had_requests = !connection->carried.empty();
+    if (stray != stray_bytes_.end()) {
+      const bool is_over = now - stray->second >= kStrayBytesPause;
+      if (is_over) stray_bytes_.erase(stray);
+      if (!is_over && had_requests) return;
+    }
     auto& connections = idle_[to];
     if (connections.size() >= settings_.max_idle_per_endpoint) {
       connections.pop_front();
@@ -341,7 +381,7 @@
     if (connection->buffer.capacity() > kMaxIdleBufferBytes) {
       connection->buffer.shrink_to_fit();
     }
-    connection->idle_since = std::chrono::steady_clock::now();
+    connection->idle_since = now;
     connection->stream.expires_never();
     connections.push_back(std::move(connection));
   }
@@ -361,6 +401,8 @@
   asio::io_context& loop_;
   HttpClientSettings settings_;
   std::map<Endpoint, std::deque<ConnectionPtr>> idle_;
+  // When servers last wrote bytes that belong to no request.
+  std::map<Endpoint, SteadyTime> stray_bytes_;
   std::uint64_t connections_opened_ = 0;
 };
 
@@ -404,15 +446,16 @@
     ExchangeTrace& trace) {
   error_code error;
   ConnectionPtr connection;
-  if (!exchange.fresh_connection) connection = pool_->TakeIdle(exchange.to);
+  if (!exchange.fresh_connection) {
+    connection = pool_->TakeIdle(exchange.to, exchange.identity);
+  }
   if (!connection) {
     connection =
         co_await pool_->Open(exchange.to, exchange.connect_timeout, error);
     if (error) co_return Failure(AttemptStage::kNotConnected, error, false);
   }
-  const bool reused = connection->requests > 0;
+  const bool reused = !connection->carried.empty();
   trace.connection = connection->number;
-  trace.request_number = connection->requests + 1;
   if (watch && watch->hung_up()) {
     co_return Failure(AttemptStage::kNotConnected, error, reused);
   }
@@ -426,7 +469,8 @@
   SendWatch send_watch(loop_, connection->stream, exchange.body.size(),
                        bytes_on_way_,
                        {exchange.arrival_limit, exchange.on_left});
-  ++connection->requests;
+  connection->carried.push_back(exchange.identity);
+  trace.request_number = static_cast<std::uint32_t>(connection->carried.size());
   const std::size_t sent =
       co_await WriteRequest(*connection, request, send_watch, error);
   trace.bytes_sent = sent;
@@ -439,12 +483,10 @@
   if (request_truncated) connection->stream.expires_after(kEarlyAnswerTime);
 
   ByteReservation memory(memory_);
-  auto parser = std::make_unique<Parser>();
-  int strays = 0;
-  int informational = 0;
-  bool is_stray = false;
-  bool is_informational = false;
-  do {
+  std::unique_ptr<Parser> parser;
+  AnswerSequence sequence(reused, exchange.match_request);
+  auto verdict = AnswerSequence::Verdict::kSkip;
+  while (verdict == AnswerSequence::Verdict::kSkip) {
     parser = std::make_unique<Parser>();
     parser->header_limit(kMaxAnswerHeadBytes);
     parser->body_limit(UINT64_MAX);
@@ -453,28 +495,30 @@
     if (send_watch.was_cut()) co_return CutOff(sent, reused);
     send_watch.End();
     if (error) co_return Failure(AttemptStage::kSent, error, reused);
-    trace.status = static_cast<int>(parser->get().result_int());
-    is_informational = trace.status < 200;
-    if (is_informational && ++informational > kMaxInformationalAnswers) {
-      co_return Failure(AttemptStage::kSent, error, reused);
-    }
-    const AnswerMatch match =
-        is_informational || !exchange.match_request
-            ? AnswerMatch::kOwn
-            : exchange.match_request(AnswerOf(parser->get()).fields);
-    if (!is_informational) trace.match = match;
-    if (match == AnswerMatch::kUnknown && (reused || strays > 0)) {
-      co_return Failure(AttemptStage::kSent, error, reused);
+    const HttpAnswer head = AnswerOf(parser->get());
+    verdict =
+        sequence.JudgeHead({head.status, parser->get().reason(), head.fields});
+    if (verdict == AnswerSequence::Verdict::kSkip && !parser->is_done()) {
+      co_await ReadBody(*connection, *parser, memory,
+                        exchange.max_buffered_bytes, error);
+      if (error || !parser->is_done()) {
+        verdict = AnswerSequence::Verdict::kReject;
+      }
     }
-    is_stray = match == AnswerMatch::kOther;
-    if (!is_stray) continue;
-    co_await ReadBody(*connection, *parser, memory, exchange.max_buffered_bytes,
-                      error);
-    trace.answers_skipped = ++strays;
-    if (error || !parser->is_done() || strays > kMaxStrayAnswers) {
-      co_return Failure(AttemptStage::kSent, error, reused);
+    if (verdict == AnswerSequence::Verdict::kSkip &&
+        !sequence.RecordSkipped(parser->get().body())) {
+      verdict = AnswerSequence::Verdict::kReject;
     }
-  } while (is_stray || is_informational);
+    trace.status = head.status;
+    trace.match = sequence.match();
+    trace.answers_skipped = sequence.answers_skipped();
+    trace.is_first_answer = sequence.is_first();
+    trace.doubt = sequence.doubt();
+  }
+  if (sequence.HasStrayBytes()) pool_->RecordStrayBytes(exchange.to);
+  if (verdict == AnswerSequence::Verdict::kReject) {
+    co_return Failure(AttemptStage::kSent, error, reused);
+  }
 
   const bool too_long = BodyKnownTooLong(*parser, exchange.max_buffered_bytes);
   if (!too_long) {
@@ -498,8 +542,10 @@
     result.outcome = std::move(answer);
     co_return result;
   }
-  if (parser->keep_alive() && connection->buffer.size() == 0 &&
-      !request_truncated && strays == 0) {
+  const bool has_more_bytes = connection->buffer.size() > 0;
+  if (has_more_bytes) pool_->RecordStrayBytes(exchange.to);
+  if (parser->keep_alive() && !has_more_bytes && !request_truncated &&
+      sequence.answers_skipped() == 0) {
     connection->server_idle_time = KeepAliveTimeout(answer.fields);
     pool_->ReturnIdle(exchange.to, std::move(connection));
   }
--- a/sapphirebank/transport/http_client.h
+++ b/sapphirebank/transport/http_client.h
@@ -13,6 +13,7 @@
 #include "sapphirebank/core/endpoint.h"
 #include "sapphirebank/core/time.h"
 #include "sapphirebank/request/attempt_policy.h"
+#include "sapphirebank/transport/answer_sequence.h"
 #include "sapphirebank/transport/http_message.h"
 #include "sapphirebank/transport/send_watch.h"
 
@@ -34,10 +35,13 @@
   // Value of the Host field; empty for the address in `to`.
   std::string host;
   // Returns, from an answer's header fields, whether it answers this request.
-  // Late answers to earlier requests are skipped. An answer that does not say
-  // is accepted as the first one on a new connection; later, the exchange fails
-  // with AttemptStage::kSent. Null accepts all.
-  std::function<AnswerMatch(const HeaderFields&)> match_request;
+  // Late answers to earlier requests are skipped, as AnswerSequence says; when
+  // none can be trusted, the exchange fails with AttemptStage::kSent. Null
+  // accepts all.
+  AnswerSequence::Matcher match_request;
+  // Identifies the request to `match_request`, such as a hash of its id; 0 for
+  // none. No connection carries two requests with the same one.
+  std::uint64_t identity = 0;
   // Called right before the first byte is sent, as establishing a connection
   // takes time. When it returns false nothing is sent, and the exchange fails
   // with AttemptStage::kWithheld. Null always sends.
@@ -82,6 +86,9 @@
   // Status of the answer that came last; 0 for none.
   int status = 0;
   AnswerMatch match = AnswerMatch::kUnknown;
+  // Nothing came on the connection between the request and the answer.
+  bool is_first_answer = false;
+  AnswerDoubt doubt = AnswerDoubt::kNone;
 };
 
 // Outcome of an exchange.
@@ -94,9 +101,10 @@
 // HTTP/1.1 client with a pool of idle connections; no pipelining. A connection
 // is not reused after a time-out, after an incomplete answer, or when bytes
 // arrived on it while it was idle: a late answer must not be taken for the
-// answer to the next request. One answer gets a part of the memory that is
-// free; a longer body is returned as a stream, a longer head fails. Used on one
-// event loop only.
+// answer to the next request. For a while after a server has written bytes that
+// belong to no request, each request to it gets a connection of its own. One
+// answer gets a part of the memory that is free; a longer body is returned as a
+// stream, a longer head fails. Used on one event loop only.
 class HttpClient {
  public:
   HttpClient(boost::asio::io_context& loop, HttpClientSettings settings);
