A connection does not carry the same request id twice

Callers saw 503 for an order that runs: the first one under its id was rejected, it came again under the same id, and a late copy of the rejection bore the right id. Cause: an id tells answers apart only if nothing that was written before the request can have it. Each connection now remembers the ids that it carried, 256 at most, and is not used for one of them again.

'a copy of a rejection does not count for the same id sent again' failed before and passes; it leaves KNOWN-RED.

--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -5,6 +5,7 @@
 
 #include "programs/fleet_host/entry_request_context.h"
 #include "programs/fleet_host/entry_request_handler.h"
+#include "sapphirebank/core/hash.h"
 #include "sapphirebank/transport/process_clock.h"
 
 // One attempt of a request at a backend server, and the classification of its
@@ -108,6 +109,7 @@
   exchange.match_request = [this, id](const HeaderFields& fields) {
     return codec_.match_request(fields, id);
   };
+  exchange.identity = StableHash(id.value());
   // The server may leave, or the process may be suspended, while the request
   // waits for a connection.
   Instant checked_at;
