A refusal says 'not run' only by a proof over all attempts

Callers could be told 503 or 429 for a request that may have run: a rate token that was refused after a detour whose answer was lost, for one; and any answer with status 421, or with the server's statement that it did not run, counted whatever request it named. Cause: 'not run' was claimed in many places, each from the evidence at hand, and one flag had to be set by all others.

ExecutionRecord holds what is known over all attempts of a request. An attempt counts as possibly run from its begin until it ends with evidence, so that what forgets to say so errs to 'unknown'. A refusal that says 'not run' takes a NotRunProof, which only the record makes. EvidenceOf() believes a server only in an answer with the request's id that nothing came before, whose status and statement agree. A host that got a request by a detour tells of its own part; the sending host adds what was before.

AnswerSequence moves to request/, as it has no sockets.

--- a/programs/fleet_host/entry_codec.h
+++ b/programs/fleet_host/entry_codec.h
@@ -8,6 +8,7 @@
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/time.h"
 #include "sapphirebank/fleet/entry_view.h"
+#include "sapphirebank/request/answer_sequence.h"
 #include "sapphirebank/request/http_head.h"
 #include "sapphirebank/transport/http_message.h"
 
--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -133,6 +133,7 @@
     context.request.watch->set_on_hang_up([watch] { watch->HangUp(); });
     guard = StartAttemptTimer(context, timer, watch, choice.is_busy);
   }
+  ExecutionRecord::Attempt execution(context.execution);
   ++server->in_flight;
   path_prober_.AddAttempt(now);
   ExchangeResult result = co_await client_.Exchange(std::move(exchange), watch);
@@ -142,6 +143,7 @@
   timer.cancel();
   context.request.watch->set_on_hang_up(nullptr);
   AttemptResult attempt = Classify(context, choice, result, guard, now);
+  execution.End(attempt.evidence);
   context.attempts.push_back(
       {target.id.value(), result.trace, attempt.evidence});
   co_return attempt;
@@ -166,9 +168,7 @@
     path_prober_.Start();
     return attempt;
   }
-  return ClassifyAnswer(context, *choice.server,
-                        std::move(std::get<HttpAnswer>(result.outcome)),
-                        sent_at);
+  return ClassifyAnswer(context, *choice.server, result, sent_at);
 }
 
 EntryRequestHandler::AttemptResult EntryRequestHandler::ClassifyFailure(
@@ -200,7 +200,6 @@
   }
   attempt.received_by_server = true;
   ++context.attempts_received;
-  context.may_have_run = true;
   attempt.failure = failure.timed_out ? ErrorKind::kBackendTimeout
                                       : ErrorKind::kBackendBroken;
   attempt.may_retry = context.route->idempotent;
@@ -263,17 +262,24 @@
 }
 
 EntryRequestHandler::AttemptResult EntryRequestHandler::ClassifyAnswer(
-    RequestContext& context, KnownServer& server, HttpAnswer answer,
+    RequestContext& context, KnownServer& server, ExchangeResult& result,
     Instant sent_at) {
   AttemptResult attempt;
+  HttpAnswer answer = std::move(std::get<HttpAnswer>(result.outcome));
   const Instant now = MonotonicNow();
   const BackendResponseInfo info = codec_.read_response_info(answer, now);
+  AnswerStatement statement;
+  statement.status = answer.status;
+  statement.not_run = info.not_run;
+  statement.misdirected = info.misdirected;
+  statement.match = result.trace.match;
+  statement.is_first_answer = result.trace.is_first_answer;
+  attempt.evidence = EvidenceOf(statement);
   attempt.received_by_server = true;
   ++context.attempts_received;
   state_.RecordAnswer(now);
   if (info.load) server.load = *info.load;
-  if (info.misdirected) {
-    attempt.evidence = NotRunEvidence::kMisdirected;
+  if (attempt.evidence == NotRunEvidence::kMisdirected) {
     attempt.failure = ErrorKind::kNoBackendServer;
     attempt.may_retry = true;
     attempt.assignment_outcome = AssignmentOutcome::kFailed;
@@ -281,8 +287,7 @@
     return attempt;
   }
   RecordSignals(now, sent_at, server, info);
-  if (info.not_run) {
-    attempt.evidence = NotRunEvidence::kServerRejected;
+  if (attempt.evidence == NotRunEvidence::kServerRejected) {
     attempt.failure = ErrorKind::kQueueFull;
     attempt.may_retry = true;
     // Refusing requests with free slots is an error; being full is not.
@@ -291,7 +296,6 @@
     if (has_room) state_.RecordServerError(server);
     return attempt;
   }
-  context.may_have_run = true;
   StripConnectionFields(answer.fields);
   if (context.detour) {
     const BackendId& id = server.state.announcement.id;
--- a/programs/fleet_host/entry_request_context.h
+++ b/programs/fleet_host/entry_request_context.h
@@ -49,8 +49,9 @@
   std::vector<std::string> detour_hosts;
   // The attempt is abandoned because this host has lost its path.
   bool abandoned_for_detour = false;
-  // A backend server may have run the request.
-  bool may_have_run = false;
+  // What this host and those that it sent the request to know of its execution.
+  // A host that got the request by a detour leaves out what was before.
+  ExecutionRecord execution;
   // A token of the workspace's rate must be taken before the first attempt.
   bool needs_token = false;
   // Server of the next attempt, chosen before the last one was abandoned.
--- a/programs/fleet_host/entry_request_detour.cc
+++ b/programs/fleet_host/entry_request_detour.cc
@@ -47,14 +47,13 @@
   if (!detour) {
     log_.Write(LogLevel::kWarning, "detour_rejected",
                {{"cause", detour.error().detail}});
-    co_return RefuseNotRun(context, detour.error().kind);
+    co_return Refuse(context, detour.error().kind);
   }
   context.attempts_received = detour->attempts_received;
-  context.may_have_run = detour->may_have_run;
   context.charge_retry_budget = detour->is_retry;
   const std::shared_ptr<std::size_t> in_progress = detours_in_progress_;
   if (*in_progress >= kMaxDetoursInProgress) {
-    co_return RefuseNotRun(context, ErrorKind::kQueueFull);
+    co_return Refuse(context, ErrorKind::kQueueFull);
   }
   const ScopedCount counted(*in_progress);
   co_return co_await Serve(context);
@@ -65,7 +64,8 @@
   query.path_is_lost = state_.path().IsLost();
   query.unreachable_attempts = context.unreachable_attempts;
   query.came_by_detour = context.detour.has_value();
-  query.must_not_run_again = context.may_have_run && !context.route->idempotent;
+  query.must_not_run_again =
+      context.execution.MayHaveRun() && !context.route->idempotent;
   query.detours_tried = static_cast<int>(context.detour_hosts.size());
   return TakesDetour(query) &&
          state_.detour_hosts().HasOne(MonotonicNow(), context.detour_hosts);
@@ -84,7 +84,7 @@
   detour.caller_time_left = context.caller_deadline - now;
   detour.plan_version = context.plan->version();
   detour.attempts_received = context.attempts_received;
-  detour.may_have_run = context.may_have_run;
+  detour.may_have_run = context.execution.MayHaveRun();
   detour.is_retry = context.charge_retry_budget;
   detour.has_token = !context.needs_token;
   HttpRequestHead head = context.request.head;
@@ -119,18 +119,20 @@
   if (context.route->idempotent) {
     context.request.watch->set_on_hang_up([watch] { watch->HangUp(); });
   }
+  ExecutionRecord::Attempt execution(context.execution);
   ExchangeResult result = co_await client_.Exchange(std::move(exchange), watch);
   context.request.watch->set_on_hang_up(nullptr);
   context.backend_time += MonotonicNow() - now;
   const ExchangeTrace trace = result.trace;
-  auto answer = ClassifyDetour(context, std::move(result), host, last);
+  auto answer =
+      ClassifyDetour(context, std::move(result), host, execution, last);
   context.attempts.push_back({host, trace, last.evidence});
   co_return answer;
 }
 
 std::optional<HttpAnswer> EntryRequestHandler::ClassifyDetour(
     RequestContext& context, ExchangeResult result, const std::string& host,
-    AttemptResult& last) {
+    ExecutionRecord::Attempt& execution, AttemptResult& last) {
   const Instant now = MonotonicNow();
   last = AttemptResult();
   if (const auto* failure = std::get_if<AttemptFailure>(&result.outcome)) {
@@ -146,6 +148,7 @@
                 {"stage", is_sent ? "sent" : "not_connected"},
                 {"timed_out", failure->timed_out}});
     if (!is_sent) last.evidence = NotRunEvidence::kNothingSent;
+    execution.End(last.evidence);
     last.received_by_server = is_sent;
     last.may_retry = !is_sent || context.route->idempotent;
     last.failure = !is_sent ? ErrorKind::kBackendUnreachable
@@ -154,12 +157,12 @@
                        : ErrorKind::kBackendBroken;
     if (!is_sent) return std::nullopt;
     ++context.attempts_received;
-    context.may_have_run = true;
     return std::nullopt;
   }
   HttpAnswer answer = std::move(std::get<HttpAnswer>(result.outcome));
   const std::string refusal(FieldValue(answer.fields, kRefusalField));
   if (refusal.empty()) {
+    execution.End(NotRunEvidence::kNone);
     const BackendId id(std::string(FieldValue(answer.fields, kServerField)));
     const KnownServerPtr server = state_.view().Find(id);
     const BackendResponseInfo info = codec_.read_response_info(answer, now);
@@ -177,18 +180,15 @@
       ErrorKindFromName(refusal).value_or(ErrorKind::kInternal);
   const ErrorAnswer& row = AnswerFor(kind);
   last.failure = kind;
-  if (row.execution == Execution::kUnknown) {
-    context.may_have_run = true;
-    return Refuse(context, kind, Duration::zero());
+  if (row.execution == Execution::kNotRun) {
+    last.evidence = NotRunEvidence::kHostRefused;
   }
-  last.evidence = NotRunEvidence::kHostRefused;
+  execution.End(last.evidence);
   // Another host may be able to help.
   constexpr int kUnavailableStatus = 503;
-  const bool is_final = row.http_status != kUnavailableStatus;
-  if (is_final && !context.may_have_run) return RefuseNotRun(context, kind);
-  if (is_final) {
-    return Refuse(context, ErrorKind::kBackendBroken, Duration::zero());
-  }
+  const bool is_final = last.evidence == NotRunEvidence::kNone ||
+                        row.http_status != kUnavailableStatus;
+  if (is_final) return Refuse(context, kind);
   if (CannotServe(kind)) state_.detour_hosts().RecordFailure(now, host);
   last.may_retry = true;
   return std::nullopt;
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -32,18 +32,6 @@
   return route.latency_objective / kTokenWaitDivisor;
 }
 
-std::string_view MatchName(AnswerMatch match) {
-  switch (match) {
-    case AnswerMatch::kOwn:
-      return "own";
-    case AnswerMatch::kOther:
-      return "other";
-    case AnswerMatch::kUnknown:
-      break;
-  }
-  return "none";
-}
-
 nlohmann::json AttemptJson(const AttemptRecord& attempt) {
   const ExchangeTrace& trace = attempt.trace;
   return {{"to", attempt.to},
@@ -110,7 +98,7 @@
                           !state_.TryTakeToken(context.workspace->id);
     answer = co_await Forward(context);
   } else {
-    answer = RefuseNotRun(context, admitted.error().kind);
+    answer = Refuse(context, admitted.error().kind);
   }
   LogRequest(context, answer);
   RecordMetrics(context);
@@ -250,8 +238,8 @@
     const Instant now = MonotonicNow();
     if (now >= context.deadline || AttemptsAreOver() ||
         context.request.watch->hung_up()) {
-      last.failure = context.may_have_run ? ErrorKind::kBackendTimeout
-                                          : ErrorKind::kQueueTimeout;
+      last.failure = context.execution.MayHaveRun() ? ErrorKind::kBackendTimeout
+                                                    : ErrorKind::kQueueTimeout;
       break;
     }
     if (ShouldDetour(context)) {
@@ -272,7 +260,7 @@
       break;
     }
     const Result<EntryState::Choice> choice = co_await ChooseServer(context);
-    if (!choice) co_return RefuseNotRun(context, choice.error().kind);
+    if (!choice) co_return Refuse(context, choice.error().kind);
     if (!choice->server) break;
     last = co_await RunAttempt(context, *choice);
     if (last.assignment_outcome) {
@@ -286,12 +274,7 @@
                          AssignmentOutcome::kInconclusive);
   }
   if (fallback) co_return std::move(*fallback);
-  ErrorKind kind = last.failure;
-  const bool claims_not_run = AnswerFor(kind).execution == Execution::kNotRun;
-  if (context.may_have_run && claims_not_run) kind = ErrorKind::kBackendBroken;
-  const Duration retry_after =
-      context.may_have_run ? Duration::zero() : kMaxRetryAfter;
-  co_return Refuse(context, kind, retry_after);
+  co_return Refuse(context, last.failure);
 }
 
 ServerQuery EntryRequestHandler::MakeQuery(
@@ -353,15 +336,29 @@
   return context.route->idempotent && !is_last && !drain_;
 }
 
-// Refuses a request of which no server has received anything.
-HttpAnswer EntryRequestHandler::RefuseNotRun(RequestContext& context,
-                                             ErrorKind kind) {
-  const Duration retry_after = AnswerFor(kind).retry_after;
-  return Refuse(context, kind, std::min(retry_after, kMaxRetryAfter));
+HttpAnswer EntryRequestHandler::Refuse(RequestContext& context,
+                                       ErrorKind kind) {
+  const ErrorAnswer& row = AnswerFor(kind);
+  if (row.execution == Execution::kUnknown) {
+    return MakeRefusal(context, kind, Duration::zero());
+  }
+  const std::optional<NotRunProof> proof = context.execution.Proof();
+  if (!proof) {
+    return MakeRefusal(context, ErrorKind::kBackendBroken, Duration::zero());
+  }
+  return MakeNotRunRefusal(*proof, context, kind);
+}
+
+HttpAnswer EntryRequestHandler::MakeNotRunRefusal(const NotRunProof& /*proof*/,
+                                                  RequestContext& context,
+                                                  ErrorKind kind) {
+  return MakeRefusal(context, kind,
+                     std::min(AnswerFor(kind).retry_after, kMaxRetryAfter));
 }
 
-HttpAnswer EntryRequestHandler::Refuse(RequestContext& context, ErrorKind kind,
-                                       Duration retry_after) {
+HttpAnswer EntryRequestHandler::MakeRefusal(RequestContext& context,
+                                            ErrorKind kind,
+                                            Duration retry_after) {
   context.refusal_kind = kind;
   const Error error(kind, std::string(AnswerFor(kind).title));
   HttpAnswer answer = codec_.refusal(error, context.info.id, retry_after);
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -129,6 +129,7 @@
   std::optional<HttpAnswer> ClassifyDetour(RequestContext& context,
                                            ExchangeResult result,
                                            const std::string& host,
+                                           ExecutionRecord::Attempt& execution,
                                            AttemptResult& last);
 
   // Logs a request that was checked at `checked_at` and whose bytes left `way`
@@ -139,7 +140,7 @@
                         const KnownServer& server,
                         const ExchangeResult& result);
   AttemptResult ClassifyAnswer(RequestContext& context, KnownServer& server,
-                               HttpAnswer answer, Instant sent_at);
+                               ExchangeResult& result, Instant sent_at);
   // Records what the server says about itself in an answer to a request sent at
   // `sent_at`.
   void RecordSignals(Instant now, Instant sent_at, KnownServer& server,
@@ -163,9 +164,13 @@
       std::weak_ptr<void> attempt);
   bool MayRetry(RequestContext& context, const AttemptResult& last,
                 Instant now);
-  HttpAnswer Refuse(RequestContext& context, ErrorKind kind,
-                    Duration retry_after);
-  HttpAnswer RefuseNotRun(RequestContext& context, ErrorKind kind);
+  // Refuses the request with `kind`, or with kBackendBroken where `kind` says
+  // that the request has not run and that is not proved.
+  HttpAnswer Refuse(RequestContext& context, ErrorKind kind);
+  HttpAnswer MakeNotRunRefusal(const NotRunProof& proof,
+                               RequestContext& context, ErrorKind kind);
+  HttpAnswer MakeRefusal(RequestContext& context, ErrorKind kind,
+                         Duration retry_after);
   void LogRequest(const RequestContext& context, const HttpAnswer& answer);
   void RecordMetrics(const RequestContext& context);
 
--- a/sapphirebank/transport/answer_sequence.cc
+++ b/sapphirebank/request/answer_sequence.cc
@@ -1,4 +1,4 @@
-#include "sapphirebank/transport/answer_sequence.h"
+#include "sapphirebank/request/answer_sequence.h"
 
 #include <algorithm>
 #include <cctype>
@@ -31,6 +31,18 @@
 
 }  // namespace
 
+std::string_view MatchName(AnswerMatch match) {
+  switch (match) {
+    case AnswerMatch::kOwn:
+      return "own";
+    case AnswerMatch::kOther:
+      return "other";
+    case AnswerMatch::kUnknown:
+      break;
+  }
+  return "none";
+}
+
 std::string_view DoubtName(AnswerDoubt doubt) {
   switch (doubt) {
     case AnswerDoubt::kSplicedAnswers:
--- a/sapphirebank/transport/answer_sequence.h
+++ b/sapphirebank/request/answer_sequence.h
@@ -3,10 +3,22 @@
 #include <functional>
 #include <string_view>
 
-#include "sapphirebank/transport/http_message.h"
+#include "sapphirebank/request/http_head.h"
 
 namespace sapphirebank {
 
+// Whether an answer belongs to the request that was sent last.
+enum class AnswerMatch {
+  kOwn,
+  kOther,  // It answers an earlier request.
+  // It does not say. On a connection that has carried another request, it may
+  // be a second copy of that one's answer.
+  kUnknown,
+};
+
+// Returns the text that stands for `match` in logs.
+std::string_view MatchName(AnswerMatch match);
+
 // Why none of the answers on a connection can be taken for that to the request.
 enum class AnswerDoubt {
   kNone,
--- a/sapphirebank/request/execution_record.cc
+++ b/sapphirebank/request/execution_record.cc
@@ -1,6 +1,22 @@
 #include "sapphirebank/request/execution_record.h"
 
+#include <utility>
+
 namespace sapphirebank {
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirectedRequest = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kServiceUnavailable = 503;
+
+}  // namespace
+
+bool PromisesNotRun(int status) {
+  return status == kRequestTimeout || status == kMisdirectedRequest ||
+         status == kTooManyRequests || status == kServiceUnavailable;
+}
 
 std::string_view EvidenceName(NotRunEvidence evidence) {
   switch (evidence) {
@@ -18,4 +34,33 @@
   return "none";
 }
 
+NotRunEvidence EvidenceOf(const AnswerStatement& answer) {
+  if (answer.match != AnswerMatch::kOwn || !answer.is_first_answer) {
+    return NotRunEvidence::kNone;
+  }
+  if (answer.misdirected) return NotRunEvidence::kMisdirected;
+  const bool is_rejection =
+      PromisesNotRun(answer.status) || answer.status == kBadRequest;
+  return answer.not_run && is_rejection ? NotRunEvidence::kServerRejected
+                                        : NotRunEvidence::kNone;
+}
+
+ExecutionRecord::Attempt::Attempt(ExecutionRecord& record) : record_(&record) {
+  ++record.attempts_in_progress_;
+}
+
+ExecutionRecord::Attempt::~Attempt() { End(NotRunEvidence::kNone); }
+
+void ExecutionRecord::Attempt::End(NotRunEvidence evidence) {
+  ExecutionRecord* const record = std::exchange(record_, nullptr);
+  if (record == nullptr) return;
+  --record->attempts_in_progress_;
+  if (evidence == NotRunEvidence::kNone) record->may_have_run_ = true;
+}
+
+std::optional<NotRunProof> ExecutionRecord::Proof() const {
+  if (MayHaveRun()) return std::nullopt;
+  return NotRunProof();
+}
+
 }  // namespace sapphirebank
--- a/sapphirebank/request/execution_record.h
+++ b/sapphirebank/request/execution_record.h
@@ -1,9 +1,16 @@
 #pragma once
 
+#include <optional>
 #include <string_view>
 
+#include "sapphirebank/request/answer_sequence.h"
+
 namespace sapphirebank {
 
+// Returns whether a status promises that the request has not run and never
+// will: 408, 421, 429 and 503.
+bool PromisesNotRun(int status);
+
 // Why an attempt of a request is known not to have run, and never to run.
 enum class NotRunEvidence {
   kNone,            // It may have run.
@@ -16,4 +23,63 @@
 // Returns the text that stands for `evidence` in logs.
 std::string_view EvidenceName(NotRunEvidence evidence);
 
+// What a backend server's answer says, as far as it tells of execution.
+struct AnswerStatement {
+  int status = 0;
+  // It says that the server did not run the request.
+  bool not_run = false;
+  // It says that another server has the address.
+  bool misdirected = false;
+  AnswerMatch match = AnswerMatch::kUnknown;
+  // Nothing came on the connection between the request and the answer.
+  bool is_first_answer = false;
+};
+
+// Returns the evidence that a backend server's answer gives. It gives none
+// unless it bears the request's id, is the first thing on the connection after
+// the request, and its statement and its status agree.
+NotRunEvidence EvidenceOf(const AnswerStatement& answer);
+
+class ExecutionRecord;
+
+// Proof that no attempt of a request has run or will run. Only an
+// ExecutionRecord makes one, and only a request with one is answered with a
+// status that promises so.
+class NotRunProof {
+ private:
+  friend class ExecutionRecord;
+  NotRunProof() = default;
+};
+
+// What is known of the execution of one request over all of its attempts.
+// Starts as not run. Each attempt counts as possibly run from its begin until
+// it ends with evidence that it has not run; without that it counts so for
+// ever.
+class ExecutionRecord {
+ public:
+  // An attempt in progress. Ends without evidence when it is destroyed.
+  class Attempt {
+   public:
+    explicit Attempt(ExecutionRecord& record);
+    ~Attempt();
+    Attempt(const Attempt&) = delete;
+    Attempt& operator=(const Attempt&) = delete;
+
+    // Ends the attempt. Further calls have no effect.
+    void End(NotRunEvidence evidence);
+
+   private:
+    ExecutionRecord* record_;  // Null once the attempt has ended.
+  };
+
+  bool MayHaveRun() const { return may_have_run_ || attempts_in_progress_ > 0; }
+
+  // Returns a proof that the request has not run, if it has not.
+  std::optional<NotRunProof> Proof() const;
+
+ private:
+  int attempts_in_progress_ = 0;
+  bool may_have_run_ = false;
+};
+
 }  // namespace sapphirebank
--- a/sapphirebank/transport/http_client.h
+++ b/sapphirebank/transport/http_client.h
@@ -12,8 +12,8 @@
 #include "sapphirebank/core/byte_budget.h"
 #include "sapphirebank/core/endpoint.h"
 #include "sapphirebank/core/time.h"
+#include "sapphirebank/request/answer_sequence.h"
 #include "sapphirebank/request/attempt_policy.h"
-#include "sapphirebank/transport/answer_sequence.h"
 #include "sapphirebank/transport/http_message.h"
 #include "sapphirebank/transport/send_watch.h"
 
--- a/sapphirebank/transport/http_message.h
+++ b/sapphirebank/transport/http_message.h
@@ -46,15 +46,6 @@
   std::shared_ptr<CallerWatch> watch;
 };
 
-// Whether an answer belongs to the request that was sent last.
-enum class AnswerMatch {
-  kOwn,
-  kOther,  // It answers an earlier request.
-  // It does not say. On a connection that has carried another request, it may
-  // be a second copy of that one's answer.
-  kUnknown,
-};
-
 // Remaining part of a body that is too large to be buffered.
 class BodyStream {
  public:
--- /dev/null
+++ b/unit_tests/request/execution_record_test.cc
@@ -0,0 +1,98 @@
+#include "sapphirebank/request/execution_record.h"
+
+#include <catch2/catch.hpp>
+
+namespace sapphirebank {
+namespace {
+
+AnswerStatement Rejection() {
+  AnswerStatement answer;
+  answer.status = 503;
+  answer.not_run = true;
+  answer.match = AnswerMatch::kOwn;
+  answer.is_first_answer = true;
+  return answer;
+}
+
+TEST_CASE("only the four statuses promise that a request has not run",
+          "[request]") {
+  for (int status = 100; status < 600; ++status) {
+    const bool expected =
+        status == 408 || status == 421 || status == 429 || status == 503;
+    CHECK(PromisesNotRun(status) == expected);
+  }
+}
+
+// Guards against REFUSED: each condition alone makes an answer no evidence.
+TEST_CASE("a server's answer proves 'not run' only if all of it says so",
+          "[request]") {
+  CHECK(EvidenceOf(Rejection()) == NotRunEvidence::kServerRejected);
+  for (const AnswerMatch match : {AnswerMatch::kOther, AnswerMatch::kUnknown}) {
+    AnswerStatement answer = Rejection();
+    answer.match = match;
+    CHECK(EvidenceOf(answer) == NotRunEvidence::kNone);
+    answer.misdirected = true;
+    CHECK(EvidenceOf(answer) == NotRunEvidence::kNone);
+  }
+  AnswerStatement second = Rejection();
+  second.is_first_answer = false;
+  CHECK(EvidenceOf(second) == NotRunEvidence::kNone);
+  AnswerStatement silent = Rejection();
+  silent.not_run = false;
+  CHECK(EvidenceOf(silent) == NotRunEvidence::kNone);
+  for (const int status : {200, 204, 404, 500, 502, 504}) {
+    AnswerStatement contradiction = Rejection();
+    contradiction.status = status;
+    CHECK(EvidenceOf(contradiction) == NotRunEvidence::kNone);
+  }
+  for (const int status : {400, 408, 429, 503}) {
+    AnswerStatement rejection = Rejection();
+    rejection.status = status;
+    CHECK(EvidenceOf(rejection) == NotRunEvidence::kServerRejected);
+  }
+  AnswerStatement misdirected = Rejection();
+  misdirected.status = 421;
+  misdirected.misdirected = true;
+  CHECK(EvidenceOf(misdirected) == NotRunEvidence::kMisdirected);
+}
+
+// Guards against REFUSED by a refusal that looks at the last attempt only.
+TEST_CASE("a request has a proof only while every attempt has ended with one",
+          "[request]") {
+  ExecutionRecord record;
+  CHECK(record.Proof());
+  {
+    ExecutionRecord::Attempt attempt(record);
+    CHECK_FALSE(record.Proof());
+    attempt.End(NotRunEvidence::kNothingSent);
+    CHECK(record.Proof());
+  }
+  CHECK(record.Proof());
+  {
+    ExecutionRecord::Attempt first(record);
+    ExecutionRecord::Attempt second(record);
+    second.End(NotRunEvidence::kServerRejected);
+    CHECK_FALSE(record.Proof());
+    first.End(NotRunEvidence::kMisdirected);
+    CHECK(record.Proof());
+  }
+  { const ExecutionRecord::Attempt abandoned(record); }
+  CHECK_FALSE(record.Proof());
+  {
+    ExecutionRecord::Attempt later(record);
+    later.End(NotRunEvidence::kNothingSent);
+  }
+  CHECK(record.MayHaveRun());
+  CHECK_FALSE(record.Proof());
+}
+
+TEST_CASE("an attempt that has ended cannot be ended otherwise", "[request]") {
+  ExecutionRecord record;
+  ExecutionRecord::Attempt attempt(record);
+  attempt.End(NotRunEvidence::kNone);
+  attempt.End(NotRunEvidence::kNothingSent);
+  CHECK_FALSE(record.Proof());
+}
+
+}  // namespace
+}  // namespace sapphirebank
