A status that promises 'not run' is passed on for no server

Callers saw a server's 503, 429 or 408 that did not say that it had not run; from a sound server it does not come, so it was cut, mixed or wrong, and to the caller it is the proxy's promise. Such an answer is now a broken one: 502, and an idempotent request may be sent again. EntryRequestHandler::PassOn() is the one way out, so that the same holds for what other entry hosts pass on.

--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -296,6 +296,14 @@
     if (has_room) state_.RecordServerError(server);
     return attempt;
   }
+  if (PromisesNotRun(answer.status)) {
+    LogUnprovedPromise(context, server, result.trace);
+    attempt.failure = ErrorKind::kBackendBroken;
+    attempt.may_retry = context.route->idempotent;
+    attempt.assignment_outcome = AssignmentOutcome::kFailed;
+    state_.RecordServerError(server);
+    return attempt;
+  }
   StripConnectionFields(answer.fields);
   if (context.detour) {
     const BackendId& id = server.state.announcement.id;
@@ -314,6 +322,19 @@
   return attempt;
 }
 
+void EntryRequestHandler::LogUnprovedPromise(const RequestContext& context,
+                                             const KnownServer& server,
+                                             const ExchangeTrace& trace) {
+  log_.Write(LogLevel::kWarning, "promise_not_believed",
+             {{"request_id", context.info.id.value()},
+              {"server", server.state.announcement.id.value()},
+              {"status", trace.status},
+              {"connection", trace.connection},
+              {"request_number", trace.request_number},
+              {"answer_id", MatchName(trace.match)},
+              {"is_first_answer", trace.is_first_answer}});
+}
+
 void EntryRequestHandler::RecordSignals(Instant now, Instant sent_at,
                                         KnownServer& server,
                                         const BackendResponseInfo& info) {
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -96,7 +96,7 @@
     context.needs_token = context.workspace != nullptr &&
                           context.workspace->rate > 0 && !has_token &&
                           !state_.TryTakeToken(context.workspace->id);
-    answer = co_await Forward(context);
+    answer = PassOn(context, co_await Forward(context));
   } else {
     answer = Refuse(context, admitted.error().kind);
   }
@@ -349,6 +349,16 @@
   return MakeNotRunRefusal(*proof, context, kind);
 }
 
+HttpAnswer EntryRequestHandler::PassOn(RequestContext& context,
+                                       HttpAnswer answer) {
+  const bool is_own_refusal = context.refusal_kind.has_value();
+  if (is_own_refusal || !PromisesNotRun(answer.status)) return answer;
+  log_.Write(
+      LogLevel::kWarning, "promise_not_passed_on",
+      {{"request_id", context.info.id.value()}, {"status", answer.status}});
+  return Refuse(context, ErrorKind::kBackendBroken);
+}
+
 HttpAnswer EntryRequestHandler::MakeNotRunRefusal(const NotRunProof& /*proof*/,
                                                   RequestContext& context,
                                                   ErrorKind kind) {
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -139,6 +139,11 @@
   void LogFailedAttempt(const RequestContext& context,
                         const KnownServer& server,
                         const ExchangeResult& result);
+  // Logs an answer that promises that the request has not run and does not
+  // prove it.
+  void LogUnprovedPromise(const RequestContext& context,
+                          const KnownServer& server,
+                          const ExchangeTrace& trace);
   AttemptResult ClassifyAnswer(RequestContext& context, KnownServer& server,
                                ExchangeResult& result, Instant sent_at);
   // Records what the server says about itself in an answer to a request sent at
@@ -171,6 +176,9 @@
                                RequestContext& context, ErrorKind kind);
   HttpAnswer MakeRefusal(RequestContext& context, ErrorKind kind,
                          Duration retry_after);
+  // Returns the answer of a server as it is, unless its status promises that
+  // the request has not run: no server's answer that is passed on says so.
+  HttpAnswer PassOn(RequestContext& context, HttpAnswer answer);
   void LogRequest(const RequestContext& context, const HttpAnswer& answer);
   void RecordMetrics(const RequestContext& context);
 
