Answers between entry hosts are matched to their requests

The answer to a detour was taken whatever request it named. It is matched by the request's id like a server's; a refusal that names none is one of a host that had not read the request yet. A refusal proves 'not run' only as the first answer after the request.

--- a/programs/fleet_host/entry_request_detour.cc
+++ b/programs/fleet_host/entry_request_detour.cc
@@ -5,6 +5,7 @@
 
 #include "programs/fleet_host/entry_request_context.h"
 #include "programs/fleet_host/entry_request_handler.h"
+#include "sapphirebank/core/hash.h"
 #include "sapphirebank/fleet/detour_hosts.h"
 #include "sapphirebank/transport/http_guards.h"
 #include "sapphirebank/transport/process_clock.h"
@@ -99,6 +100,15 @@
       std::min(kDetourConnectTimeout, context.deadline - now);
   exchange.answer_timeout = context.deadline - now + kDetourSlack;
   exchange.max_buffered_bytes = kMaxBufferedAnswer;
+  const RequestId& id = context.info.id;
+  exchange.match_request = [this, id](const HeaderFields& fields) {
+    const AnswerMatch match = codec_.match_request(fields, id);
+    // A host that refuses a request before it has read it does not know its id.
+    const bool is_refusal = !FieldValue(fields, kRefusalField).empty();
+    return match == AnswerMatch::kUnknown && is_refusal ? AnswerMatch::kOwn
+                                                        : match;
+  };
+  exchange.identity = StableHash(id.value());
   if (context.workspace != nullptr) {
     exchange.may_send = [this] {
       return state_.view().IsCurrent(MonotonicNow());
@@ -159,6 +169,8 @@
     ++context.attempts_received;
     return std::nullopt;
   }
+  const bool is_certain =
+      result.trace.match == AnswerMatch::kOwn && result.trace.is_first_answer;
   HttpAnswer answer = std::move(std::get<HttpAnswer>(result.outcome));
   const std::string refusal(FieldValue(answer.fields, kRefusalField));
   if (refusal.empty()) {
@@ -180,7 +192,7 @@
       ErrorKindFromName(refusal).value_or(ErrorKind::kInternal);
   const ErrorAnswer& row = AnswerFor(kind);
   last.failure = kind;
-  if (row.execution == Execution::kNotRun) {
+  if (row.execution == Execution::kNotRun && is_certain) {
     last.evidence = NotRunEvidence::kHostRefused;
   }
   execution.End(last.evidence);
