Reading an answer does not need a socket

OwnAnswerReader, a template over the stream, reads up to the answer that an AnswerSequence accepts. The code is that of HttpClient::Exchange(), so that a simulation can draw the order of bytes without a network.

--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -16,6 +16,7 @@
 #include <utility>
 #include <vector>
 
+#include "sapphirebank/transport/answer_reader.h"
 #include "sapphirebank/transport/process_clock.h"
 
 namespace sapphirebank {
@@ -26,25 +27,13 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
-using Parser = http::response_parser<http::string_body>;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-constexpr std::uint32_t kMaxAnswerHeadBytes = 64 * 1024;
-
-// Bytes of an answer that are read ahead of its parser. A head, a chunk header
-// or a trailer section beyond it is not read to its end.
-constexpr std::size_t kMaxUnparsedBytes = 2 * std::size_t{kMaxAnswerHeadBytes};
-
 // Part of the free memory that one answer may take: with as many answers that
 // take all they can as a host has connections, one of a few kilobytes still
 // finds room.
 constexpr double kAnswerShare = 0.25;
 
-// Bytes that one read may add, at least and at most. It grows with the body, so
-// that long bodies take few reads.
-constexpr std::size_t kMinReadBytes = std::size_t{8} << 10U;
-constexpr std::size_t kMaxReadBytes = std::size_t{64} << 10U;
-
 // The same for a body that is passed on while it is read.
 constexpr std::size_t kStreamReadBytes = std::size_t{16} << 10U;
 
@@ -117,18 +106,6 @@
                sizeof(timeout));
 }
 
-HttpAnswer AnswerOf(const http::response_header<>& header) {
-  HttpAnswer answer;
-  answer.status = static_cast<int>(header.result_int());
-  for (const auto& field : header) {
-    std::string name(field.name_string());
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char c) { return std::tolower(c); });
-    answer.fields.push_back({std::move(name), std::string(field.value())});
-  }
-  return answer;
-}
-
 http::request<http::string_body> RequestOf(const HttpExchange& exchange) {
   http::request<http::string_body> request;
   request.method_string(exchange.method);
@@ -146,57 +123,10 @@
   return request;
 }
 
-std::size_t BytesHeld(const Connection& connection, const Parser& parser) {
-  return connection.buffer.capacity() + parser.get().body().capacity();
-}
-
-// Reads and parses at most `count` bytes. Returns false, and reads nothing,
-// when the answer may not take that much more memory.
-asio::awaitable<bool> ReadSome(Connection& connection, Parser& parser,
-                               ByteReservation& memory, std::size_t count,
-                               error_code& error) {
-  if (!memory.TryResize(BytesHeld(connection, parser) + count)) {
-    co_return false;
-  }
-  beast::flat_buffer& buffer = connection.buffer;
-  buffer.max_size(std::min(kMaxUnparsedBytes, buffer.size() + count));
-  co_await http::async_read_some(connection.stream, buffer, parser,
-                                 CaptureError(error));
-  if (!error) memory.TryResize(BytesHeld(connection, parser));
-  co_return true;
-}
-
-// Reads the head of an answer.
-asio::awaitable<void> ReadHead(Connection& connection, Parser& parser,
-                               ByteReservation& memory, error_code& error) {
-  while (!error && !parser.is_header_done()) {
-    const bool has_memory =
-        co_await ReadSome(connection, parser, memory, kMinReadBytes, error);
-    if (!has_memory) error = asio::error::no_memory;
-  }
-}
-
-// Reads the body until it is complete, has more than `limit` bytes, or may not
-// take more memory. The last is an error only where nothing was read.
-asio::awaitable<void> ReadBody(Connection& connection, Parser& parser,
-                               ByteReservation& memory, std::uint64_t limit,
-                               error_code& error) {
-  const std::string& body = parser.get().body();
-  while (!error && !parser.is_done() && body.size() <= limit) {
-    const std::size_t count =
-        std::clamp(body.size(), kMinReadBytes, kMaxReadBytes);
-    const bool has_memory =
-        co_await ReadSome(connection, parser, memory, count, error);
-    if (has_memory) continue;
-    if (body.empty()) error = asio::error::no_memory;
-    co_return;
-  }
-}
-
 // Rest of the body of an answer that exceeds max_buffered_bytes or its memory.
 class AnswerStream : public BodyStream {
  public:
-  AnswerStream(ConnectionPtr connection, std::unique_ptr<Parser> parser,
+  AnswerStream(ConnectionPtr connection, std::unique_ptr<AnswerParser> parser,
                ByteReservation memory, std::shared_ptr<CallerWatch> watch)
       : connection_(std::move(connection)),
         parser_(std::move(parser)),
@@ -213,8 +143,9 @@
     }
     while (!parser_->is_done()) {
       error_code error;
-      const bool has_memory = co_await ReadSome(*connection_, *parser_, memory_,
-                                                kStreamReadBytes, error);
+      const bool has_memory =
+          co_await ReadSome(connection_->stream, connection_->buffer, *parser_,
+                            memory_, kStreamReadBytes, error);
       if (!has_memory) error = asio::error::no_memory;
       if (error) {
         co_return Fail(ErrorKind::kBackendBroken,
@@ -229,7 +160,7 @@
 
  private:
   ConnectionPtr connection_;
-  std::unique_ptr<Parser> parser_;
+  std::unique_ptr<AnswerParser> parser_;
   ByteReservation memory_;
   std::shared_ptr<CallerWatch> watch_;
 };
@@ -303,11 +234,6 @@
   return std::chrono::seconds(std::max(seconds, 0));
 }
 
-bool BodyKnownTooLong(const Parser& parser, std::uint64_t limit) {
-  const auto length = parser.content_length();
-  return length && *length > limit;
-}
-
 }  // namespace
 
 class HttpClient::Pool {
@@ -483,49 +409,27 @@
   if (request_truncated) connection->stream.expires_after(kEarlyAnswerTime);
 
   ByteReservation memory(memory_);
-  std::unique_ptr<Parser> parser;
   AnswerSequence sequence(reused, exchange.match_request);
-  auto verdict = AnswerSequence::Verdict::kSkip;
-  while (verdict == AnswerSequence::Verdict::kSkip) {
-    parser = std::make_unique<Parser>();
-    parser->header_limit(kMaxAnswerHeadBytes);
-    parser->body_limit(UINT64_MAX);
-    if (exchange.method == "HEAD") parser->skip(true);
-    co_await ReadHead(*connection, *parser, memory, error);
-    if (send_watch.was_cut()) co_return CutOff(sent, reused);
+  OwnAnswerReader reader(connection->stream, connection->buffer, memory);
+  reader.set_head_only(exchange.method == "HEAD");
+  reader.set_max_body_bytes(exchange.max_buffered_bytes);
+  reader.set_on_head([&](int status) {
+    if (send_watch.was_cut()) return false;
     send_watch.End();
-    if (error) co_return Failure(AttemptStage::kSent, error, reused);
-    const HttpAnswer head = AnswerOf(parser->get());
-    verdict =
-        sequence.JudgeHead({head.status, parser->get().reason(), head.fields});
-    if (verdict == AnswerSequence::Verdict::kSkip && !parser->is_done()) {
-      co_await ReadBody(*connection, *parser, memory,
-                        exchange.max_buffered_bytes, error);
-      if (error || !parser->is_done()) {
-        verdict = AnswerSequence::Verdict::kReject;
-      }
-    }
-    if (verdict == AnswerSequence::Verdict::kSkip &&
-        !sequence.RecordSkipped(parser->get().body())) {
-      verdict = AnswerSequence::Verdict::kReject;
-    }
-    trace.status = head.status;
-    trace.match = sequence.match();
-    trace.answers_skipped = sequence.answers_skipped();
-    trace.is_first_answer = sequence.is_first();
-    trace.doubt = sequence.doubt();
-  }
+    trace.status = status;
+    return true;
+  });
+  const bool is_own = co_await reader.ReadHead(sequence, error);
+  trace.match = sequence.match();
+  trace.answers_skipped = sequence.answers_skipped();
+  trace.is_first_answer = sequence.is_first();
+  trace.doubt = sequence.doubt();
+  if (send_watch.was_cut()) co_return CutOff(sent, reused);
   if (sequence.HasStrayBytes()) pool_->RecordStrayBytes(exchange.to);
-  if (verdict == AnswerSequence::Verdict::kReject) {
-    co_return Failure(AttemptStage::kSent, error, reused);
-  }
-
-  const bool too_long = BodyKnownTooLong(*parser, exchange.max_buffered_bytes);
-  if (!too_long) {
-    co_await ReadBody(*connection, *parser, memory, exchange.max_buffered_bytes,
-                      error);
-    if (error) co_return Failure(AttemptStage::kSent, error, reused);
-  }
+  if (!is_own) co_return Failure(AttemptStage::kSent, error, reused);
+  co_await reader.ReadBody(error);
+  if (error) co_return Failure(AttemptStage::kSent, error, reused);
+  std::unique_ptr<AnswerParser> parser = reader.TakeParser();
 
   ExchangeResult result;
   result.reused_connection = reused;
