--- /dev/null
+++ b/unit_tests/transport/answer_order_simulation.h
@@ -0,0 +1,296 @@
+#pragma once
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/beast/_experimental/test/stream.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "sapphirebank/request/answer_sequence.h"
+#include "sapphirebank/request/execution_record.h"
+#include "sapphirebank/transport/answer_reader.h"
+
+namespace sapphirebank {
+
+// Requests that must run once, sent to a faulty server over connections in
+// memory. The server writes copies of its answers, whole or cut at any byte,
+// before, within and after later answers, breaks off, and puts informational
+// answers before its own. What it did with each request is compared to what the
+// caller is told.
+class AnswerOrderSimulation {
+ public:
+  // What went wrong, as counts of requests.
+  struct Violations {
+    int refused_and_ran = 0;
+    int status_of_another = 0;
+    int ran_twice = 0;
+  };
+
+  // What was drawn and how it ended, as counts of requests.
+  struct Coverage {
+    int promises = 0;
+    int passed_on = 0;
+    int in_doubt = 0;
+    int stray_copies = 0;
+    int same_id_again = 0;
+  };
+
+  explicit AnswerOrderSimulation(std::uint64_t seed) : random_(seed) {}
+
+  void Run(int requests) {
+    for (int i = 0; i < requests; ++i) {
+      Request request;
+      // A caller may send a refused request again under its id.
+      const bool is_again = last_refused_ != nullptr && Chance(0.3);
+      if (is_again) {
+        request.id = *last_refused_;
+        ++coverage_.same_id_again;
+      } else {
+        request.id = fmt::format("{:016x}", random_());
+      }
+      last_refused_.reset();
+      SendUntilKnown(request);
+    }
+  }
+
+  const Violations& violations() const { return violations_; }
+  const Coverage& coverage() const { return coverage_; }
+
+ private:
+  static constexpr int kMaxAttempts = 3;
+
+  struct Connection {
+    explicit Connection(boost::asio::io_context& loop) : stream(loop) {}
+
+    boost::beast::test::stream stream;
+    boost::beast::flat_buffer buffer;
+    std::vector<std::string> carried;
+    // Answers that were written on it.
+    std::vector<std::string> written;
+    // Bytes that the server writes once the next request has come.
+    std::string late;
+  };
+
+  struct Request {
+    std::string id;
+    int runs = 0;
+    // Status and stamp that the server that ran it gave.
+    int status = 0;
+    std::string stamp;
+  };
+
+  // What the client makes of the bytes after one request.
+  struct Received {
+    std::optional<HttpAnswer> answer;
+    AnswerStatement statement;
+  };
+
+  bool Chance(double probability) {
+    return std::uniform_real_distribution<>(0, 1)(random_) < probability;
+  }
+  std::size_t Below(std::size_t count) { return random_() % count; }
+
+  // Sends a request until it is answered, refused or in doubt, as an entry host
+  // does with one that must run once.
+  void SendUntilKnown(Request& request) {
+    ExecutionRecord record;
+    for (int attempts = 0; attempts < kMaxAttempts; ++attempts) {
+      ExecutionRecord::Attempt attempt(record);
+      const Received received = Exchange(request);
+      attempt.End(received.answer ? EvidenceOf(received.statement)
+                                  : NotRunEvidence::kNone);
+      if (record.MayHaveRun()) {
+        CheckAnswer(request, received);
+        return;
+      }
+    }
+    if (!record.Proof()) return;
+    ++coverage_.promises;
+    if (request.runs > 0) ++violations_.refused_and_ran;
+    last_refused_ = std::make_unique<std::string>(request.id);
+  }
+
+  void CheckAnswer(const Request& request, const Received& received) {
+    if (request.runs > 1) ++violations_.ran_twice;
+    if (!received.answer || PromisesNotRun(received.answer->status)) {
+      ++coverage_.in_doubt;
+      return;
+    }
+    ++coverage_.passed_on;
+    const auto stamp =
+        FieldValue(received.answer->fields, "sapphirebank-server-stamp");
+    const bool is_of_another =
+        stamp != request.stamp &&
+        std::find(stamps_.begin(), stamps_.end(), stamp) != stamps_.end();
+    if (received.answer->status != request.status || is_of_another) {
+      ++violations_.status_of_another;
+    }
+  }
+
+  // Sends a request over a kept connection or a new one, and reads its answer.
+  Received Exchange(Request& request) {
+    std::shared_ptr<Connection> connection = TakeConnection(request.id);
+    const bool is_used = !connection->carried.empty();
+    connection->carried.push_back(request.id);
+    const bool is_closed = Answer(request, *connection);
+    Received received;
+    AnswerSequence sequence(is_used, [&](const HeaderFields& fields) {
+      return Match(fields, request.id);
+    });
+    std::size_t bytes_left = 0;
+    bool is_reusable = false;
+    boost::asio::co_spawn(
+        loop_, Read(*connection, sequence, received, bytes_left, is_reusable),
+        boost::asio::detached);
+    // Ends a read that waits for bytes which do not come, as a time-out does.
+    while (loop_.poll() > 0) {
+    }
+    connection->stream.close_remote();
+    loop_.restart();
+    while (loop_.poll() > 0) {
+    }
+    loop_.restart();
+    received.statement.match = sequence.match();
+    received.statement.is_first_answer = sequence.is_first();
+    if (is_reusable && !is_closed && bytes_left == 0 &&
+        !sequence.HasStrayBytes()) {
+      kept_ = Reopen(*connection);
+    }
+    return received;
+  }
+
+  boost::asio::awaitable<void> Read(Connection& connection,
+                                    AnswerSequence& sequence,
+                                    Received& received, std::size_t& bytes_left,
+                                    bool& is_reusable) {
+    ByteReservation memory(memory_);
+    OwnAnswerReader reader(connection.stream, connection.buffer, memory);
+    boost::system::error_code error;
+    if (!co_await reader.ReadHead(sequence, error)) co_return;
+    co_await reader.ReadBody(error);
+    if (error) co_return;
+    const std::unique_ptr<AnswerParser> parser = reader.TakeParser();
+    received.answer = AnswerOf(parser->get());
+    const HeaderFields& fields = received.answer->fields;
+    received.statement.status = received.answer->status;
+    received.statement.not_run =
+        !FieldValue(fields, "sapphirebank-not-executed").empty();
+    received.statement.misdirected = received.answer->status == 421;
+    bytes_left = connection.buffer.size();
+    is_reusable = parser->keep_alive();
+  }
+
+  // The same connection for the next request: a stream in memory cannot go on
+  // after its other end was closed.
+  std::shared_ptr<Connection> Reopen(const Connection& old) {
+    auto connection = std::make_shared<Connection>(loop_);
+    connection->carried = old.carried;
+    connection->written = old.written;
+    connection->late = old.late;
+    return connection;
+  }
+
+  std::shared_ptr<Connection> TakeConnection(const std::string& id) {
+    auto kept = std::exchange(kept_, nullptr);
+    // Bytes that arrive while a connection is idle close it.
+    const bool is_seen = kept && !kept->late.empty() && Chance(0.2);
+    const bool has_carried =
+        kept && std::find(kept->carried.begin(), kept->carried.end(), id) !=
+                    kept->carried.end();
+    if (kept && !is_seen && !has_carried) return kept;
+    return std::make_shared<Connection>(loop_);
+  }
+
+  static AnswerMatch Match(const HeaderFields& fields, const std::string& id) {
+    std::string_view echoed;
+    for (const HeaderField& field : fields) {
+      if (field.name != "sapphirebank-request-id") continue;
+      if (!echoed.empty() && echoed != field.value) {
+        return AnswerMatch::kUnknown;
+      }
+      echoed = field.value;
+    }
+    if (echoed.empty()) return AnswerMatch::kUnknown;
+    return echoed == id ? AnswerMatch::kOwn : AnswerMatch::kOther;
+  }
+
+  // Decides what the server does with a request and writes its bytes. Returns
+  // whether it closes the connection.
+  bool Answer(Request& request, Connection& connection) {
+    const std::string own = Decide(request);
+    std::string bytes = std::exchange(connection.late, std::string());
+    if (Chance(0.05)) bytes += "HTTP/1.1 102 Processing\r\n\r\n";
+    std::string answer = own;
+    if (Chance(0.1)) {
+      answer.insert(Below(answer.size() + 1), Copy(connection));
+    }
+    const bool breaks_off = Chance(0.05);
+    if (breaks_off) answer.resize(Below(answer.size() + 1));
+    bytes += answer;
+    connection.written.push_back(own);
+    if (Chance(0.1)) bytes += Copy(connection);
+    while (Chance(0.4)) connection.late += Copy(connection);
+    connection.stream.append(bytes);
+    return breaks_off;
+  }
+
+  // Returns a part of an answer that was written on the connection, or all.
+  std::string Copy(const Connection& connection) {
+    if (connection.written.empty()) return "";
+    ++coverage_.stray_copies;
+    const std::string& copy =
+        connection.written[Below(connection.written.size())];
+    return Chance(0.3) ? copy : copy.substr(0, Below(copy.size()));
+  }
+
+  // Runs the request or rejects it, and returns the answer. The order of the
+  // fields varies from server to server.
+  std::string Decide(Request& request) {
+    HeaderFields fields = {{"Sapphirebank-Request-Id", request.id},
+                           {"Server", "desk/1.4"},
+                           {"Content-Type", "text/plain; charset=utf-8"}};
+    std::string line;
+    std::string body(Below(40), 'b');
+    const double drawn = std::uniform_real_distribution<>(0, 1)(random_);
+    if (drawn < 0.1) {
+      line = "421 Misdirected Request";
+    } else if (drawn < 0.45) {
+      line = Chance(0.5) ? "503 Service Unavailable" : "429 Too Many Requests";
+      fields.push_back({"Sapphirebank-Not-Executed", "1"});
+    } else {
+      ++request.runs;
+      request.status = drawn < 0.7 ? 200 : drawn < 0.9 ? 500 : 504;
+      request.stamp = fmt::format("s{:x}.{}", random_(), request.status);
+      stamps_.push_back(request.stamp);
+      line = fmt::format("{} Some Reason", request.status);
+      fields.push_back({"Sapphirebank-Server-Stamp", request.stamp});
+    }
+    fields.push_back({"Content-Length", std::to_string(body.size())});
+    std::shuffle(fields.begin(), fields.end(), random_);
+    std::string answer = "HTTP/1.1 " + line + "\r\n";
+    for (const HeaderField& field : fields) {
+      answer += field.name + ": " + field.value + "\r\n";
+    }
+    return answer + "\r\n" + body;
+  }
+
+  std::mt19937_64 random_;
+  boost::asio::io_context loop_;
+  std::shared_ptr<ByteBudget> memory_ =
+      std::make_shared<ByteBudget>(std::size_t{1} << 20U, 1.0);
+  std::shared_ptr<Connection> kept_;
+  std::unique_ptr<std::string> last_refused_;
+  std::vector<std::string> stamps_;
+  Violations violations_;
+  Coverage coverage_;
+};
+
+}  // namespace sapphirebank
