--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -5,6 +5,7 @@
 
 #include "programs/fleet_host/entry_request_context.h"
 #include "programs/fleet_host/entry_request_handler.h"
+#include "sapphirebank/core/hash.h"
 #include "sapphirebank/transport/process_clock.h"
 
 // One attempt of a request at a backend server, and the classification of its
@@ -108,6 +109,7 @@
   exchange.match_request = [this, id](const HeaderFields& fields) {
     return codec_.match_request(fields, id);
   };
+  exchange.identity = StableHash(id.value());
   // The server may leave, or the process may be suspended, while the request
   // waits for a connection.
   Instant checked_at;
@@ -131,6 +133,7 @@
     context.request.watch->set_on_hang_up([watch] { watch->HangUp(); });
     guard = StartAttemptTimer(context, timer, watch, choice.is_busy);
   }
+  ExecutionRecord::Attempt execution(context.execution);
   ++server->in_flight;
   path_prober_.AddAttempt(now);
   ExchangeResult result = co_await client_.Exchange(std::move(exchange), watch);
@@ -139,6 +142,16 @@
   context.backend_time += MonotonicNow() - now;
   timer.cancel();
   context.request.watch->set_on_hang_up(nullptr);
+  AttemptResult attempt = Classify(context, choice, result, guard, now);
+  execution.End(attempt.evidence);
+  context.attempts.push_back(
+      {target.id.value(), result.trace, attempt.evidence});
+  co_return attempt;
+}
+
+EntryRequestHandler::AttemptResult EntryRequestHandler::Classify(
+    RequestContext& context, const EntryState::Choice& choice,
+    ExchangeResult& result, std::shared_ptr<void>& guard, Instant sent_at) {
   if (auto* failure = std::get_if<AttemptFailure>(&result.outcome)) {
     guard.reset();
     const bool is_replaced = context.next_choice.has_value();
@@ -150,23 +163,24 @@
     const bool blames_server =
         !is_over && !failure->cut_off && !(abandoned && choice.is_busy);
     AttemptResult attempt =
-        ClassifyFailure(context, choice, *failure, blames_server);
+        ClassifyFailure(context, choice, result, blames_server);
     attempt.is_retry_charged = is_replaced;
     path_prober_.Start();
-    co_return attempt;
+    return attempt;
   }
-  co_return ClassifyAnswer(
-      context, *server, std::move(std::get<HttpAnswer>(result.outcome)), now);
+  return ClassifyAnswer(context, *choice.server, result, sent_at);
 }
 
 EntryRequestHandler::AttemptResult EntryRequestHandler::ClassifyFailure(
     RequestContext& context, const EntryState::Choice& choice,
-    const AttemptFailure& failure, bool blames_server) {
+    const ExchangeResult& result, bool blames_server) {
   KnownServer& server = *choice.server;
+  const auto& failure = std::get<AttemptFailure>(result.outcome);
   AttemptResult attempt;
   const Instant now = MonotonicNow();
-  LogFailedAttempt(context, server, failure);
+  LogFailedAttempt(context, server, result);
   if (failure.stage == AttemptStage::kWithheld) {
+    attempt.evidence = NotRunEvidence::kNothingSent;
     attempt.failure = ErrorKind::kNoBackendServer;
     attempt.may_retry = true;
     return attempt;
@@ -175,6 +189,7 @@
   unanswered.server = server.state.announcement.id;
   unanswered.assignment = choice.assignment;
   if (failure.stage == AttemptStage::kNotConnected) {
+    attempt.evidence = NotRunEvidence::kNothingSent;
     attempt.failure = ErrorKind::kBackendUnreachable;
     attempt.may_retry = true;
     if (context.request.watch->hung_up() || AttemptsAreOver()) return attempt;
@@ -185,7 +200,6 @@
   }
   attempt.received_by_server = true;
   ++context.attempts_received;
-  context.may_have_run = true;
   attempt.failure = failure.timed_out ? ErrorKind::kBackendTimeout
                                       : ErrorKind::kBackendBroken;
   attempt.may_retry = context.route->idempotent;
@@ -195,7 +209,9 @@
   // it was sent; the hub has seen it overdue since.
   unanswered.is_fault = !failure.timed_out || now < context.deadline;
   unanswered.request = context.fingerprint;
-  unanswered.may_have_crashed = !failure.timed_out;
+  // A server that wrote an answer of another request did not crash on this one.
+  unanswered.may_have_crashed =
+      !failure.timed_out && result.trace.doubt == AnswerDoubt::kNone;
   if (unanswered.is_fault) {
     client_.CloseIdleConnections(server.state.announcement.endpoint);
   }
@@ -224,7 +240,8 @@
 
 void EntryRequestHandler::LogFailedAttempt(const RequestContext& context,
                                            const KnownServer& server,
-                                           const AttemptFailure& failure) {
+                                           const ExchangeResult& result) {
+  const auto& failure = std::get<AttemptFailure>(result.outcome);
   const std::string_view stage =
       failure.stage == AttemptStage::kWithheld       ? "withheld"
       : failure.stage == AttemptStage::kNotConnected ? "not_connected"
@@ -236,20 +253,33 @@
               {"timed_out", failure.timed_out},
               {"cut_off", failure.cut_off},
               {"reused_connection", failure.reused_connection},
+              {"connection", result.trace.connection},
+              {"request_number", result.trace.request_number},
+              {"bytes_sent", result.trace.bytes_sent},
+              {"answers_skipped", result.trace.answers_skipped},
+              {"doubt", DoubtName(result.trace.doubt)},
               {"caller_left", context.request.watch->hung_up()}});
 }
 
 EntryRequestHandler::AttemptResult EntryRequestHandler::ClassifyAnswer(
-    RequestContext& context, KnownServer& server, HttpAnswer answer,
+    RequestContext& context, KnownServer& server, ExchangeResult& result,
     Instant sent_at) {
   AttemptResult attempt;
+  HttpAnswer answer = std::move(std::get<HttpAnswer>(result.outcome));
   const Instant now = MonotonicNow();
   const BackendResponseInfo info = codec_.read_response_info(answer, now);
+  AnswerStatement statement;
+  statement.status = answer.status;
+  statement.not_run = info.not_run;
+  statement.misdirected = info.misdirected;
+  statement.match = result.trace.match;
+  statement.is_first_answer = result.trace.is_first_answer;
+  attempt.evidence = EvidenceOf(statement);
   attempt.received_by_server = true;
   ++context.attempts_received;
   state_.RecordAnswer(now);
   if (info.load) server.load = *info.load;
-  if (info.misdirected) {
+  if (attempt.evidence == NotRunEvidence::kMisdirected) {
     attempt.failure = ErrorKind::kNoBackendServer;
     attempt.may_retry = true;
     attempt.assignment_outcome = AssignmentOutcome::kFailed;
@@ -257,7 +287,7 @@
     return attempt;
   }
   RecordSignals(now, sent_at, server, info);
-  if (info.not_run) {
+  if (attempt.evidence == NotRunEvidence::kServerRejected) {
     attempt.failure = ErrorKind::kQueueFull;
     attempt.may_retry = true;
     // Refusing requests with free slots is an error; being full is not.
@@ -266,7 +296,14 @@
     if (has_room) state_.RecordServerError(server);
     return attempt;
   }
-  context.may_have_run = true;
+  if (PromisesNotRun(answer.status)) {
+    LogUnprovedPromise(context, server, result.trace);
+    attempt.failure = ErrorKind::kBackendBroken;
+    attempt.may_retry = context.route->idempotent;
+    attempt.assignment_outcome = AssignmentOutcome::kFailed;
+    state_.RecordServerError(server);
+    return attempt;
+  }
   StripConnectionFields(answer.fields);
   if (context.detour) {
     const BackendId& id = server.state.announcement.id;
@@ -285,6 +322,19 @@
   return attempt;
 }
 
+void EntryRequestHandler::LogUnprovedPromise(const RequestContext& context,
+                                             const KnownServer& server,
+                                             const ExchangeTrace& trace) {
+  log_.Write(LogLevel::kWarning, "promise_not_believed",
+             {{"request_id", context.info.id.value()},
+              {"server", server.state.announcement.id.value()},
+              {"status", trace.status},
+              {"connection", trace.connection},
+              {"request_number", trace.request_number},
+              {"answer_id", MatchName(trace.match)},
+              {"is_first_answer", trace.is_first_answer}});
+}
+
 void EntryRequestHandler::RecordSignals(Instant now, Instant sent_at,
                                         KnownServer& server,
                                         const BackendResponseInfo& info) {
--- a/programs/fleet_host/entry_request_detour.cc
+++ b/programs/fleet_host/entry_request_detour.cc
@@ -5,6 +5,7 @@
 
 #include "programs/fleet_host/entry_request_context.h"
 #include "programs/fleet_host/entry_request_handler.h"
+#include "sapphirebank/core/hash.h"
 #include "sapphirebank/fleet/detour_hosts.h"
 #include "sapphirebank/transport/http_guards.h"
 #include "sapphirebank/transport/process_clock.h"
@@ -47,14 +48,13 @@
   if (!detour) {
     log_.Write(LogLevel::kWarning, "detour_rejected",
                {{"cause", detour.error().detail}});
-    co_return RefuseNotRun(context, detour.error().kind);
+    co_return Refuse(context, detour.error().kind);
   }
   context.attempts_received = detour->attempts_received;
-  context.may_have_run = detour->may_have_run;
   context.charge_retry_budget = detour->is_retry;
   const std::shared_ptr<std::size_t> in_progress = detours_in_progress_;
   if (*in_progress >= kMaxDetoursInProgress) {
-    co_return RefuseNotRun(context, ErrorKind::kQueueFull);
+    co_return Refuse(context, ErrorKind::kQueueFull);
   }
   const ScopedCount counted(*in_progress);
   co_return co_await Serve(context);
@@ -65,7 +65,8 @@
   query.path_is_lost = state_.path().IsLost();
   query.unreachable_attempts = context.unreachable_attempts;
   query.came_by_detour = context.detour.has_value();
-  query.must_not_run_again = context.may_have_run && !context.route->idempotent;
+  query.must_not_run_again =
+      context.execution.MayHaveRun() && !context.route->idempotent;
   query.detours_tried = static_cast<int>(context.detour_hosts.size());
   return TakesDetour(query) &&
          state_.detour_hosts().HasOne(MonotonicNow(), context.detour_hosts);
@@ -84,7 +85,7 @@
   detour.caller_time_left = context.caller_deadline - now;
   detour.plan_version = context.plan->version();
   detour.attempts_received = context.attempts_received;
-  detour.may_have_run = context.may_have_run;
+  detour.may_have_run = context.execution.MayHaveRun();
   detour.is_retry = context.charge_retry_budget;
   detour.has_token = !context.needs_token;
   HttpRequestHead head = context.request.head;
@@ -99,6 +100,15 @@
       std::min(kDetourConnectTimeout, context.deadline - now);
   exchange.answer_timeout = context.deadline - now + kDetourSlack;
   exchange.max_buffered_bytes = kMaxBufferedAnswer;
+  const RequestId& id = context.info.id;
+  exchange.match_request = [this, id](const HeaderFields& fields) {
+    const AnswerMatch match = codec_.match_request(fields, id);
+    // A host that refuses a request before it has read it does not know its id.
+    const bool is_refusal = !FieldValue(fields, kRefusalField).empty();
+    return match == AnswerMatch::kUnknown && is_refusal ? AnswerMatch::kOwn
+                                                        : match;
+  };
+  exchange.identity = StableHash(id.value());
   if (context.workspace != nullptr) {
     exchange.may_send = [this] {
       return state_.view().IsCurrent(MonotonicNow());
@@ -119,15 +129,20 @@
   if (context.route->idempotent) {
     context.request.watch->set_on_hang_up([watch] { watch->HangUp(); });
   }
+  ExecutionRecord::Attempt execution(context.execution);
   ExchangeResult result = co_await client_.Exchange(std::move(exchange), watch);
   context.request.watch->set_on_hang_up(nullptr);
   context.backend_time += MonotonicNow() - now;
-  co_return ClassifyDetour(context, std::move(result), host, last);
+  const ExchangeTrace trace = result.trace;
+  auto answer =
+      ClassifyDetour(context, std::move(result), host, execution, last);
+  context.attempts.push_back({host, trace, last.evidence});
+  co_return answer;
 }
 
 std::optional<HttpAnswer> EntryRequestHandler::ClassifyDetour(
     RequestContext& context, ExchangeResult result, const std::string& host,
-    AttemptResult& last) {
+    ExecutionRecord::Attempt& execution, AttemptResult& last) {
   const Instant now = MonotonicNow();
   last = AttemptResult();
   if (const auto* failure = std::get_if<AttemptFailure>(&result.outcome)) {
@@ -142,6 +157,8 @@
                 {"host", host},
                 {"stage", is_sent ? "sent" : "not_connected"},
                 {"timed_out", failure->timed_out}});
+    if (!is_sent) last.evidence = NotRunEvidence::kNothingSent;
+    execution.End(last.evidence);
     last.received_by_server = is_sent;
     last.may_retry = !is_sent || context.route->idempotent;
     last.failure = !is_sent ? ErrorKind::kBackendUnreachable
@@ -150,12 +167,14 @@
                        : ErrorKind::kBackendBroken;
     if (!is_sent) return std::nullopt;
     ++context.attempts_received;
-    context.may_have_run = true;
     return std::nullopt;
   }
+  const bool is_certain =
+      result.trace.match == AnswerMatch::kOwn && result.trace.is_first_answer;
   HttpAnswer answer = std::move(std::get<HttpAnswer>(result.outcome));
   const std::string refusal(FieldValue(answer.fields, kRefusalField));
   if (refusal.empty()) {
+    execution.End(NotRunEvidence::kNone);
     const BackendId id(std::string(FieldValue(answer.fields, kServerField)));
     const KnownServerPtr server = state_.view().Find(id);
     const BackendResponseInfo info = codec_.read_response_info(answer, now);
@@ -173,17 +192,15 @@
       ErrorKindFromName(refusal).value_or(ErrorKind::kInternal);
   const ErrorAnswer& row = AnswerFor(kind);
   last.failure = kind;
-  if (row.execution == Execution::kUnknown) {
-    context.may_have_run = true;
-    return Refuse(context, kind, Duration::zero());
+  if (row.execution == Execution::kNotRun && is_certain) {
+    last.evidence = NotRunEvidence::kHostRefused;
   }
+  execution.End(last.evidence);
   // Another host may be able to help.
   constexpr int kUnavailableStatus = 503;
-  const bool is_final = row.http_status != kUnavailableStatus;
-  if (is_final && !context.may_have_run) return RefuseNotRun(context, kind);
-  if (is_final) {
-    return Refuse(context, ErrorKind::kBackendBroken, Duration::zero());
-  }
+  const bool is_final = last.evidence == NotRunEvidence::kNone ||
+                        row.http_status != kUnavailableStatus;
+  if (is_final) return Refuse(context, kind);
   if (CannotServe(kind)) state_.detour_hosts().RecordFailure(now, host);
   last.may_retry = true;
   return std::nullopt;
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -32,6 +32,19 @@
   return route.latency_objective / kTokenWaitDivisor;
 }
 
+nlohmann::json AttemptJson(const AttemptRecord& attempt) {
+  const ExchangeTrace& trace = attempt.trace;
+  return {{"to", attempt.to},
+          {"connection", trace.connection},
+          {"request_number", trace.request_number},
+          {"bytes_sent", trace.bytes_sent},
+          {"answers_skipped", trace.answers_skipped},
+          {"status", trace.status},
+          {"answer_id", MatchName(trace.match)},
+          {"doubt", DoubtName(trace.doubt)},
+          {"not_run_by", EvidenceName(attempt.evidence)}};
+}
+
 HttpClientSettings ClientSettings(const EntryHostResources& resources) {
   HttpClientSettings settings;
   settings.max_answer_bytes = resources.max_answer_bytes;
@@ -83,9 +96,9 @@
     context.needs_token = context.workspace != nullptr &&
                           context.workspace->rate > 0 && !has_token &&
                           !state_.TryTakeToken(context.workspace->id);
-    answer = co_await Forward(context);
+    answer = PassOn(context, co_await Forward(context));
   } else {
-    answer = RefuseNotRun(context, admitted.error().kind);
+    answer = Refuse(context, admitted.error().kind);
   }
   LogRequest(context, answer);
   RecordMetrics(context);
@@ -225,8 +238,8 @@
     const Instant now = MonotonicNow();
     if (now >= context.deadline || AttemptsAreOver() ||
         context.request.watch->hung_up()) {
-      last.failure = context.may_have_run ? ErrorKind::kBackendTimeout
-                                          : ErrorKind::kQueueTimeout;
+      last.failure = context.execution.MayHaveRun() ? ErrorKind::kBackendTimeout
+                                                    : ErrorKind::kQueueTimeout;
       break;
     }
     if (ShouldDetour(context)) {
@@ -247,7 +260,7 @@
       break;
     }
     const Result<EntryState::Choice> choice = co_await ChooseServer(context);
-    if (!choice) co_return RefuseNotRun(context, choice.error().kind);
+    if (!choice) co_return Refuse(context, choice.error().kind);
     if (!choice->server) break;
     last = co_await RunAttempt(context, *choice);
     if (last.assignment_outcome) {
@@ -261,12 +274,7 @@
                          AssignmentOutcome::kInconclusive);
   }
   if (fallback) co_return std::move(*fallback);
-  ErrorKind kind = last.failure;
-  const bool claims_not_run = AnswerFor(kind).execution == Execution::kNotRun;
-  if (context.may_have_run && claims_not_run) kind = ErrorKind::kBackendBroken;
-  const Duration retry_after =
-      context.may_have_run ? Duration::zero() : kMaxRetryAfter;
-  co_return Refuse(context, kind, retry_after);
+  co_return Refuse(context, last.failure);
 }
 
 ServerQuery EntryRequestHandler::MakeQuery(
@@ -328,15 +336,39 @@
   return context.route->idempotent && !is_last && !drain_;
 }
 
-// Refuses a request of which no server has received anything.
-HttpAnswer EntryRequestHandler::RefuseNotRun(RequestContext& context,
-                                             ErrorKind kind) {
-  const Duration retry_after = AnswerFor(kind).retry_after;
-  return Refuse(context, kind, std::min(retry_after, kMaxRetryAfter));
+HttpAnswer EntryRequestHandler::Refuse(RequestContext& context,
+                                       ErrorKind kind) {
+  const ErrorAnswer& row = AnswerFor(kind);
+  if (row.execution == Execution::kUnknown) {
+    return MakeRefusal(context, kind, Duration::zero());
+  }
+  const std::optional<NotRunProof> proof = context.execution.Proof();
+  if (!proof) {
+    return MakeRefusal(context, ErrorKind::kBackendBroken, Duration::zero());
+  }
+  return MakeNotRunRefusal(*proof, context, kind);
+}
+
+HttpAnswer EntryRequestHandler::PassOn(RequestContext& context,
+                                       HttpAnswer answer) {
+  const bool is_own_refusal = context.refusal_kind.has_value();
+  if (is_own_refusal || !PromisesNotRun(answer.status)) return answer;
+  log_.Write(
+      LogLevel::kWarning, "promise_not_passed_on",
+      {{"request_id", context.info.id.value()}, {"status", answer.status}});
+  return Refuse(context, ErrorKind::kBackendBroken);
 }
 
-HttpAnswer EntryRequestHandler::Refuse(RequestContext& context, ErrorKind kind,
-                                       Duration retry_after) {
+HttpAnswer EntryRequestHandler::MakeNotRunRefusal(const NotRunProof& /*proof*/,
+                                                  RequestContext& context,
+                                                  ErrorKind kind) {
+  return MakeRefusal(context, kind,
+                     std::min(AnswerFor(kind).retry_after, kMaxRetryAfter));
+}
+
+HttpAnswer EntryRequestHandler::MakeRefusal(RequestContext& context,
+                                            ErrorKind kind,
+                                            Duration retry_after) {
   context.refusal_kind = kind;
   const Error error(kind, std::string(AnswerFor(kind).title));
   HttpAnswer answer = codec_.refusal(error, context.info.id, retry_after);
@@ -374,6 +406,10 @@
   for (const KnownServerPtr& server : context.tried) {
     servers.push_back(server->state.announcement.id.value());
   }
+  nlohmann::json attempts = nlohmann::json::array();
+  for (const AttemptRecord& attempt : context.attempts) {
+    attempts.push_back(AttemptJson(attempt));
+  }
   log_.Write(
       level, "request",
       {{"request_id", context.info.id.value()},
@@ -384,6 +420,7 @@
        {"service",
         context.service != nullptr ? context.service->id.value() : ""},
        {"servers", std::move(servers)},
+       {"attempts", std::move(attempts)},
        {"detours", context.detour_hosts},
        {"by_detour", context.detour.has_value()},
        {"refusal", context.refusal_kind
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -12,6 +12,7 @@
 #include "programs/fleet_host/entry_state.h"
 #include "programs/fleet_host/server_path_prober.h"
 #include "sapphirebank/fleet/drain_schedule.h"
+#include "sapphirebank/request/execution_record.h"
 #include "sapphirebank/telemetry/fleet_metrics.h"
 #include "sapphirebank/telemetry/log_writer.h"
 #include "sapphirebank/transport/fleet_secret.h"
@@ -74,6 +75,7 @@
     bool may_retry = false;
     // The server may have received a part of the request.
     bool received_by_server = false;
+    NotRunEvidence evidence = NotRunEvidence::kNone;
     // The retry budget has been charged for the next attempt already.
     bool is_retry_charged = false;
     // Outcome for the server's health; nothing when it is not known yet whether
@@ -102,11 +104,17 @@
   boost::asio::awaitable<HttpAnswer> Forward(RequestContext& context);
   boost::asio::awaitable<AttemptResult> RunAttempt(RequestContext& context,
                                                    EntryState::Choice choice);
+  // Classifies the result of an attempt that began at `sent_at`. Ends the
+  // attempt's `guard` where the attempt has failed.
+  AttemptResult Classify(RequestContext& context,
+                         const EntryState::Choice& choice,
+                         ExchangeResult& result, std::shared_ptr<void>& guard,
+                         Instant sent_at);
   // `blames_server` tells whether a failure is due to the server: a request
   // that was abandoned in its queue is not.
   AttemptResult ClassifyFailure(RequestContext& context,
                                 const EntryState::Choice& choice,
-                                const AttemptFailure& failure,
+                                const ExchangeResult& result,
                                 bool blames_server);
 
   // entry_request_detour.cc
@@ -121,6 +129,7 @@
   std::optional<HttpAnswer> ClassifyDetour(RequestContext& context,
                                            ExchangeResult result,
                                            const std::string& host,
+                                           ExecutionRecord::Attempt& execution,
                                            AttemptResult& last);
 
   // Logs a request that was checked at `checked_at` and whose bytes left `way`
@@ -129,9 +138,14 @@
                   Instant checked_at, Duration way);
   void LogFailedAttempt(const RequestContext& context,
                         const KnownServer& server,
-                        const AttemptFailure& failure);
+                        const ExchangeResult& result);
+  // Logs an answer that promises that the request has not run and does not
+  // prove it.
+  void LogUnprovedPromise(const RequestContext& context,
+                          const KnownServer& server,
+                          const ExchangeTrace& trace);
   AttemptResult ClassifyAnswer(RequestContext& context, KnownServer& server,
-                               HttpAnswer answer, Instant sent_at);
+                               ExchangeResult& result, Instant sent_at);
   // Records what the server says about itself in an answer to a request sent at
   // `sent_at`.
   void RecordSignals(Instant now, Instant sent_at, KnownServer& server,
@@ -155,9 +169,16 @@
       std::weak_ptr<void> attempt);
   bool MayRetry(RequestContext& context, const AttemptResult& last,
                 Instant now);
-  HttpAnswer Refuse(RequestContext& context, ErrorKind kind,
-                    Duration retry_after);
-  HttpAnswer RefuseNotRun(RequestContext& context, ErrorKind kind);
+  // Refuses the request with `kind`, or with kBackendBroken where `kind` says
+  // that the request has not run and that is not proved.
+  HttpAnswer Refuse(RequestContext& context, ErrorKind kind);
+  HttpAnswer MakeNotRunRefusal(const NotRunProof& proof,
+                               RequestContext& context, ErrorKind kind);
+  HttpAnswer MakeRefusal(RequestContext& context, ErrorKind kind,
+                         Duration retry_after);
+  // Returns the answer of a server as it is, unless its status promises that
+  // the request has not run: no server's answer that is passed on says so.
+  HttpAnswer PassOn(RequestContext& context, HttpAnswer answer);
   void LogRequest(const RequestContext& context, const HttpAnswer& answer);
   void RecordMetrics(const RequestContext& context);
 
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -14,7 +14,9 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
+#include "sapphirebank/transport/answer_reader.h"
 #include "sapphirebank/transport/process_clock.h"
 
 namespace sapphirebank {
@@ -25,32 +27,13 @@
 namespace http = beast::http;
 using asio::ip::tcp;
 using boost::system::error_code;
-using Parser = http::response_parser<http::string_body>;
 using SteadyTime = std::chrono::steady_clock::time_point;
 
-constexpr std::uint32_t kMaxAnswerHeadBytes = 64 * 1024;
-
-// Answers to earlier requests that are skipped before the connection is closed.
-// A faulty server that sends each answer twice leaves one.
-constexpr int kMaxStrayAnswers = 2;
-
-// Informational answers (1xx) that may precede an answer.
-constexpr int kMaxInformationalAnswers = 8;
-
-// Bytes of an answer that are read ahead of its parser. A head, a chunk header
-// or a trailer section beyond it is not read to its end.
-constexpr std::size_t kMaxUnparsedBytes = 2 * std::size_t{kMaxAnswerHeadBytes};
-
 // Part of the free memory that one answer may take: with as many answers that
 // take all they can as a host has connections, one of a few kilobytes still
 // finds room.
 constexpr double kAnswerShare = 0.25;
 
-// Bytes that one read may add, at least and at most. It grows with the body, so
-// that long bodies take few reads.
-constexpr std::size_t kMinReadBytes = std::size_t{8} << 10U;
-constexpr std::size_t kMaxReadBytes = std::size_t{64} << 10U;
-
 // The same for a body that is passed on while it is read.
 constexpr std::size_t kStreamReadBytes = std::size_t{16} << 10U;
 
@@ -65,6 +48,17 @@
 // keep-alive time, so that a request does not race with the server's close.
 constexpr double kServerIdleTimeFraction = 0.7;
 
+// Requests on one connection; bounds the identities that it remembers.
+constexpr std::size_t kMaxRequestsPerConnection = 256;
+
+// Time for which no connection to a server is kept after one of them had bytes
+// that belong to no request.
+constexpr Duration kStrayBytesPause = std::chrono::seconds(10);
+
+// Servers for which that is remembered. Beyond it the oldest is forgotten: a
+// connection is then kept again, and its answers are checked all the same.
+constexpr std::size_t kMaxStrayServers = 1024;
+
 auto CaptureError(error_code& error) {
   return asio::redirect_error(asio::use_awaitable, error);
 }
@@ -77,17 +71,29 @@
   SteadyTime idle_since;
   // Keep-alive time that the server stated; zero if it stated none.
   Duration server_idle_time{};
-  bool reused = false;
+  // Counted by the client from 1.
+  std::uint64_t number = 0;
+  // Identities of the requests that were sent on it.
+  std::vector<std::uint64_t> carried;
+
+  bool HasCarried(std::uint64_t identity) const {
+    return identity != 0 &&
+           std::find(carried.begin(), carried.end(), identity) != carried.end();
+  }
 };
 
 using ConnectionPtr = std::shared_ptr<Connection>;
 
-// Returns whether an idle connection is open and has no bytes to read.
-bool IsOpenAndSilent(Connection& connection) {
+enum class IdleState { kSilent, kClosed, kHasBytes };
+
+// Returns whether an idle connection is open and has bytes to read.
+IdleState StateOf(Connection& connection) {
   char byte = 0;
   const auto got = ::recv(connection.stream.socket().native_handle(), &byte, 1,
                           MSG_PEEK | MSG_DONTWAIT);
-  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (got > 0) return IdleState::kHasBytes;
+  const bool is_silent = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return is_silent ? IdleState::kSilent : IdleState::kClosed;
 }
 
 void SetSocketOptions(tcp::socket& socket, Duration unacknowledged) {
@@ -100,18 +106,6 @@
                sizeof(timeout));
 }
 
-HttpAnswer AnswerOf(const http::response_header<>& header) {
-  HttpAnswer answer;
-  answer.status = static_cast<int>(header.result_int());
-  for (const auto& field : header) {
-    std::string name(field.name_string());
-    std::transform(name.begin(), name.end(), name.begin(),
-                   [](unsigned char c) { return std::tolower(c); });
-    answer.fields.push_back({std::move(name), std::string(field.value())});
-  }
-  return answer;
-}
-
 http::request<http::string_body> RequestOf(const HttpExchange& exchange) {
   http::request<http::string_body> request;
   request.method_string(exchange.method);
@@ -129,57 +123,10 @@
   return request;
 }
 
-std::size_t BytesHeld(const Connection& connection, const Parser& parser) {
-  return connection.buffer.capacity() + parser.get().body().capacity();
-}
-
-// Reads and parses at most `count` bytes. Returns false, and reads nothing,
-// when the answer may not take that much more memory.
-asio::awaitable<bool> ReadSome(Connection& connection, Parser& parser,
-                               ByteReservation& memory, std::size_t count,
-                               error_code& error) {
-  if (!memory.TryResize(BytesHeld(connection, parser) + count)) {
-    co_return false;
-  }
-  beast::flat_buffer& buffer = connection.buffer;
-  buffer.max_size(std::min(kMaxUnparsedBytes, buffer.size() + count));
-  co_await http::async_read_some(connection.stream, buffer, parser,
-                                 CaptureError(error));
-  if (!error) memory.TryResize(BytesHeld(connection, parser));
-  co_return true;
-}
-
-// Reads the head of an answer.
-asio::awaitable<void> ReadHead(Connection& connection, Parser& parser,
-                               ByteReservation& memory, error_code& error) {
-  while (!error && !parser.is_header_done()) {
-    const bool has_memory =
-        co_await ReadSome(connection, parser, memory, kMinReadBytes, error);
-    if (!has_memory) error = asio::error::no_memory;
-  }
-}
-
-// Reads the body until it is complete, has more than `limit` bytes, or may not
-// take more memory. The last is an error only where nothing was read.
-asio::awaitable<void> ReadBody(Connection& connection, Parser& parser,
-                               ByteReservation& memory, std::uint64_t limit,
-                               error_code& error) {
-  const std::string& body = parser.get().body();
-  while (!error && !parser.is_done() && body.size() <= limit) {
-    const std::size_t count =
-        std::clamp(body.size(), kMinReadBytes, kMaxReadBytes);
-    const bool has_memory =
-        co_await ReadSome(connection, parser, memory, count, error);
-    if (has_memory) continue;
-    if (body.empty()) error = asio::error::no_memory;
-    co_return;
-  }
-}
-
 // Rest of the body of an answer that exceeds max_buffered_bytes or its memory.
 class AnswerStream : public BodyStream {
  public:
-  AnswerStream(ConnectionPtr connection, std::unique_ptr<Parser> parser,
+  AnswerStream(ConnectionPtr connection, std::unique_ptr<AnswerParser> parser,
                ByteReservation memory, std::shared_ptr<CallerWatch> watch)
       : connection_(std::move(connection)),
         parser_(std::move(parser)),
@@ -196,8 +143,9 @@
     }
     while (!parser_->is_done()) {
       error_code error;
-      const bool has_memory = co_await ReadSome(*connection_, *parser_, memory_,
-                                                kStreamReadBytes, error);
+      const bool has_memory =
+          co_await ReadSome(connection_->stream, connection_->buffer, *parser_,
+                            memory_, kStreamReadBytes, error);
       if (!has_memory) error = asio::error::no_memory;
       if (error) {
         co_return Fail(ErrorKind::kBackendBroken,
@@ -212,7 +160,7 @@
 
  private:
   ConnectionPtr connection_;
-  std::unique_ptr<Parser> parser_;
+  std::unique_ptr<AnswerParser> parser_;
   ByteReservation memory_;
   std::shared_ptr<CallerWatch> watch_;
 };
@@ -247,7 +195,7 @@
   failure.timed_out =
       error == beast::error::timeout || error == asio::error::timed_out;
   failure.reused_connection = reused;
-  return {failure, reused};
+  return {failure, reused, {}};
 }
 
 // Returns the failure of a request of which `sent` bytes were written when it
@@ -286,11 +234,6 @@
   return std::chrono::seconds(std::max(seconds, 0));
 }
 
-bool BodyKnownTooLong(const Parser& parser, std::uint64_t limit) {
-  const auto length = parser.content_length();
-  return length && *length > limit;
-}
-
 }  // namespace
 
 class HttpClient::Pool {
@@ -298,28 +241,45 @@
   Pool(asio::io_context& loop, HttpClientSettings settings)
       : loop_(loop), settings_(settings) {}
 
-  ConnectionPtr TakeIdle(const Endpoint& to) {
+  // Returns an idle connection for a request with this identity, or null.
+  ConnectionPtr TakeIdle(const Endpoint& to, std::uint64_t identity) {
     const auto found = idle_.find(to);
     if (found == idle_.end()) return nullptr;
     auto& connections = found->second;
     const auto now = std::chrono::steady_clock::now();
-    while (!connections.empty()) {
-      ConnectionPtr connection = std::move(connections.back());
-      connections.pop_back();
-      const bool within_idle_limit =
-          now - connection->idle_since < IdleLimit(*connection);
-      if (within_idle_limit && IsOpenAndSilent(*connection)) {
-        connection->reused = true;
-        return connection;
-      }
+    for (auto it = connections.end(); it != connections.begin();) {
+      --it;
+      if ((*it)->HasCarried(identity)) continue;
+      ConnectionPtr connection = std::move(*it);
+      it = connections.erase(it);
+      if (now - connection->idle_since >= IdleLimit(*connection)) continue;
+      const IdleState state = StateOf(*connection);
+      if (state == IdleState::kSilent) return connection;
+      if (state != IdleState::kHasBytes) continue;
+      RecordStrayBytes(to);
+      return nullptr;
     }
     return nullptr;
   }
 
+  // Records that a server wrote bytes that belong to no request: its idle
+  // connections may have more of them on their way.
+  void RecordStrayBytes(const Endpoint& to) {
+    const auto now = std::chrono::steady_clock::now();
+    if (stray_bytes_.size() >= kMaxStrayServers && !stray_bytes_.contains(to)) {
+      stray_bytes_.erase(std::min_element(
+          stray_bytes_.begin(), stray_bytes_.end(),
+          [](const auto& a, const auto& b) { return a.second < b.second; }));
+    }
+    stray_bytes_[to] = now;
+    idle_.erase(to);
+  }
+
   // Opens a connection; failures are stored in `error`.
   asio::awaitable<ConnectionPtr> Open(Endpoint to, Duration timeout,
                                       error_code& error) {
     auto connection = std::make_shared<Connection>(loop_);
+    connection->number = ++connections_opened_;
     connection->stream.expires_after(timeout);
     const tcp::endpoint endpoint(asio::ip::make_address(to.ip), to.port);
     co_await connection->stream.async_connect(endpoint, CaptureError(error));
@@ -331,6 +291,15 @@
   }
 
   void ReturnIdle(const Endpoint& to, ConnectionPtr connection) {
+    if (connection->carried.size() >= kMaxRequestsPerConnection) return;
+    const auto now = std::chrono::steady_clock::now();
+    const auto stray = stray_bytes_.find(to);
+    const bool had_requests = !connection->carried.empty();
+    if (stray != stray_bytes_.end()) {
+      const bool is_over = now - stray->second >= kStrayBytesPause;
+      if (is_over) stray_bytes_.erase(stray);
+      if (!is_over && had_requests) return;
+    }
     auto& connections = idle_[to];
     if (connections.size() >= settings_.max_idle_per_endpoint) {
       connections.pop_front();
@@ -338,7 +307,7 @@
     if (connection->buffer.capacity() > kMaxIdleBufferBytes) {
       connection->buffer.shrink_to_fit();
     }
-    connection->idle_since = std::chrono::steady_clock::now();
+    connection->idle_since = now;
     connection->stream.expires_never();
     connections.push_back(std::move(connection));
   }
@@ -358,6 +327,9 @@
   asio::io_context& loop_;
   HttpClientSettings settings_;
   std::map<Endpoint, std::deque<ConnectionPtr>> idle_;
+  // When servers last wrote bytes that belong to no request.
+  std::map<Endpoint, SteadyTime> stray_bytes_;
+  std::uint64_t connections_opened_ = 0;
 };
 
 HttpClient::HttpClient(asio::io_context& loop, HttpClientSettings settings)
@@ -388,15 +360,28 @@
 
 asio::awaitable<ExchangeResult> HttpClient::Exchange(
     HttpExchange exchange, std::shared_ptr<CallerWatch> watch) {
+  ExchangeTrace trace;
+  ExchangeResult result =
+      co_await Exchange(std::move(exchange), std::move(watch), trace);
+  result.trace = trace;
+  co_return result;
+}
+
+asio::awaitable<ExchangeResult> HttpClient::Exchange(
+    HttpExchange exchange, std::shared_ptr<CallerWatch> watch,
+    ExchangeTrace& trace) {
   error_code error;
   ConnectionPtr connection;
-  if (!exchange.fresh_connection) connection = pool_->TakeIdle(exchange.to);
+  if (!exchange.fresh_connection) {
+    connection = pool_->TakeIdle(exchange.to, exchange.identity);
+  }
   if (!connection) {
     connection =
         co_await pool_->Open(exchange.to, exchange.connect_timeout, error);
     if (error) co_return Failure(AttemptStage::kNotConnected, error, false);
   }
-  const bool reused = connection->reused;
+  const bool reused = !connection->carried.empty();
+  trace.connection = connection->number;
   if (watch && watch->hung_up()) {
     co_return Failure(AttemptStage::kNotConnected, error, reused);
   }
@@ -410,8 +395,11 @@
   SendWatch send_watch(loop_, connection->stream, exchange.body.size(),
                        bytes_on_way_,
                        {exchange.arrival_limit, exchange.on_left});
+  connection->carried.push_back(exchange.identity);
+  trace.request_number = static_cast<std::uint32_t>(connection->carried.size());
   const std::size_t sent =
       co_await WriteRequest(*connection, request, send_watch, error);
+  trace.bytes_sent = sent;
   if (send_watch.was_cut()) co_return CutOff(sent, reused);
   if (error && sent == 0) {
     co_return Failure(AttemptStage::kNotConnected, error, reused);
@@ -421,46 +409,27 @@
   if (request_truncated) connection->stream.expires_after(kEarlyAnswerTime);
 
   ByteReservation memory(memory_);
-  auto parser = std::make_unique<Parser>();
-  int strays = 0;
-  int informational = 0;
-  bool is_stray = false;
-  bool is_informational = false;
-  do {
-    parser = std::make_unique<Parser>();
-    parser->header_limit(kMaxAnswerHeadBytes);
-    parser->body_limit(UINT64_MAX);
-    if (exchange.method == "HEAD") parser->skip(true);
-    co_await ReadHead(*connection, *parser, memory, error);
-    if (send_watch.was_cut()) co_return CutOff(sent, reused);
+  AnswerSequence sequence(reused, exchange.match_request);
+  OwnAnswerReader reader(connection->stream, connection->buffer, memory);
+  reader.set_head_only(exchange.method == "HEAD");
+  reader.set_max_body_bytes(exchange.max_buffered_bytes);
+  reader.set_on_head([&](int status) {
+    if (send_watch.was_cut()) return false;
     send_watch.End();
-    if (error) co_return Failure(AttemptStage::kSent, error, reused);
-    is_informational = parser->get().result_int() < 200;
-    if (is_informational && ++informational > kMaxInformationalAnswers) {
-      co_return Failure(AttemptStage::kSent, error, reused);
-    }
-    const AnswerMatch match =
-        is_informational || !exchange.match_request
-            ? AnswerMatch::kOwn
-            : exchange.match_request(AnswerOf(parser->get()).fields);
-    if (match == AnswerMatch::kUnknown && (reused || strays > 0)) {
-      co_return Failure(AttemptStage::kSent, error, reused);
-    }
-    is_stray = match == AnswerMatch::kOther;
-    if (!is_stray) continue;
-    co_await ReadBody(*connection, *parser, memory, exchange.max_buffered_bytes,
-                      error);
-    if (error || !parser->is_done() || ++strays > kMaxStrayAnswers) {
-      co_return Failure(AttemptStage::kSent, error, reused);
-    }
-  } while (is_stray || is_informational);
-
-  const bool too_long = BodyKnownTooLong(*parser, exchange.max_buffered_bytes);
-  if (!too_long) {
-    co_await ReadBody(*connection, *parser, memory, exchange.max_buffered_bytes,
-                      error);
-    if (error) co_return Failure(AttemptStage::kSent, error, reused);
-  }
+    trace.status = status;
+    return true;
+  });
+  const bool is_own = co_await reader.ReadHead(sequence, error);
+  trace.match = sequence.match();
+  trace.answers_skipped = sequence.answers_skipped();
+  trace.is_first_answer = sequence.is_first();
+  trace.doubt = sequence.doubt();
+  if (send_watch.was_cut()) co_return CutOff(sent, reused);
+  if (sequence.HasStrayBytes()) pool_->RecordStrayBytes(exchange.to);
+  if (!is_own) co_return Failure(AttemptStage::kSent, error, reused);
+  co_await reader.ReadBody(error);
+  if (error) co_return Failure(AttemptStage::kSent, error, reused);
+  std::unique_ptr<AnswerParser> parser = reader.TakeParser();
 
   ExchangeResult result;
   result.reused_connection = reused;
@@ -477,8 +446,10 @@
     result.outcome = std::move(answer);
     co_return result;
   }
-  if (parser->keep_alive() && connection->buffer.size() == 0 &&
-      !request_truncated && strays == 0) {
+  const bool has_more_bytes = connection->buffer.size() > 0;
+  if (has_more_bytes) pool_->RecordStrayBytes(exchange.to);
+  if (parser->keep_alive() && !has_more_bytes && !request_truncated &&
+      sequence.answers_skipped() == 0) {
     connection->server_idle_time = KeepAliveTimeout(answer.fields);
     pool_->ReturnIdle(exchange.to, std::move(connection));
   }
