sapphirebankd does not say 'not run' after an attempt that may have run

Callers of an idempotent route got 503 with execution "not run" where a server had received the first attempt and the retry found no server, no room in the queue, or no connection: the refusal told of the last attempt alone. The proxy's attempts now use the ExecutionRecord of the platform's entry hosts, and a failure without a proof is backend_broken, execution "unknown". The same holds for the outcome of a claim.

--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -179,8 +179,8 @@
   AttemptResult attempt;
   const Instant now = MonotonicNow();
   LogFailedAttempt(context, server, result);
+  attempt.evidence = EvidenceOf(failure.stage);
   if (failure.stage == AttemptStage::kWithheld) {
-    attempt.evidence = NotRunEvidence::kNothingSent;
     attempt.failure = ErrorKind::kNoBackendServer;
     attempt.may_retry = true;
     return attempt;
@@ -189,7 +189,6 @@
   unanswered.server = server.state.announcement.id;
   unanswered.assignment = choice.assignment;
   if (failure.stage == AttemptStage::kNotConnected) {
-    attempt.evidence = NotRunEvidence::kNothingSent;
     attempt.failure = ErrorKind::kBackendUnreachable;
     attempt.may_retry = true;
     if (context.request.watch->hung_up() || AttemptsAreOver()) return attempt;
--- a/programs/fleet_host/entry_request_detour.cc
+++ b/programs/fleet_host/entry_request_detour.cc
@@ -157,7 +157,7 @@
                 {"host", host},
                 {"stage", is_sent ? "sent" : "not_connected"},
                 {"timed_out", failure->timed_out}});
-    if (!is_sent) last.evidence = NotRunEvidence::kNothingSent;
+    last.evidence = EvidenceOf(failure->stage);
     execution.End(last.evidence);
     last.received_by_server = is_sent;
     last.may_retry = !is_sent || context.route->idempotent;
--- a/sapphirebank/request/execution_record.cc
+++ b/sapphirebank/request/execution_record.cc
@@ -45,6 +45,20 @@
                                         : NotRunEvidence::kNone;
 }
 
+NotRunEvidence EvidenceOf(AttemptStage stage) {
+  switch (stage) {
+    case AttemptStage::kWithheld:
+    case AttemptStage::kNotConnected:
+      return NotRunEvidence::kNothingSent;
+    case AttemptStage::kRefusedByPeer:
+      return NotRunEvidence::kHostRefused;
+    case AttemptStage::kSent:
+    case AttemptStage::kAnswerStarted:
+      break;
+  }
+  return NotRunEvidence::kNone;
+}
+
 ExecutionRecord::Attempt::Attempt(ExecutionRecord& record) : record_(&record) {
   ++record.attempts_in_progress_;
 }
@@ -63,4 +77,9 @@
   return NotRunProof();
 }
 
+ErrorKind ProvedKind(const ExecutionRecord& record, ErrorKind kind) {
+  const bool says_not_run = AnswerFor(kind).execution == Execution::kNotRun;
+  return says_not_run && !record.Proof() ? ErrorKind::kBackendBroken : kind;
+}
+
 }  // namespace sapphirebank
--- a/sapphirebank/request/execution_record.h
+++ b/sapphirebank/request/execution_record.h
@@ -3,7 +3,9 @@
 #include <optional>
 #include <string_view>
 
+#include "sapphirebank/core/error_kind.h"
 #include "sapphirebank/request/answer_sequence.h"
+#include "sapphirebank/request/attempt_policy.h"
 
 namespace sapphirebank {
 
@@ -40,6 +42,9 @@
 // the request, and its statement and its status agree.
 NotRunEvidence EvidenceOf(const AnswerStatement& answer);
 
+// Returns the evidence that a failed attempt gives.
+NotRunEvidence EvidenceOf(AttemptStage stage);
+
 class ExecutionRecord;
 
 // Proof that no attempt of a request has run or will run. Only an
@@ -82,4 +87,8 @@
   bool may_have_run_ = false;
 };
 
+// Returns `kind`, or kBackendBroken where `kind` says that the request has not
+// run and the record has no proof of it.
+ErrorKind ProvedKind(const ExecutionRecord& record, ErrorKind kind);
+
 }  // namespace sapphirebank
--- a/sapphirebank/transport/request_proxy.cc
+++ b/sapphirebank/transport/request_proxy.cc
@@ -212,7 +212,7 @@
   if (proxied.needs_claim()) {
     result = co_await RunWithClaim(proxied);
   } else {
-    result = co_await RunAttempts(proxied);
+    result = co_await RunProved(proxied);
   }
   if (!result) co_return Refuse(proxied, result.error());
   HttpAnswer answer = std::move(*result);
@@ -249,7 +249,7 @@
   // Run to the end even if the caller hangs up: the answer is stored for a
   // resend with the same key.
   proxied.watch = nullptr;
-  Result<HttpAnswer> result = co_await RunAttempts(proxied);
+  Result<HttpAnswer> result = co_await RunProved(proxied);
   hooks_.complete_claim(ClaimCompletion(claim, result));
   co_return result;
 }
@@ -298,6 +298,17 @@
   return completion;
 }
 
+// Runs the request. A failure says that it has not run only if that is proved
+// for all of its attempts.
+asio::awaitable<Result<HttpAnswer>> RequestProxy::RunProved(
+    ProxiedRequest& proxied) {
+  Result<HttpAnswer> result = co_await RunAttempts(proxied);
+  if (!result) {
+    result.error().kind = ProvedKind(proxied.execution, result.error().kind);
+  }
+  co_return result;
+}
+
 asio::awaitable<Result<HttpAnswer>> RequestProxy::RunAttempts(
     ProxiedRequest& proxied) {
   while (true) {
@@ -318,6 +329,7 @@
     if (const auto* error = std::get_if<Error>(&dispatch_decision.place)) {
       co_return tl::unexpected(*error);
     }
+    ExecutionRecord::Attempt attempt(proxied.execution);
     ExchangeResult result =
         co_await SendAttempt(proxied, std::move(dispatch_decision));
     AttemptFailure failure;
@@ -329,6 +341,7 @@
     } else {
       failure = std::get<AttemptFailure>(result.outcome);
     }
+    attempt.End(EvidenceOf(failure.stage));
     AttemptDecision decision;
     const bool retry = co_await RetryAllowed(proxied, failure, decision);
     if (!retry) {
--- a/sapphirebank/transport/request_proxy.h
+++ b/sapphirebank/transport/request_proxy.h
@@ -100,6 +100,7 @@
       ProxiedRequest& proxied);
   CompleteClaim ClaimCompletion(const Claim& claim,
                                 const Result<HttpAnswer>& result) const;
+  boost::asio::awaitable<Result<HttpAnswer>> RunProved(ProxiedRequest& proxied);
   boost::asio::awaitable<Result<HttpAnswer>> RunAttempts(
       ProxiedRequest& proxied);
   boost::asio::awaitable<ExchangeResult> SendAttempt(
--- a/sapphirebank/transport/request_proxy_internal.h
+++ b/sapphirebank/transport/request_proxy_internal.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "sapphirebank/request/execution_record.h"
 #include "sapphirebank/transport/request_proxy.h"
 
 namespace sapphirebank {
@@ -32,6 +33,7 @@
   Duration time_on_backend{};  // Sum over all attempts.
   bool forwarded = false;
   int attempts = 0;
+  ExecutionRecord execution;
   bool fresh_connection = false;
   std::vector<BackendId> attempted_backends;
   std::vector<HostId> attempted_hosts;
