Refusals before a request is handled are marked between entry hosts

An entry host passed on another one's 503 or 408 for a request that its server had not even read as if a backend server had answered. Such refusals (body or head too large or late, no memory for the body) now bear the mark of a refusal on the ports between entry hosts, so that the sending host knows that nothing ran.

Test: 'a server between entry hosts marks what it refuses unhandled'.

--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -116,6 +116,7 @@
   HttpServerSettings detours;
   detours.ip = fleet.ip;
   detours.port = fleet.port;
+  detours.marks_refusals = true;
   hooks.handle = [this](HttpRequest request) {
     return requests_.HandleDetour(std::move(request));
   };
--- a/programs/sapphirebankd/entry_daemon.cc
+++ b/programs/sapphirebankd/entry_daemon.cc
@@ -179,6 +179,7 @@
 Result<void> EntryDaemon::Open(std::optional<HttpServer>& server,
                                const Endpoint& local, HttpServer::Hooks hooks) {
   HttpServerSettings server_settings = ServerSettings(local);
+  server_settings.marks_refusals = &server == &forward_server_;
   if (&server == &caller_server_ && settings_.listeners.callers_tls) {
     server_settings.tls_certificate_file =
         settings_.listeners.callers_tls->certificate_file;
--- a/sapphirebank/transport/http_server.cc
+++ b/sapphirebank/transport/http_server.cc
@@ -18,6 +18,7 @@
 
 #include "sapphirebank/request/refusal.h"
 #include "sapphirebank/transport/http_guards.h"
+#include "sapphirebank/transport/signed_field.h"
 
 namespace sapphirebank {
 namespace {
@@ -373,7 +374,12 @@
 
   template <typename Stream>
   asio::awaitable<bool> Refuse(Stream& stream, const Error& error) {
-    co_return co_await Write(stream, RefusalAnswer(error), false, false);
+    HttpAnswer answer = RefusalAnswer(error);
+    if (settings_.marks_refusals) {
+      const std::string name(AnswerFor(error.kind).name);
+      answer.fields.push_back({std::string(kRefusalField), name});
+    }
+    co_return co_await Write(stream, std::move(answer), false, false);
   }
 
   // Writes an answer. Returns whether the connection may carry another.
--- a/sapphirebank/transport/http_server.h
+++ b/sapphirebank/transport/http_server.h
@@ -27,6 +27,9 @@
   Duration head_timeout = std::chrono::seconds(10);
   Duration body_timeout = std::chrono::seconds(120);
   Duration write_timeout = std::chrono::seconds(60);
+  // Mark refusals of requests that were not handled, so that another entry host
+  // can tell them from a backend server's answers.
+  bool marks_refusals = false;
   // TLS is off when these are empty (PEM files).
   std::string tls_certificate_file;
   std::string tls_key_file;
--- a/unit_tests/platform/entry_hosts.h
+++ b/unit_tests/platform/entry_hosts.h
@@ -96,6 +96,7 @@
     HttpServerSettings settings;
     settings.ip = ip;
     settings.port = fleet_port;
+    settings.marks_refusals = true;
     HttpServer::Hooks hooks;
     hooks.accept_head = [](const HttpRequestHead&) -> Result<std::uint64_t> {
       return std::uint64_t{1} << 20U;
--- a/unit_tests/transport/http_server_test.cc
+++ b/unit_tests/transport/http_server_test.cc
@@ -24,8 +24,9 @@
 // A server that echoes requests and counts those that reached its handler.
 class EchoServer {
  public:
-  EchoServer() {
+  explicit EchoServer(bool marks_refusals = false) {
     HttpServerSettings settings;
+    settings.marks_refusals = marks_refusals;
     settings.max_head_bytes = 2048;
     settings.idle_timeout = std::chrono::seconds(60);
     settings.head_timeout = std::chrono::milliseconds(200);
@@ -120,6 +121,24 @@
   }
 }
 
+// Guards against an entry host that takes another one's refusal for a backend
+// server's answer.
+TEST_CASE("a server between entry hosts marks what it refuses unhandled",
+          "[transport]") {
+  for (const bool marks : {true, false}) {
+    CAPTURE(marks);
+    EchoServer server(marks);
+    RawConnection connection(server.port());
+    connection.Send(
+        "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 17\r\n\r\n");
+    const std::string answer = connection.ReadAll();
+    CHECK(answer.starts_with("HTTP/1.1 413"));
+    const auto mark = answer.find("x-sapphirebank-refusal: body_too_large");
+    CHECK((mark != std::string::npos) == marks);
+    CHECK(server.handled() == 0);
+  }
+}
+
 TEST_CASE("a POST without a length has no body", "[transport]") {
   EchoServer server;
   RawConnection connection(server.port());
