--- a/unit_tests/platform/entry_detour_test.cc
+++ b/unit_tests/platform/entry_detour_test.cc
@@ -4,6 +4,7 @@
 #include "sapphirebank/transport/detour_fields.h"
 #include "sapphirebank/transport/signed_field.h"
 #include "unit_tests/platform/entry_hosts.h"
+#include "unit_tests/transport/scripted_server.h"
 
 namespace sapphirebank {
 namespace {
@@ -89,6 +90,27 @@
   CHECK(hosts.backend.requests() == 1);
 }
 
+// Guards against 'not run' for a request whose answer was lost behind another
+// host, as the rate of its workspace is used up when it is to be sent again.
+TEST_CASE("a rate that is used up after a lost answer promises nothing",
+          "[platform]") {
+  ScriptedServer other_host([](boost::asio::ip::tcp::socket& socket, int) {
+    ScriptedServer::ReadRequest(socket);
+  });
+  LoopThread loop;
+  ClosedPort closed[2];
+  TestEntryHost host(loop, "127.0.0.2", other_host.endpoint().port);
+  host.Update({closed[0].endpoint(), closed[1].endpoint()}, {});
+  host.Send("/lookup/1", "q1");
+  REQUIRE(host.path_is_lost());
+  host.set_workspace_rate(1e-6);
+  host.Update({closed[0].endpoint(), closed[1].endpoint()}, {"127.0.0.1:80"},
+              2);
+  const HttpAnswer answer = host.Send("/lookup/1", "q2");
+  CHECK(answer.status == 502);
+  CHECK(FieldValue(answer.fields, "retry-after").empty());
+}
+
 // Guards against a newer plan that is not in force for requests that take a
 // detour.
 TEST_CASE("a host with an older plan does not handle requests of another one",
--- a/unit_tests/platform/entry_hosts.h
+++ b/unit_tests/platform/entry_hosts.h
@@ -169,12 +169,17 @@
                     path,
                     {{"host", "desk.example"},
                      {"sapphirebank-request-id", id},
+                     {"authorization", "Token key-north"},
                      {"sapphirebank-deadline-ms", "2000"}}};
     if (request.head.method == "POST") request.body = body;
     request.watch = std::make_shared<CallerWatch>();
     return loop_.Run(handler_->Handle(std::move(request)));
   }
 
+  // From the next plan on requests need a key and the workspace of the one
+  // that Send() uses has this rate per second.
+  void set_workspace_rate(double rate) { workspace_rate_ = rate; }
+
   // Begins to drain as if the termination signal had come `ago` before now.
   void BeginDrain(const DrainSchedule& schedule, Duration ago) {
     RunOnLoop([&] {
@@ -224,25 +229,30 @@
     co_return work();
   }
 
-  static std::string PlanText(int version) {
+  std::string PlanText(int version) const {
     const auto route = [](const char* prefix, const char* kind) {
       return nlohmann::json{{"host", "desk.example"}, {"pathPrefix", prefix},
                             {"kind", kind},           {"timeout", "2s"},
                             {"targetLatency", "1s"},  {"service", "desk"},
                             {"maxAttempts", 3}};
     };
-    return nlohmann::json{
+    nlohmann::json plan = {
         {"version", fmt::format("r{}", version)},
         {"routes",
          {{"lookup", route("/lookup/", "safe")},
           {"order", route("/order/", "unsafe")}}},
         {"services", {{"desk", {{"warmup", "1s"}, {"warmupPerS", 5}}}}},
-        {"limits", {{"idleTimeout", "15s"}}}}
-        .dump();
+        {"limits", {{"idleTimeout", "15s"}}}};
+    if (workspace_rate_) {
+      plan["tenants"]["north"] = {{"apiKeys", {"key-north"}},
+                                  {"ratePerS", *workspace_rate_}};
+    }
+    return plan.dump();
   }
 
   LoopThread& loop_;
   std::atomic<int> detours_ = 0;
+  std::optional<double> workspace_rate_;
   std::optional<HttpServer> server_;
   std::unique_ptr<LogWriter> log_;
   std::unique_ptr<FleetMetrics> metrics_;
