--- a/unit_tests/transport/answer_order_simulation.h
+++ b/unit_tests/transport/answer_order_simulation.h
@@ -22,9 +22,10 @@
 
 // Requests that must run once, sent to a faulty server over connections in
 // memory. The server writes copies of its answers, whole or cut at any byte,
-// before, within and after later answers, breaks off, and puts informational
-// answers before its own. What it did with each request is compared to what the
-// caller is told.
+// before, within and after later answers, breaks off, leaves out the request id
+// and puts informational answers before its own. On a new connection it writes
+// copies of answers that name other requests. What it did with each request is
+// compared to what the caller is told.
 class AnswerOrderSimulation {
  public:
   // What went wrong, as counts of requests.
@@ -67,6 +68,11 @@
  private:
   static constexpr int kMaxAttempts = 3;
 
+  struct Written {
+    std::string id;
+    std::string bytes;
+  };
+
   struct Connection {
     explicit Connection(boost::asio::io_context& loop) : stream(loop) {}
 
@@ -74,7 +80,7 @@
     boost::beast::flat_buffer buffer;
     std::vector<std::string> carried;
     // Answers that were written on it.
-    std::vector<std::string> written;
+    std::vector<Written> written;
     // Bytes that the server writes once the next request has come.
     std::string late;
   };
@@ -227,6 +233,7 @@
   bool Answer(Request& request, Connection& connection) {
     const std::string own = Decide(request);
     std::string bytes = std::exchange(connection.late, std::string());
+    if (Chance(0.05)) bytes += CopyOfOther(request.id);
     if (Chance(0.05)) bytes += "HTTP/1.1 102 Processing\r\n\r\n";
     std::string answer = own;
     if (Chance(0.1)) {
@@ -235,7 +242,8 @@
     const bool breaks_off = Chance(0.05);
     if (breaks_off) answer.resize(Below(answer.size() + 1));
     bytes += answer;
-    connection.written.push_back(own);
+    connection.written.push_back({request.id, own});
+    written_.push_back({request.id, own});
     if (Chance(0.1)) bytes += Copy(connection);
     while (Chance(0.4)) connection.late += Copy(connection);
     connection.stream.append(bytes);
@@ -246,17 +254,32 @@
   std::string Copy(const Connection& connection) {
     if (connection.written.empty()) return "";
     ++coverage_.stray_copies;
-    const std::string& copy =
-        connection.written[Below(connection.written.size())];
-    return Chance(0.3) ? copy : copy.substr(0, Below(copy.size()));
+    return Cut(connection.written[Below(connection.written.size())].bytes);
+  }
+
+  // Returns the same of an answer that was written on any connection and names
+  // another request.
+  std::string CopyOfOther(const std::string& id) {
+    if (written_.empty()) return "";
+    const Written& other = written_[Below(written_.size())];
+    const bool names_request = other.bytes.find(other.id) != std::string::npos;
+    if (other.id == id || !names_request) return "";
+    ++coverage_.stray_copies;
+    return Cut(other.bytes);
+  }
+
+  std::string Cut(const std::string& answer) {
+    return Chance(0.3) ? answer : answer.substr(0, Below(answer.size()));
   }
 
   // Runs the request or rejects it, and returns the answer. The order of the
   // fields varies from server to server.
   std::string Decide(Request& request) {
-    HeaderFields fields = {{"Sapphirebank-Request-Id", request.id},
-                           {"Server", "desk/1.4"},
+    HeaderFields fields = {{"Server", "desk/1.4"},
                            {"Content-Type", "text/plain; charset=utf-8"}};
+    if (!Chance(0.1)) {
+      fields.push_back({"Sapphirebank-Request-Id", request.id});
+    }
     std::string line;
     std::string body(Below(40), 'b');
     const double drawn = std::uniform_real_distribution<>(0, 1)(random_);
@@ -288,6 +311,7 @@
       std::make_shared<ByteBudget>(std::size_t{1} << 20U, 1.0);
   std::shared_ptr<Connection> kept_;
   std::unique_ptr<std::string> last_refused_;
+  std::vector<Written> written_;
   std::vector<std::string> stamps_;
   Violations violations_;
   Coverage coverage_;
