--- a/unit_tests/transport/answer_order_simulation.h
+++ b/unit_tests/transport/answer_order_simulation.h
@@ -24,8 +24,10 @@
 // memory. The server writes copies of its answers, whole or cut at any byte,
 // before, within and after later answers, breaks off, leaves out the request id
 // and puts informational answers before its own. On a new connection it writes
-// copies of answers that name other requests. What it did with each request is
-// compared to what the caller is told.
+// copies of answers that name other requests, and of
+// rejections that name none. Some answers to requests that ran have the status
+// of a rejection, or its statement, but never both. What it did with each
+// request is compared to what the caller is told.
 class AnswerOrderSimulation {
  public:
   // What went wrong, as counts of requests.
@@ -71,6 +73,7 @@
   struct Written {
     std::string id;
     std::string bytes;
+    bool is_rejection = false;
   };
 
   struct Connection {
@@ -231,7 +234,9 @@
   // Decides what the server does with a request and writes its bytes. Returns
   // whether it closes the connection.
   bool Answer(Request& request, Connection& connection) {
+    const int runs = request.runs;
     const std::string own = Decide(request);
+    const bool was_rejected = request.runs == runs;
     std::string bytes = std::exchange(connection.late, std::string());
     if (Chance(0.05)) bytes += CopyOfOther(request.id);
     if (Chance(0.05)) bytes += "HTTP/1.1 102 Processing\r\n\r\n";
@@ -242,8 +247,8 @@
     const bool breaks_off = Chance(0.05);
     if (breaks_off) answer.resize(Below(answer.size() + 1));
     bytes += answer;
-    connection.written.push_back({request.id, own});
-    written_.push_back({request.id, own});
+    connection.written.push_back({request.id, own, was_rejected});
+    written_.push_back(connection.written.back());
     if (Chance(0.1)) bytes += Copy(connection);
     while (Chance(0.4)) connection.late += Copy(connection);
     connection.stream.append(bytes);
@@ -258,12 +263,12 @@
   }
 
   // Returns the same of an answer that was written on any connection and names
-  // another request.
+  // another request, or of a rejection that names none.
   std::string CopyOfOther(const std::string& id) {
     if (written_.empty()) return "";
     const Written& other = written_[Below(written_.size())];
     const bool names_request = other.bytes.find(other.id) != std::string::npos;
-    if (other.id == id || !names_request) return "";
+    if (other.id == id || (!names_request && !other.is_rejection)) return "";
     ++coverage_.stray_copies;
     return Cut(other.bytes);
   }
@@ -290,11 +295,17 @@
       fields.push_back({"Sapphirebank-Not-Executed", "1"});
     } else {
       ++request.runs;
-      request.status = drawn < 0.7 ? 200 : drawn < 0.9 ? 500 : 504;
+      request.status = drawn < 0.7    ? 200
+                       : drawn < 0.9  ? 500
+                       : drawn < 0.97 ? 504
+                                      : 503;
       request.stamp = fmt::format("s{:x}.{}", random_(), request.status);
       stamps_.push_back(request.stamp);
       line = fmt::format("{} Some Reason", request.status);
       fields.push_back({"Sapphirebank-Server-Stamp", request.stamp});
+      if (request.status != 503 && Chance(0.02)) {
+        fields.push_back({"Sapphirebank-Not-Executed", "1"});
+      }
     }
     fields.push_back({"Content-Length", std::to_string(body.size())});
     std::shuffle(fields.begin(), fields.end(), random_);
