--- a/unit_tests/platform/odd_answers_test.cc
+++ b/unit_tests/platform/odd_answers_test.cc
@@ -227,5 +227,85 @@
   }
 }
 
+// Guards against REFUSED: a late copy that is cut inside the value of a field,
+// and one byte of another copy inside the next answer's status line.
+TEST_CASE("a status line that is split by other bytes makes no promise",
+          "[platform]") {
+  const std::string rejection =
+      LateIdResponse("503 Service Unavailable", "q1", kNotRun);
+  const std::string late = rejection.substr(
+      0, rejection.find("desk/") + std::string("desk/").size());
+  const std::string own = LateIdResponse("200 OK", "q2", "");
+  for (std::size_t at = 1; at < std::string("HTTP/1.1 200").size(); ++at) {
+    for (const char* path : {"/order/1", "/lookup/2"}) {
+      CAPTURE(at, path);
+      const AfterLateBytes result =
+          SendAfterLateBytes(LateIdResponse("200 OK", "q1", ""), late,
+                             own.substr(0, at) + "H" + own.substr(at), path);
+      CHECK(result.runs >= 1);
+      CHECK_FALSE(PromisesNotRun(result.answer.status));
+    }
+  }
+}
+
+// Guards against MIXED: an answer that was cut within its body, and a copy of
+// another one that makes up the length.
+TEST_CASE("a body that runs into a copy of another answer is not passed on",
+          "[platform]") {
+  const std::string copy =
+      LateIdResponse("500 Internal Server Error", "q1", "");
+  const std::string own =
+      "HTTP/1.1 200 OK\r\nSapphirebank-Request-Id: q2\r\n"
+      "Sapphirebank-Server-Stamp: stamp-q2\r\nContent-Length: 60\r\n\r\nbody";
+  for (const char* path : {"/order/1", "/lookup/2"}) {
+    CAPTURE(path);
+    const AfterLateBytes result =
+        SendAfterLateBytes(copy, "", own + copy, path);
+    CHECK(result.runs >= 1);
+    CHECK(result.answer.status == 502);
+  }
+}
+
+// Guards against REFUSED: the statement of an earlier rejection
+// arrives in the trailer section of the answer of a request that ran.
+TEST_CASE("a statement in a trailer section does not count", "[platform]") {
+  std::atomic<int> runs = 0;
+  ScriptedServer server([&](tcp::socket& socket, int) {
+    if (!ScriptedServer::ReadRequest(socket)) return;
+    ++runs;
+    ScriptedServer::Write(
+        socket,
+        "HTTP/1.1 400 Bad Request\r\nSapphirebank-Request-Id: q1\r\n"
+        "Sapphirebank-Server-Stamp: s\r\nTransfer-Encoding: chunked\r\n"
+        "\r\n4\r\nbody\r\n0\r\n" +
+            kNotRun + "\r\n");
+  });
+  LoopThread loop;
+  TestEntryHost host(loop, "127.0.0.1");
+  host.Update({server.endpoint(), server.endpoint()}, {});
+  const HttpAnswer answer = host.Send("/order/1", "q1");
+  CHECK(runs == 1);
+  CHECK_FALSE(PromisesNotRun(answer.status));
+}
+
+// Guards against REFUSED: a 421 without the statement, of a server
+// that stamps it as run.
+TEST_CASE("a server's 421 that does not say that it did not run is no promise",
+          "[platform]") {
+  LoopThread loop;
+  const auto answer_421 = [](const HttpRequest& request) {
+    HttpAnswer answer = ScriptedBackend::Answer(request);
+    answer.status = 421;
+    return answer;
+  };
+  ScriptedBackend first(loop, answer_421);
+  ScriptedBackend second(loop, answer_421);
+  TestEntryHost host(loop, "127.0.0.1");
+  host.Update({first.endpoint(), second.endpoint()}, {});
+  const HttpAnswer answer = host.Send("/order/1", "q1");
+  CHECK(first.requests() + second.requests() == 1);
+  CHECK_FALSE(PromisesNotRun(answer.status));
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/transport/request_proxy_test.cc
+++ b/unit_tests/transport/request_proxy_test.cc
@@ -128,5 +128,68 @@
   CHECK(nlohmann::json::parse(answer.body)["execution"] == "not run");
 }
 
+DispatchDecision ToPeer(const Endpoint& endpoint) {
+  ForwardTo to;
+  to.host = HostId("peer");
+  to.forwards = endpoint;
+  DispatchDecision decision;
+  decision.place = to;
+  return decision;
+}
+
+// Guards against 'not run' for a request that runs behind another entry host,
+// because a copy of that host's earlier refusal came before its answer.
+TEST_CASE("a repeated refusal of a peer does not count for the next request",
+          "[transport]") {
+  const std::string refusal =
+      "HTTP/1.1 503 Service Unavailable\r\n"
+      "X-Sapphirebank-Refusal: queue_full\r\nContent-Length: 0\r\n\r\n";
+  std::atomic<int> runs = 0;
+  ScriptedServer peer([&](boost::asio::ip::tcp::socket& socket, int) {
+    if (!ScriptedServer::ReadRequest(socket)) return;
+    ScriptedServer::Write(socket, refusal);
+    if (!ScriptedServer::ReadRequest(socket)) return;
+    ++runs;
+    ScriptedServer::Write(
+        socket, refusal + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    ScriptedServer::ReadRequest(socket);
+  });
+  LoopThread loop;
+  ScriptedProxy proxy(
+      loop, {ToPeer(peer.endpoint()), Refused(ErrorKind::kNoBackendServer),
+             ToPeer(peer.endpoint()), Refused(ErrorKind::kNoBackendServer)});
+  CHECK(proxy.Send().status == 503);
+  CHECK(runs == 0);
+  const HttpAnswer answer = proxy.Send();
+  CHECK(runs == 1);
+  CHECK(answer.status != 503);
+}
+
+// Guards against MIXED: a copy of a server's earlier answer counts for the next
+// request on its connection.
+TEST_CASE("a repeated answer of a server does not count for the next request",
+          "[transport]") {
+  const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+  std::atomic<int> runs = 0;
+  ScriptedServer server([&](boost::asio::ip::tcp::socket& socket, int) {
+    if (!ScriptedServer::ReadRequest(socket)) return;
+    ScriptedServer::Write(socket, first);
+    if (!ScriptedServer::ReadRequest(socket)) return;
+    ++runs;
+    ScriptedServer::Write(socket, first +
+                                      "HTTP/1.1 500 Internal Server Error\r\n"
+                                      "Content-Length: 0\r\n\r\n");
+    ScriptedServer::ReadRequest(socket);
+  });
+  LoopThread loop;
+  ScriptedProxy proxy(loop,
+                      {ToServer(server.endpoint()), ToServer(server.endpoint()),
+                       Refused(ErrorKind::kNoBackendServer)});
+  CHECK(proxy.Send().body == "first");
+  const HttpAnswer answer = proxy.Send();
+  CHECK(runs == 1);
+  CHECK(answer.body != "first");
+}
+
 }  // namespace
 }  // namespace sapphirebank
