Trailers add nothing to an answer, and a body is doubted that runs into another

A trailer section that bore the server's statement made a 400 of a request that ran a rejection: the parser adds trailers to the head's fields. The fields are now those of the head. On a used connection an answer that was cut in its body took in a copy of another one and was passed on as whole: a status line in the own body now ends the exchange, and an idempotent request may be sent again. On a used connection a field that an answer has once and that stands twice rejects the head as well.

--- a/sapphirebank/request/answer_sequence.cc
+++ b/sapphirebank/request/answer_sequence.cc
@@ -1,6 +1,7 @@
 #include "sapphirebank/request/answer_sequence.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <utility>
 
@@ -29,6 +30,20 @@
                     });
 }
 
+// Returns whether a field stands twice that an answer has once.
+bool RepeatsField(const HeaderFields& fields) {
+  constexpr auto kSingle = std::to_array<std::string_view>(
+      {"content-length", "content-type", "date", "etag", "location",
+       "retry-after", "server"});
+  return std::any_of(kSingle.begin(), kSingle.end(),
+                     [&](std::string_view name) {
+                       return std::count_if(fields.begin(), fields.end(),
+                                            [&](const HeaderField& field) {
+                                              return field.name == name;
+                                            }) > 1;
+                     });
+}
+
 }  // namespace
 
 std::string_view MatchName(AnswerMatch match) {
@@ -70,13 +85,14 @@
     : carried_requests_(carried_requests), matcher_(std::move(matcher)) {}
 
 AnswerSequence::Verdict AnswerSequence::JudgeHead(const AnswerHead& head) {
-  ++messages_;
   const bool is_spliced = HoldsStatusLine(head.reason) ||
                           std::any_of(head.fields.begin(), head.fields.end(),
                                       [](const HeaderField& field) {
                                         return HoldsStatusLine(field.value);
                                       });
-  if (is_spliced) return Reject(AnswerDoubt::kSplicedAnswers);
+  if (is_spliced || (carried_requests_ && RepeatsField(head.fields))) {
+    return Reject(AnswerDoubt::kSplicedAnswers);
+  }
   if (head.status < kFirstFinalStatus) {
     if (++informational_ > kMaxInformationalAnswers) {
       return Reject(AnswerDoubt::kTooManyAnswers);
@@ -107,6 +123,10 @@
   return false;
 }
 
+bool AnswerSequence::RecordBody(std::string_view body) {
+  return !carried_requests_ || RecordSkipped(body);
+}
+
 AnswerSequence::Verdict AnswerSequence::Reject(AnswerDoubt doubt) {
   doubt_ = doubt;
   return Verdict::kReject;
--- a/sapphirebank/request/answer_sequence.h
+++ b/sapphirebank/request/answer_sequence.h
@@ -71,6 +71,11 @@
   // nothing behind it can be trusted.
   bool RecordSkipped(std::string_view body);
 
+  // Records the own answer's body, or its beginning. Returns false when it
+  // cannot be trusted: on a connection that was used before, a copy of another
+  // answer may have made up what the own one lacks.
+  bool RecordBody(std::string_view body);
+
   AnswerDoubt doubt() const { return doubt_; }
   // Whether the server wrote bytes that belong to no request.
   bool HasStrayBytes() const {
@@ -80,9 +85,11 @@
   AnswerMatch match() const { return match_; }
   // Complete answers to other requests so far.
   int answers_skipped() const { return answers_skipped_; }
-  // Whether no other message, informational ones included, came before the last
-  // one.
-  bool is_first() const { return messages_ <= 1; }
+  // Whether no other answer came before the last one. On a connection that was
+  // used before, an informational one counts as well.
+  bool is_first() const {
+    return answers_skipped_ == 0 && (informational_ == 0 || !carried_requests_);
+  }
 
  private:
   Verdict Reject(AnswerDoubt doubt);
@@ -91,7 +98,6 @@
   Matcher matcher_;
   AnswerDoubt doubt_ = AnswerDoubt::kNone;
   AnswerMatch match_ = AnswerMatch::kUnknown;
-  int messages_ = 0;
   int informational_ = 0;
   int answers_skipped_ = 0;
 };
--- a/sapphirebank/transport/answer_reader.h
+++ b/sapphirebank/transport/answer_reader.h
@@ -99,10 +99,10 @@
       StartAnswer();
       co_await ReadOneHead(error);
       if (error) co_return false;
-      const HttpAnswer head = AnswerOf(parser_->get());
-      if (on_head_ && !on_head_(head.status)) co_return false;
+      head_ = AnswerOf(parser_->get());
+      if (on_head_ && !on_head_(head_.status)) co_return false;
       const AnswerSequence::Verdict verdict = sequence.JudgeHead(
-          {head.status, parser_->get().reason(), head.fields});
+          {head_.status, parser_->get().reason(), head_.fields});
       if (verdict == AnswerSequence::Verdict::kReject) co_return false;
       if (verdict == AnswerSequence::Verdict::kAccept) co_return true;
       co_await ReadBody(error);
@@ -128,6 +128,10 @@
     }
   }
 
+  // Returns the status and the fields of the last head, without those of a
+  // trailer section, which the parser adds to its own.
+  HttpAnswer TakeHead() { return std::move(head_); }
+
   std::unique_ptr<AnswerParser> TakeParser() { return std::move(parser_); }
 
  private:
@@ -150,6 +154,7 @@
   boost::beast::flat_buffer& buffer_;
   ByteReservation& memory_;
   std::unique_ptr<AnswerParser> parser_;
+  HttpAnswer head_;
   std::function<bool(int)> on_head_;
   std::uint64_t max_body_bytes_ = UINT64_MAX;
   bool head_only_ = false;
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -430,10 +430,15 @@
   co_await reader.ReadBody(error);
   if (error) co_return Failure(AttemptStage::kSent, error, reused);
   std::unique_ptr<AnswerParser> parser = reader.TakeParser();
+  if (!sequence.RecordBody(parser->get().body())) {
+    trace.doubt = sequence.doubt();
+    pool_->RecordStrayBytes(exchange.to);
+    co_return Failure(AttemptStage::kSent, error, reused);
+  }
 
   ExchangeResult result;
   result.reused_connection = reused;
-  HttpAnswer answer = AnswerOf(parser->get());
+  HttpAnswer answer = reader.TakeHead();
   if (const auto length = parser->content_length()) {
     answer.stream_length = *length;
     answer.stream_length_known = true;
