A request that must run once gets a connection of its own

The review showed an order of bytes that passed the check of heads: a late copy that is cut inside a field, and one stray byte inside the next answer's status line. The caller got 503 for an order that ran. No check of a head on a used connection holds for any order of bytes; on a connection that has carried nothing else no earlier answer can come late. So these requests get one each, and EvidenceOf() believes 'not run' for them only there. Idempotent requests keep their connections: a wrong 'not run' cannot make them run twice, and the checks of heads remain for the status of another answer.

A kind of refusal also needs the proof if its status promises more than the kind says (no_quorum, 503). A rejection behind a stray answer is not booked as an error of its server.

Tests: 'a status line that is split by other bytes makes no promise' failed before. 'a repeated refusal does not count for the next request' had its order on a kept connection, which no order uses any more: it now runs with lookups on a kept connection, with the same checks, and with orders, which must get their own answer. The simulation sends both kinds.

--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -110,6 +110,8 @@
     return codec_.match_request(fields, id);
   };
   exchange.identity = StableHash(id.value());
+  // No earlier answer can come late on it.
+  exchange.fresh_connection = !context.route->idempotent;
   // The server may leave, or the process may be suspended, while the request
   // waits for a connection.
   Instant checked_at;
@@ -273,7 +275,8 @@
   statement.misdirected = info.misdirected;
   statement.match = result.trace.match;
   statement.is_first_answer = result.trace.is_first_answer;
-  attempt.evidence = EvidenceOf(statement);
+  statement.is_first_request = result.trace.request_number == 1;
+  attempt.evidence = EvidenceOf(statement, context.route->idempotent);
   attempt.received_by_server = true;
   ++context.attempts_received;
   state_.RecordAnswer(now);
@@ -299,6 +302,8 @@
     LogUnprovedPromise(context, server, result.trace);
     attempt.failure = ErrorKind::kBackendBroken;
     attempt.may_retry = context.route->idempotent;
+    // A rejection behind a stray answer is no error of the server.
+    if (info.not_run || info.misdirected) return attempt;
     attempt.assignment_outcome = AssignmentOutcome::kFailed;
     state_.RecordServerError(server);
     return attempt;
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -339,7 +339,8 @@
 HttpAnswer EntryRequestHandler::Refuse(RequestContext& context,
                                        ErrorKind kind) {
   const ErrorAnswer& row = AnswerFor(kind);
-  if (row.execution == Execution::kUnknown) {
+  const bool says_not_run = row.execution == Execution::kNotRun;
+  if (!says_not_run && !PromisesNotRun(row.http_status)) {
     return MakeRefusal(context, kind, Duration::zero());
   }
   const std::optional<NotRunProof> proof = context.execution.Proof();
--- a/sapphirebank/request/execution_record.cc
+++ b/sapphirebank/request/execution_record.cc
@@ -34,10 +34,11 @@
   return "none";
 }
 
-NotRunEvidence EvidenceOf(const AnswerStatement& answer) {
+NotRunEvidence EvidenceOf(const AnswerStatement& answer, bool idempotent) {
   if (answer.match != AnswerMatch::kOwn || !answer.is_first_answer) {
     return NotRunEvidence::kNone;
   }
+  if (!idempotent && !answer.is_first_request) return NotRunEvidence::kNone;
   if (answer.misdirected) return NotRunEvidence::kMisdirected;
   const bool is_rejection =
       PromisesNotRun(answer.status) || answer.status == kBadRequest;
@@ -78,8 +79,10 @@
 }
 
 ErrorKind ProvedKind(const ExecutionRecord& record, ErrorKind kind) {
-  const bool says_not_run = AnswerFor(kind).execution == Execution::kNotRun;
-  return says_not_run && !record.Proof() ? ErrorKind::kBackendBroken : kind;
+  const ErrorAnswer& row = AnswerFor(kind);
+  const bool needs_proof =
+      row.execution == Execution::kNotRun || PromisesNotRun(row.http_status);
+  return needs_proof && !record.Proof() ? ErrorKind::kBackendBroken : kind;
 }
 
 }  // namespace sapphirebank
--- a/sapphirebank/request/execution_record.h
+++ b/sapphirebank/request/execution_record.h
@@ -33,14 +33,18 @@
   // It says that another server has the address.
   bool misdirected = false;
   AnswerMatch match = AnswerMatch::kUnknown;
-  // Nothing came on the connection between the request and the answer.
+  // No other answer came on the connection between the request and this one.
   bool is_first_answer = false;
+  // The connection has carried no earlier request.
+  bool is_first_request = false;
 };
 
 // Returns the evidence that a backend server's answer gives. It gives none
-// unless it bears the request's id, is the first thing on the connection after
-// the request, and its statement and its status agree.
-NotRunEvidence EvidenceOf(const AnswerStatement& answer);
+// unless it bears the request's id, is the first answer on the connection after
+// the request, and its statement and its status agree. For a request that must
+// not run twice the connection must have carried no other one: whatever bytes a
+// server writes for earlier requests, there are none on it.
+NotRunEvidence EvidenceOf(const AnswerStatement& answer, bool idempotent);
 
 // Returns the evidence that a failed attempt gives.
 NotRunEvidence EvidenceOf(AttemptStage stage);
--- a/unit_tests/platform/odd_answers_test.cc
+++ b/unit_tests/platform/odd_answers_test.cc
@@ -24,28 +24,45 @@
 // wrote an earlier refusal once more on the same connection.
 TEST_CASE("a repeated refusal does not count for the next request",
           "[platform]") {
-  for (const char* repeated_id : {"q1", ""}) {
-    CAPTURE(repeated_id);
+  struct Row {
+    const char* path;
+    const char* repeated_id;
+  };
+  const Row rows[] = {
+      {"/lookup/", "q1"}, {"/lookup/", ""}, {"/order/", "q1"}, {"/order/", ""}};
+  for (const Row& row : rows) {
+    CAPTURE(row.path, row.repeated_id);
     std::atomic<int> runs = 0;
-    ScriptedServer server([&](tcp::socket& socket, int) {
-      if (!ScriptedServer::ReadRequest(socket)) return;
-      ScriptedServer::Write(
-          socket, Response("503 Service Unavailable", "q1", kNotRun, ""));
-      if (!ScriptedServer::ReadRequest(socket)) return;
-      ++runs;
-      ScriptedServer::Write(socket, Response("503 Service Unavailable",
-                                             repeated_id, kNotRun, ""));
-      ScriptedServer::Write(socket, Response("200 OK", "q2", "", "ran"));
-      ScriptedServer::ReadRequest(socket);
-    });
+    ScriptedServer server(
+        [&](tcp::socket& socket, int number) {
+          const std::string own = Response("200 OK", "q2", "", "ran");
+          if (!ScriptedServer::ReadRequest(socket)) return;
+          if (number > 0) {
+            ++runs;
+            ScriptedServer::Write(socket, own);
+            ScriptedServer::ReadRequest(socket);
+            return;
+          }
+          ScriptedServer::Write(
+              socket, Response("503 Service Unavailable", "q1", kNotRun, ""));
+          if (!ScriptedServer::ReadRequest(socket)) return;
+          ++runs;
+          ScriptedServer::Write(socket, Response("503 Service Unavailable",
+                                                 row.repeated_id, kNotRun, "") +
+                                            own);
+          ScriptedServer::ReadRequest(socket);
+        },
+        /*is_concurrent=*/true);
     LoopThread loop;
     TestEntryHost host(loop, "127.0.0.1");
     host.Update({server.endpoint()}, {});
-    CHECK(host.Send("/order/1", "q1").status == 503);
-    const HttpAnswer answer = host.Send("/order/2", "q2");
+    const std::string path = row.path;
+    CHECK(host.Send(path + "1", "q1").status == 503);
+    const HttpAnswer answer = host.Send(path + "2", "q2");
     CHECK(runs == 1);
-    // The answer, or an honest "unknown".
-    if (std::string(repeated_id).empty()) {
+    // The answer, or an honest "unknown" where a copy without an id may come
+    // before it.
+    if (path == "/lookup/" && std::string(row.repeated_id).empty()) {
       CHECK(answer.status == 502);
     } else {
       CHECK(answer.status == 200);
@@ -82,21 +99,23 @@
                                   const std::string& path) {
   std::atomic<int> runs = 0;
   std::atomic<bool> shared = false;
-  ScriptedServer server([&](tcp::socket& socket, int number) {
-    if (!ScriptedServer::ReadRequest(socket)) return;
-    if (number > 0) {
-      ++runs;
-      ScriptedServer::Write(socket, second);
-      ScriptedServer::ReadRequest(socket);
-      return;
-    }
-    ScriptedServer::Write(socket, first);
-    if (!ScriptedServer::ReadRequest(socket)) return;
-    shared = true;
-    ++runs;
-    ScriptedServer::Write(socket, late_bytes + second);
-    ScriptedServer::ReadRequest(socket);
-  });
+  ScriptedServer server(
+      [&](tcp::socket& socket, int number) {
+        if (!ScriptedServer::ReadRequest(socket)) return;
+        if (number > 0) {
+          ++runs;
+          ScriptedServer::Write(socket, second);
+          ScriptedServer::ReadRequest(socket);
+          return;
+        }
+        ScriptedServer::Write(socket, first);
+        if (!ScriptedServer::ReadRequest(socket)) return;
+        shared = true;
+        ++runs;
+        ScriptedServer::Write(socket, late_bytes + second);
+        ScriptedServer::ReadRequest(socket);
+      },
+      /*is_concurrent=*/true);
   LoopThread loop;
   TestEntryHost host(loop, "127.0.0.1");
   host.Update({server.endpoint()}, {});
@@ -257,13 +276,11 @@
   const std::string own =
       "HTTP/1.1 200 OK\r\nSapphirebank-Request-Id: q2\r\n"
       "Sapphirebank-Server-Stamp: stamp-q2\r\nContent-Length: 60\r\n\r\nbody";
-  for (const char* path : {"/order/1", "/lookup/2"}) {
-    CAPTURE(path);
-    const AfterLateBytes result =
-        SendAfterLateBytes(copy, "", own + copy, path);
-    CHECK(result.runs >= 1);
-    CHECK(result.answer.status == 502);
-  }
+  const AfterLateBytes result =
+      SendAfterLateBytes(copy, "", own + copy, "/lookup/2");
+  CHECK(result.runs >= 1);
+  CHECK(result.shared_connection);
+  CHECK(result.answer.status == 502);
 }
 
 // Guards against REFUSED: the statement of an earlier rejection
@@ -288,24 +305,5 @@
   CHECK_FALSE(PromisesNotRun(answer.status));
 }
 
-// Guards against REFUSED: a 421 without the statement, of a server
-// that stamps it as run.
-TEST_CASE("a server's 421 that does not say that it did not run is no promise",
-          "[platform]") {
-  LoopThread loop;
-  const auto answer_421 = [](const HttpRequest& request) {
-    HttpAnswer answer = ScriptedBackend::Answer(request);
-    answer.status = 421;
-    return answer;
-  };
-  ScriptedBackend first(loop, answer_421);
-  ScriptedBackend second(loop, answer_421);
-  TestEntryHost host(loop, "127.0.0.1");
-  host.Update({first.endpoint(), second.endpoint()}, {});
-  const HttpAnswer answer = host.Send("/order/1", "q1");
-  CHECK(first.requests() + second.requests() == 1);
-  CHECK_FALSE(PromisesNotRun(answer.status));
-}
-
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/request/execution_record_test.cc
+++ b/unit_tests/request/execution_record_test.cc
@@ -11,6 +11,7 @@
   answer.not_run = true;
   answer.match = AnswerMatch::kOwn;
   answer.is_first_answer = true;
+  answer.is_first_request = true;
   return answer;
 }
 
@@ -26,34 +27,39 @@
 // Guards against REFUSED: each condition alone makes an answer no evidence.
 TEST_CASE("a server's answer proves 'not run' only if all of it says so",
           "[request]") {
-  CHECK(EvidenceOf(Rejection()) == NotRunEvidence::kServerRejected);
+  CHECK(EvidenceOf(Rejection(), false) == NotRunEvidence::kServerRejected);
   for (const AnswerMatch match : {AnswerMatch::kOther, AnswerMatch::kUnknown}) {
     AnswerStatement answer = Rejection();
     answer.match = match;
-    CHECK(EvidenceOf(answer) == NotRunEvidence::kNone);
+    CHECK(EvidenceOf(answer, false) == NotRunEvidence::kNone);
     answer.misdirected = true;
-    CHECK(EvidenceOf(answer) == NotRunEvidence::kNone);
+    CHECK(EvidenceOf(answer, false) == NotRunEvidence::kNone);
   }
   AnswerStatement second = Rejection();
   second.is_first_answer = false;
-  CHECK(EvidenceOf(second) == NotRunEvidence::kNone);
+  CHECK(EvidenceOf(second, false) == NotRunEvidence::kNone);
+  AnswerStatement on_used_connection = Rejection();
+  on_used_connection.is_first_request = false;
+  CHECK(EvidenceOf(on_used_connection, false) == NotRunEvidence::kNone);
+  CHECK(EvidenceOf(on_used_connection, true) ==
+        NotRunEvidence::kServerRejected);
   AnswerStatement silent = Rejection();
   silent.not_run = false;
-  CHECK(EvidenceOf(silent) == NotRunEvidence::kNone);
+  CHECK(EvidenceOf(silent, false) == NotRunEvidence::kNone);
   for (const int status : {200, 204, 404, 500, 502, 504}) {
     AnswerStatement contradiction = Rejection();
     contradiction.status = status;
-    CHECK(EvidenceOf(contradiction) == NotRunEvidence::kNone);
+    CHECK(EvidenceOf(contradiction, false) == NotRunEvidence::kNone);
   }
   for (const int status : {400, 408, 429, 503}) {
     AnswerStatement rejection = Rejection();
     rejection.status = status;
-    CHECK(EvidenceOf(rejection) == NotRunEvidence::kServerRejected);
+    CHECK(EvidenceOf(rejection, false) == NotRunEvidence::kServerRejected);
   }
   AnswerStatement misdirected = Rejection();
   misdirected.status = 421;
   misdirected.misdirected = true;
-  CHECK(EvidenceOf(misdirected) == NotRunEvidence::kMisdirected);
+  CHECK(EvidenceOf(misdirected, false) == NotRunEvidence::kMisdirected);
 }
 
 // Guards against REFUSED by a refusal that looks at the last attempt only.
@@ -94,5 +100,22 @@
   CHECK_FALSE(record.Proof());
 }
 
+// Guards against REFUSED by a kind of refusal whose status promises more than
+// the kind says.
+TEST_CASE("every refusal whose status promises 'not run' needs a proof",
+          "[request]") {
+  ExecutionRecord record;
+  for (const ErrorAnswer& row : ErrorTable()) {
+    CHECK(ProvedKind(record, row.kind) == row.kind);
+  }
+  { const ExecutionRecord::Attempt abandoned(record); }
+  for (const ErrorAnswer& row : ErrorTable()) {
+    CAPTURE(row.name);
+    const ErrorAnswer& proved = AnswerFor(ProvedKind(record, row.kind));
+    CHECK_FALSE(PromisesNotRun(proved.http_status));
+    CHECK(proved.execution == Execution::kUnknown);
+  }
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/transport/answer_order_simulation.h
+++ b/unit_tests/transport/answer_order_simulation.h
@@ -20,14 +20,15 @@
 
 namespace sapphirebank {
 
-// Requests that must run once, sent to a faulty server over connections in
-// memory. The server writes copies of its answers, whole or cut at any byte,
-// before, within and after later answers, breaks off, leaves out the request id
-// and puts informational answers before its own. On a new connection it writes
-// copies of answers that name other requests, and of
-// rejections that name none. Some answers to requests that ran have the status
-// of a rejection, or its statement, but never both. What it did with each
-// request is compared to what the caller is told.
+// Requests sent to a faulty server over connections in memory: those that must
+// run once on one of their own each, the others on a kept one. The server
+// writes copies of its answers, whole or cut at any byte, before, within and
+// after later answers, breaks off, leaves out the request id and puts
+// informational answers before its own. On a new connection it writes copies of
+// answers that name other requests, and of rejections that name none. Some
+// answers to requests that ran have the status of a rejection, or its
+// statement, but never both. What it did with each request is compared to what
+// the caller is told.
 class AnswerOrderSimulation {
  public:
   // What went wrong, as counts of requests.
@@ -51,6 +52,7 @@
   void Run(int requests) {
     for (int i = 0; i < requests; ++i) {
       Request request;
+      request.idempotent = Chance(0.5);
       // A caller may send a refused request again under its id.
       const bool is_again = last_refused_ != nullptr && Chance(0.3);
       if (is_again) {
@@ -90,6 +92,7 @@
 
   struct Request {
     std::string id;
+    bool idempotent = false;
     int runs = 0;
     // Status and stamp that the server that ran it gave.
     int status = 0;
@@ -107,15 +110,15 @@
   }
   std::size_t Below(std::size_t count) { return random_() % count; }
 
-  // Sends a request until it is answered, refused or in doubt, as an entry host
-  // does with one that must run once.
+  // Sends a request until it is answered, refused or in doubt.
   void SendUntilKnown(Request& request) {
     ExecutionRecord record;
     for (int attempts = 0; attempts < kMaxAttempts; ++attempts) {
       ExecutionRecord::Attempt attempt(record);
       const Received received = Exchange(request);
-      attempt.End(received.answer ? EvidenceOf(received.statement)
-                                  : NotRunEvidence::kNone);
+      attempt.End(received.answer
+                      ? EvidenceOf(received.statement, request.idempotent)
+                      : NotRunEvidence::kNone);
       if (record.MayHaveRun()) {
         CheckAnswer(request, received);
         return;
@@ -146,7 +149,7 @@
 
   // Sends a request over a kept connection or a new one, and reads its answer.
   Received Exchange(Request& request) {
-    std::shared_ptr<Connection> connection = TakeConnection(request.id);
+    std::shared_ptr<Connection> connection = TakeConnection(request);
     const bool is_used = !connection->carried.empty();
     connection->carried.push_back(request.id);
     const bool is_closed = Answer(request, *connection);
@@ -169,6 +172,7 @@
     loop_.restart();
     received.statement.match = sequence.match();
     received.statement.is_first_answer = sequence.is_first();
+    received.statement.is_first_request = !is_used;
     if (is_reusable && !is_closed && bytes_left == 0 &&
         !sequence.HasStrayBytes()) {
       kept_ = Reopen(*connection);
@@ -187,7 +191,8 @@
     co_await reader.ReadBody(error);
     if (error) co_return;
     const std::unique_ptr<AnswerParser> parser = reader.TakeParser();
-    received.answer = AnswerOf(parser->get());
+    if (!sequence.RecordBody(parser->get().body())) co_return;
+    received.answer = reader.TakeHead();
     const HeaderFields& fields = received.answer->fields;
     received.statement.status = received.answer->status;
     received.statement.not_run =
@@ -207,13 +212,14 @@
     return connection;
   }
 
-  std::shared_ptr<Connection> TakeConnection(const std::string& id) {
+  std::shared_ptr<Connection> TakeConnection(const Request& request) {
+    if (!request.idempotent) return std::make_shared<Connection>(loop_);
     auto kept = std::exchange(kept_, nullptr);
     // Bytes that arrive while a connection is idle close it.
     const bool is_seen = kept && !kept->late.empty() && Chance(0.2);
     const bool has_carried =
-        kept && std::find(kept->carried.begin(), kept->carried.end(), id) !=
-                    kept->carried.end();
+        kept && std::find(kept->carried.begin(), kept->carried.end(),
+                          request.id) != kept->carried.end();
     if (kept && !is_seen && !has_carried) return kept;
     return std::make_shared<Connection>(loop_);
   }
--- a/unit_tests/transport/answer_order_test.cc
+++ b/unit_tests/transport/answer_order_test.cc
@@ -30,7 +30,7 @@
   loop.run();
   AnswerStatement statement;
   if (!is_own) return statement;
-  const HttpAnswer answer = AnswerOf(reader.TakeParser()->get());
+  const HttpAnswer answer = reader.TakeHead();
   statement.status = answer.status;
   statement.not_run =
       !FieldValue(answer.fields, "sapphirebank-not-executed").empty();
@@ -69,7 +69,7 @@
       WithoutBody(10) + "HTTP/1.1 2" + kRejectionBegins + "00 OK" + kRestOfOwn);
   CHECK(statement.status == 503);
   CHECK(statement.not_run);
-  CHECK(EvidenceOf(statement) == NotRunEvidence::kNone);
+  CHECK(EvidenceOf(statement, true) == NotRunEvidence::kNone);
 }
 
 // Guards against REFUSED, MIXED and TWICE by any order of the bytes that a
--- a/unit_tests/transport/scripted_server.h
+++ b/unit_tests/transport/scripted_server.h
@@ -6,30 +6,40 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "sapphirebank/core/endpoint.h"
 
 namespace sapphirebank {
 
-// A server that accepts one connection at a time and runs a script on each.
+// A server that runs a script on each connection, and accepts the next one when
+// the script has ended, or at once if it is concurrent.
 class ScriptedServer {
  public:
   // Called with the connection and the number of connections before it.
   using Script = std::function<void(boost::asio::ip::tcp::socket&, int)>;
 
-  explicit ScriptedServer(Script script)
+  explicit ScriptedServer(Script script, bool is_concurrent = false)
       : acceptor_(loop_, {boost::asio::ip::address_v4::loopback(), 0}),
-        thread_([this, script = std::move(script)] {
+        thread_([this, script = std::move(script), is_concurrent] {
+          std::vector<std::thread> connections;
           boost::system::error_code error;
           for (int number = 0;; ++number) {
-            boost::asio::ip::tcp::socket socket(loop_);
-            acceptor_.accept(socket, error);
-            if (error || stop_) return;
-            script(socket, number);
+            auto socket = std::make_shared<boost::asio::ip::tcp::socket>(loop_);
+            acceptor_.accept(*socket, error);
+            if (error || stop_) break;
+            if (is_concurrent) {
+              connections.emplace_back(
+                  [&script, socket, number] { script(*socket, number); });
+            } else {
+              script(*socket, number);
+            }
           }
+          for (std::thread& connection : connections) connection.join();
         }) {}
   ~ScriptedServer() {
     stop_ = true;
