A detour's refusal counts for the request that it names

A refusal without an id now counts on a connection's first request only; hosts read the id before they refuse a detour; requests that must run once get a connection of their own between hosts as well.

--- a/programs/fleet_host/entry_request_detour.cc
+++ b/programs/fleet_host/entry_request_detour.cc
@@ -43,8 +43,9 @@
   HttpRequestHead& head = context.request.head;
   const auto detour =
       ReadDetourFields(secret_, self_, head, context.request.body);
-  // Refusals are marked as this host's.
+  // Refusals are marked as this host's and name the request.
   context.detour = detour.value_or(DetourRequest());
+  if (const auto info = codec_.read_request_info(head)) context.info = *info;
   if (!detour) {
     log_.Write(LogLevel::kWarning, "detour_rejected",
                {{"cause", detour.error().detail}});
@@ -102,13 +103,10 @@
   exchange.max_buffered_bytes = kMaxBufferedAnswer;
   const RequestId& id = context.info.id;
   exchange.match_request = [this, id](const HeaderFields& fields) {
-    const AnswerMatch match = codec_.match_request(fields, id);
-    // A host that refuses a request before it has read it does not know its id.
-    const bool is_refusal = !FieldValue(fields, kRefusalField).empty();
-    return match == AnswerMatch::kUnknown && is_refusal ? AnswerMatch::kOwn
-                                                        : match;
+    return codec_.match_request(fields, id);
   };
   exchange.identity = StableHash(id.value());
+  exchange.fresh_connection = !context.route->idempotent;
   if (context.workspace != nullptr) {
     exchange.may_send = [this] {
       return state_.view().IsCurrent(MonotonicNow());
@@ -169,8 +167,12 @@
     ++context.attempts_received;
     return std::nullopt;
   }
-  const bool is_certain =
-      result.trace.match == AnswerMatch::kOwn && result.trace.is_first_answer;
+  const ExchangeTrace& trace = result.trace;
+  // A host that refuses a request unread does not know its id.
+  const bool is_matched =
+      trace.request_number == 1 ||
+      (context.route->idempotent && trace.match == AnswerMatch::kOwn);
+  const bool is_certain = is_matched && trace.is_first_answer;
   HttpAnswer answer = std::move(std::get<HttpAnswer>(result.outcome));
   const std::string refusal(FieldValue(answer.fields, kRefusalField));
   if (refusal.empty()) {
--- a/unit_tests/platform/entry_detour_test.cc
+++ b/unit_tests/platform/entry_detour_test.cc
@@ -111,38 +111,43 @@
   CHECK(FieldValue(answer.fields, "retry-after").empty());
 }
 
-// Guards against REFUSED: an entry host's refusal without an id, as
-// HandleDetour() answers on a kept connection, counts for the next request.
+// Guards against REFUSED: an entry host's refusal without an id, written once
+// more on a kept connection, counts for the next request.
 TEST_CASE("a repeated refusal of an entry host does not count for the next one",
           "[platform]") {
   const std::string refusal =
       "HTTP/1.1 503 Service Unavailable\r\n"
       "X-Sapphirebank-Refusal: queue_full\r\nContent-Length: 0\r\n\r\n";
-  std::atomic<int> runs = 0;
-  ScriptedServer other_host([&](boost::asio::ip::tcp::socket& socket, int) {
-    if (!ScriptedServer::ReadRequest(socket)) return;
-    ScriptedServer::Write(socket, refusal);
-    if (!ScriptedServer::ReadRequest(socket)) return;
-    ++runs;
-    ScriptedServer::Write(
-        socket,
-        refusal +
-            "HTTP/1.1 200 OK\r\nSapphirebank-Request-Id: q3\r\n"
-            "Sapphirebank-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n");
-    ScriptedServer::ReadRequest(socket);
-  });
-  LoopThread loop;
-  ClosedPort closed[2];
-  TestEntryHost host(loop, "127.0.0.2", other_host.endpoint().port);
-  host.Update({closed[0].endpoint(), closed[1].endpoint()}, {});
-  host.Send("/lookup/1", "q1");
-  REQUIRE(host.path_is_lost());
-  host.Update({closed[0].endpoint(), closed[1].endpoint()}, {"127.0.0.1:80"});
-  CHECK(host.Send("/order/1", "q2").status == 503);
-  CHECK(runs == 0);
-  const HttpAnswer answer = host.Send("/order/1", "q3");
-  CHECK(runs == 1);
-  CHECK((answer.status == 200 || answer.status == 502));
+  const std::string own =
+      "HTTP/1.1 200 OK\r\nSapphirebank-Request-Id: q3\r\n"
+      "Sapphirebank-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n";
+  for (const char* path : {"/order/1", "/lookup/1"}) {
+    CAPTURE(path);
+    std::atomic<int> runs = 0;
+    std::atomic<bool> runs_begin = false;
+    ScriptedServer other_host(
+        [&](boost::asio::ip::tcp::socket& socket, int) {
+          std::string before;
+          while (ScriptedServer::ReadRequest(socket)) {
+            if (runs_begin) ++runs;
+            ScriptedServer::Write(socket, runs_begin ? before + own : refusal);
+            before = refusal;
+          }
+        },
+        /*is_concurrent=*/true);
+    LoopThread loop;
+    ClosedPort closed[2];
+    TestEntryHost host(loop, "127.0.0.2", other_host.endpoint().port);
+    host.Update({closed[0].endpoint(), closed[1].endpoint()}, {});
+    host.Send("/lookup/1", "q1");
+    REQUIRE(host.path_is_lost());
+    host.Update({closed[0].endpoint(), closed[1].endpoint()}, {"127.0.0.1:80"});
+    CHECK(host.Send(path, "q2").status == 503);
+    runs_begin = true;
+    const HttpAnswer answer = host.Send(path, "q3");
+    CHECK(runs >= 1);
+    CHECK((answer.status == 200 || answer.status == 502));
+  }
 }
 
 // Guards against REFUSED: a kind that does not say 'not run' has a status that
