Test of the evidence of a failed attempt and of kinds without a proof

EvidenceOf(AttemptStage) and ProvedKind() were tested through their callers only. The test goes through all stages and all kinds.

--- a/unit_tests/request/execution_record_test.cc
+++ b/unit_tests/request/execution_record_test.cc
@@ -94,5 +94,36 @@
   CHECK_FALSE(record.Proof());
 }
 
+TEST_CASE("a failed attempt proves 'not run' only where nothing was sent",
+          "[request]") {
+  CHECK(EvidenceOf(AttemptStage::kWithheld) == NotRunEvidence::kNothingSent);
+  CHECK(EvidenceOf(AttemptStage::kNotConnected) ==
+        NotRunEvidence::kNothingSent);
+  CHECK(EvidenceOf(AttemptStage::kRefusedByPeer) ==
+        NotRunEvidence::kHostRefused);
+  CHECK(EvidenceOf(AttemptStage::kSent) == NotRunEvidence::kNone);
+  CHECK(EvidenceOf(AttemptStage::kAnswerStarted) == NotRunEvidence::kNone);
+}
+
+// Guards against REFUSED by a kind that says 'not run' after another attempt.
+TEST_CASE("a kind that says 'not run' stands only with a proof", "[request]") {
+  for (const ErrorAnswer& row : ErrorTable()) {
+    CAPTURE(row.name);
+    const ErrorKind kind = row.kind;
+    ExecutionRecord record;
+    CHECK(ProvedKind(record, kind) == kind);
+    {
+      ExecutionRecord::Attempt attempt(record);
+      attempt.End(NotRunEvidence::kNothingSent);
+    }
+    CHECK(ProvedKind(record, kind) == kind);
+    { const ExecutionRecord::Attempt abandoned(record); }
+    const ErrorKind proved = ProvedKind(record, kind);
+    CHECK(AnswerFor(proved).execution == Execution::kUnknown);
+    const bool says_not_run = row.execution == Execution::kNotRun;
+    CHECK(proved == (says_not_run ? ErrorKind::kBackendBroken : kind));
+  }
+}
+
 }  // namespace
 }  // namespace sapphirebank
