sapphirebankd takes an answer only for the request whose id it names

Cause: SendToBackend() sent x-sapphirebank-request-id and set no match_request, so the first whole answer on a kept connection counted as the request's own.

Evidence: "a copy of an earlier answer is not taken for the next request's", a server that writes a second copy of answer 1 when request 2 has arrived, failed before: "answer 1" == "answer 2".

Ruled out: the check of heads for status lines does not find it, as the copy is whole; neither does the check for bytes on an idle connection, as the copy comes after the next request.

Change: answers are matched by the echo of x-sapphirebank-request-id, and no connection carries an id twice. Servers were not asked to echo it so far. One that does not keeps working, with a connection for each request: HttpClient closes a connection after an answer that names no request. To keep it and believe the next answer leaves the fault open for these servers. An answer without the id on a kept connection is not believed; the request, idempotent there, is sent again on a new one. Such an attempt counts as a server's failure, not as a lost connection, which would count towards a quarantine for crashes. The stand-in backend server echoes the id.

Cost: a server that echoes keeps its connections (2 requests on 1 connection in the test), one that does not gets 3 connections for 3 requests. Added latency was not measured.

--- a/programs/stand_in_backend/main.cc
+++ b/programs/stand_in_backend/main.cc
@@ -24,6 +24,8 @@
 namespace options = boost::program_options;
 using std::chrono::milliseconds;
 
+// Names the request of an answer, so that entry hosts keep the connection.
+constexpr const char* kRequestIdField = "x-sapphirebank-request-id";
 constexpr int kServerThreads = 64;
 constexpr milliseconds kAnnouncePeriod{1000};
 constexpr milliseconds kPollPeriod{20};
@@ -160,6 +162,10 @@
   void HandleRequest(const httplib::Request& request,
                      httplib::Response& response) {
     const Behaviour current = behaviour();
+    if (request.has_header(kRequestIdField)) {
+      response.set_header(kRequestIdField,
+                          request.get_header_value(kRequestIdField));
+    }
     statistics_.Begin(request.get_header_value("x-effect"));
     std::this_thread::sleep_for(milliseconds(current.work_ms));
     while (behaviour().hang && !stop_requested) {
--- a/sapphirebank/request/answer_sequence.cc
+++ b/sapphirebank/request/answer_sequence.cc
@@ -43,6 +43,18 @@
   return "none";
 }
 
+AnswerMatch MatchRequestId(const HeaderFields& fields, std::string_view name,
+                           std::string_view id) {
+  std::string_view named;
+  for (const HeaderField& field : fields) {
+    if (field.name != name) continue;
+    if (!named.empty() && named != field.value) return AnswerMatch::kUnknown;
+    named = field.value;
+  }
+  if (named.empty()) return AnswerMatch::kUnknown;
+  return named == id ? AnswerMatch::kOwn : AnswerMatch::kOther;
+}
+
 std::string_view DoubtName(AnswerDoubt doubt) {
   switch (doubt) {
     case AnswerDoubt::kSplicedAnswers:
--- a/sapphirebank/request/answer_sequence.h
+++ b/sapphirebank/request/answer_sequence.h
@@ -19,6 +19,11 @@
 // Returns the text that stands for `match` in logs.
 std::string_view MatchName(AnswerMatch match);
 
+// Compares the request id that an answer names in the header field `name`
+// (lower case) with `id`. Two different ids are those of two answers: unknown.
+AnswerMatch MatchRequestId(const HeaderFields& fields, std::string_view name,
+                           std::string_view id);
+
 // Why none of the answers on a connection can be taken for that to the request.
 enum class AnswerDoubt {
   kNone,
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -448,8 +448,11 @@
   }
   const bool has_more_bytes = connection->buffer.size() > 0;
   if (has_more_bytes) pool_->RecordStrayBytes(exchange.to);
+  // A late copy of an answer that names no request could not be told from the
+  // next answer.
+  const bool names_request = sequence.match() == AnswerMatch::kOwn;
   if (parser->keep_alive() && !has_more_bytes && !request_truncated &&
-      sequence.answers_skipped() == 0) {
+      names_request && sequence.answers_skipped() == 0) {
     connection->server_idle_time = KeepAliveTimeout(answer.fields);
     pool_->ReturnIdle(exchange.to, std::move(connection));
   }
--- a/sapphirebank/transport/http_client.h
+++ b/sapphirebank/transport/http_client.h
@@ -36,8 +36,8 @@
   std::string host;
   // Returns, from an answer's header fields, whether it answers this request.
   // Late answers to earlier requests are skipped, as AnswerSequence says; when
-  // none can be trusted, the exchange fails with AttemptStage::kSent. Null
-  // accepts all.
+  // none can be trusted, the exchange fails with AttemptStage::kSent. A
+  // connection whose last answer named no request is closed. Null accepts all.
   AnswerSequence::Matcher match_request;
   // Identifies the request to `match_request`, such as a hash of its id; 0 for
   // none. No connection carries two requests with the same one.
--- a/sapphirebank/transport/request_proxy_attempt.cc
+++ b/sapphirebank/transport/request_proxy_attempt.cc
@@ -28,10 +28,20 @@
   if (failure.stage == AttemptStage::kNotConnected) {
     return OutcomeKind::kConnectionRefused;
   }
+  // A server that wrote an answer of another request did not crash on this one.
+  if (result.trace.doubt != AnswerDoubt::kNone) return OutcomeKind::kHttpError;
   return failure.timed_out ? OutcomeKind::kTimedOut
                            : OutcomeKind::kConnectionLost;
 }
 
+// Makes `exchange` accept only the answer that names the request `id`.
+void MatchAnswers(const RequestId& id, HttpExchange& exchange) {
+  exchange.match_request = [id](const HeaderFields& fields) {
+    return MatchRequestId(fields, kRequestIdField, id.value());
+  };
+  exchange.identity = StableHash(id.value());
+}
+
 // Converts the refusal of another entry host into the failure of an attempt.
 // Returns nothing when the answer is a backend server's.
 std::optional<AttemptFailure> FailureFromPeerRefusal(const HttpAnswer& answer) {
@@ -125,6 +135,7 @@
                               placement.needs_fresh_connection ||
                               !proxied.match.route->idempotent;
   exchange.fields.push_back({std::string(kRequestIdField), proxied.id.value()});
+  MatchAnswers(proxied.id, exchange);
   exchange.fields.push_back(
       {std::string(kDeadlineField),
        std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/unit_tests/request/answer_sequence_test.cc
+++ b/unit_tests/request/answer_sequence_test.cc
@@ -83,6 +83,20 @@
   CHECK(unmatched.match() == AnswerMatch::kOwn);
 }
 
+TEST_CASE("an answer belongs to the only request id that it names",
+          "[request]") {
+  const auto match = [](const HeaderFields& fields) {
+    return MatchRequestId(fields, "id", "7");
+  };
+  CHECK(match({{"id", "7"}}) == AnswerMatch::kOwn);
+  CHECK(match({{"id", "7"}, {"id", "7"}}) == AnswerMatch::kOwn);
+  CHECK(match({{"id", "8"}}) == AnswerMatch::kOther);
+  CHECK(match({{"id", "7"}, {"id", "8"}}) == AnswerMatch::kUnknown);
+  CHECK(match({{"id", "8"}, {"id", "7"}}) == AnswerMatch::kUnknown);
+  CHECK(match({{"id", ""}}) == AnswerMatch::kUnknown);
+  CHECK(match({{"other", "7"}}) == AnswerMatch::kUnknown);
+}
+
 TEST_CASE("an answer behind an informational one is not the first",
           "[request]") {
   AnswerSequence sequence(false, MatchOwn);
--- a/unit_tests/transport/request_proxy_test.cc
+++ b/unit_tests/transport/request_proxy_test.cc
@@ -1,5 +1,8 @@
 #include "sapphirebank/transport/request_proxy.h"
 
+#include <fmt/format.h>
+
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <vector>
@@ -42,7 +45,10 @@
       callback(decisions_.at(next_++));
     };
     hooks.cancel_dispatch = [](DispatchId) {};
-    hooks.finish_attempt = [](AttemptId, const Outcome&, const auto&) {};
+    hooks.finish_attempt = [this](AttemptId, const Outcome& outcome,
+                                  const auto&) {
+      outcomes_.push_back(outcome.kind);
+    };
     hooks.acquire_retry_token = [](const ServiceId&, const auto& callback) {
       callback(true);
     };
@@ -65,9 +71,13 @@
     return loop_.Run(proxy_->HandleCaller(std::move(request)));
   }
 
+  // Outcomes of the attempts at backend servers so far.
+  const std::vector<OutcomeKind>& outcomes() const { return outcomes_; }
+
  private:
   LoopThread& loop_;
   std::vector<DispatchDecision> decisions_;
+  std::vector<OutcomeKind> outcomes_;
   std::size_t next_ = 0;
   std::optional<RequestProxy> proxy_;
 };
@@ -128,5 +138,117 @@
   CHECK(nlohmann::json::parse(answer.body)["execution"] == "not run");
 }
 
+// Returns the request id that a request's head names.
+std::string RequestIdIn(const std::string& head) {
+  constexpr std::string_view kStart = "x-sapphirebank-request-id: ";
+  const auto at = head.find(kStart);
+  if (at == std::string::npos) return "";
+  const auto begin = at + kStart.size();
+  return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+// Returns an answer that names the request `id`; none if that is empty.
+std::string AnswerText(std::string_view status, const std::string& id,
+                       const std::string& body) {
+  std::string text =
+      fmt::format("HTTP/1.1 {}\r\nContent-Length: {}\r\n", status, body.size());
+  if (!id.empty()) text += "x-sapphirebank-request-id: " + id + "\r\n";
+  return text + "\r\n" + body;
+}
+
+// Answers each request on a connection with "answer N", N counted over all
+// connections, behind a second copy of the answer before it on the same
+// connection.
+class RepeatingServer {
+ public:
+  explicit RepeatingServer(bool echoes_id)
+      : server_([this, echoes_id](boost::asio::ip::tcp::socket& socket, int) {
+          ++connections_;
+          std::string last;
+          for (auto head = ScriptedServer::ReadHead(socket); !head.empty();
+               head = ScriptedServer::ReadHead(socket)) {
+            const std::string id = echoes_id ? RequestIdIn(head) : "";
+            const std::string answer =
+                AnswerText("200 OK", id, fmt::format("answer {}", ++answers_));
+            ScriptedServer::Write(socket, last + answer);
+            last = answer;
+          }
+        }) {}
+
+  Endpoint endpoint() const { return server_.endpoint(); }
+  int connections() const { return connections_; }
+
+ private:
+  std::atomic<int> connections_ = 0;
+  int answers_ = 0;
+  ScriptedServer server_;
+};
+
+// Guards against MIXED: a late copy of an earlier answer on a kept connection.
+TEST_CASE("a copy of an earlier answer is not taken for the next request's",
+          "[transport]") {
+  RepeatingServer server(true);
+  LoopThread loop;
+  const DispatchDecision decision = ToServer(server.endpoint());
+  ScriptedProxy proxy(loop, {decision, decision});
+  CHECK(proxy.Send().body == "answer 1");
+  CHECK(proxy.Send().body == "answer 2");
+  CHECK(server.connections() == 1);
+}
+
+TEST_CASE("a server that does not name requests gets each on a new connection",
+          "[transport]") {
+  RepeatingServer server(false);
+  LoopThread loop;
+  const DispatchDecision decision = ToServer(server.endpoint());
+  ScriptedProxy proxy(loop, {decision, decision, decision});
+  for (int number = 1; number <= 3; ++number) {
+    const HttpAnswer answer = proxy.Send();
+    CHECK(answer.status == 200);
+    CHECK(answer.body == fmt::format("answer {}", number));
+    CHECK(server.connections() == number);
+  }
+}
+
+// Servers and devices in between write 408 to connections that were idle, and
+// some servers answer errors without the fields of their other answers.
+TEST_CASE("an answer without an id on a kept connection is asked for again",
+          "[transport]") {
+  const std::string status =
+      GENERATE("200 OK", "408 Request Timeout", "500 Internal Server Error",
+               "503 Service Unavailable");
+  CAPTURE(status);
+  ScriptedServer server([&](boost::asio::ip::tcp::socket& socket, int number) {
+    const std::string id = RequestIdIn(ScriptedServer::ReadHead(socket));
+    ScriptedServer::Write(socket, AnswerText("200 OK", id, "own"));
+    if (number > 0 || !ScriptedServer::ReadRequest(socket)) return;
+    ScriptedServer::Write(socket, AnswerText(status, "", "without id"));
+  });
+  LoopThread loop;
+  const DispatchDecision decision = ToServer(server.endpoint());
+  ScriptedProxy proxy(loop, {decision, decision, decision});
+  CHECK(proxy.Send().body == "own");
+  const HttpAnswer second = proxy.Send();
+  CHECK(second.status == 200);
+  CHECK(second.body == "own");
+  // The server did not crash on the request.
+  CHECK(proxy.outcomes() == std::vector<OutcomeKind>({OutcomeKind::kSuccess,
+                                                      OutcomeKind::kHttpError,
+                                                      OutcomeKind::kSuccess}));
+}
+
+TEST_CASE("an answer without an id on a new connection is passed on",
+          "[transport]") {
+  ScriptedServer server([](boost::asio::ip::tcp::socket& socket, int) {
+    if (!ScriptedServer::ReadRequest(socket)) return;
+    ScriptedServer::Write(socket, AnswerText("404 Not Found", "", "nothing"));
+  });
+  LoopThread loop;
+  ScriptedProxy proxy(loop, {ToServer(server.endpoint())});
+  const HttpAnswer answer = proxy.Send();
+  CHECK(answer.status == 404);
+  CHECK(answer.body == "nothing");
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/transport/scripted_server.h
+++ b/unit_tests/transport/scripted_server.h
@@ -47,11 +47,17 @@
 
   // Reads one request without a body. Returns false when the connection ends.
   static bool ReadRequest(boost::asio::ip::tcp::socket& socket) {
+    return !ReadHead(socket).empty();
+  }
+
+  // As ReadRequest(); returns the request's head, empty when the connection
+  // ends.
+  static std::string ReadHead(boost::asio::ip::tcp::socket& socket) {
     std::string head;
     boost::system::error_code error;
     boost::asio::read_until(socket, boost::asio::dynamic_buffer(head),
                             "\r\n\r\n", error);
-    return !error;
+    return error ? std::string() : head;
   }
 
   static void Write(boost::asio::ip::tcp::socket& socket,
