sapphirebankd matches the answers of other entry hosts by request id

Callers saw, or could see: on a kept connection between two entry hosts a second copy of an earlier answer counted as the answer to the next idempotent request (MIXED), and a copy of a refusal as that request's refusal, "not run" with 503 while it ran (REFUSED).

Cause: ForwardToPeer() set no match_request, and a refusal that is marked as a host's counted as evidence wherever it stood among the answers.

Ruled out: to refuse a refusal without an id on a kept connection. Hosts of the build before refuse without it, and a host cannot name a request that it did not read.

Change: answers to a passed-on request must have its id, which Serve() adds already; refusals of such requests have it now too, only towards hosts. A refusal without any id is taken, and all idle connections to its host are closed, so that no copy of it can come on a kept one. A refusal is evidence of "not run" only as the first answer. The request between hosts is unchanged; a host of the build before ignores the added field. That was read, not run: no fleet of two builds was started.

--- a/sapphirebank/transport/request_proxy.cc
+++ b/sapphirebank/transport/request_proxy.cc
@@ -371,6 +371,9 @@
         std::chrono::ceil<std::chrono::seconds>(row.retry_after);
     answer.fields.push_back({"retry-after", std::to_string(seconds.count())});
   }
+  if (proxied.forwarded && !proxied.id.empty()) {
+    answer.fields.push_back({std::string(kRequestIdField), proxied.id.value()});
+  }
   answer.body = RefusalBody(error, proxied.id);
   LogAndCount(proxied, answer, &error.kind);
   return answer;
--- a/sapphirebank/transport/request_proxy_attempt.cc
+++ b/sapphirebank/transport/request_proxy_attempt.cc
@@ -42,9 +42,23 @@
   exchange.identity = StableHash(id.value());
 }
 
+// As MatchAnswers(), for a request that is passed on to another entry host. Its
+// refusal may lack the id: of a request that it did not read, or by a host of
+// an earlier build.
+void MatchPeerAnswers(const RequestId& id, HttpExchange& exchange) {
+  exchange.match_request = [id](const HeaderFields& fields) {
+    const bool is_refusal = !FieldValue(fields, kRefusalField).empty();
+    const bool has_id = !FieldValue(fields, kRequestIdField).empty();
+    if (is_refusal && !has_id) return AnswerMatch::kOwn;
+    return MatchRequestId(fields, kRequestIdField, id.value());
+  };
+  exchange.identity = StableHash(id.value());
+}
+
 // Converts the refusal of another entry host into the failure of an attempt.
 // Returns nothing when the answer is a backend server's.
-std::optional<AttemptFailure> FailureFromPeerRefusal(const HttpAnswer& answer) {
+std::optional<AttemptFailure> FailureFromPeerRefusal(
+    const HttpAnswer& answer, const ExchangeTrace& trace) {
   const std::string_view name = FieldValue(answer.fields, kRefusalField);
   if (name.empty()) return std::nullopt;
   AttemptFailure failure;
@@ -52,7 +66,9 @@
       ErrorKindFromName(name).value_or(ErrorKind::kBackendBroken);
   const bool not_run =
       AnswerFor(failure.peer_kind).execution == Execution::kNotRun;
-  failure.stage = not_run ? AttemptStage::kRefusedByPeer : AttemptStage::kSent;
+  failure.stage = not_run && trace.is_first_answer
+                      ? AttemptStage::kRefusedByPeer
+                      : AttemptStage::kSent;
   failure.timed_out = failure.peer_kind == ErrorKind::kBackendTimeout;
   return failure;
 }
@@ -199,12 +215,19 @@
   HttpRequestHead head = proxied.head;
   AddForwardFields(secret_, forwarded, head, proxied.body);
   exchange.fields = std::move(head.fields);
+  MatchPeerAnswers(proxied.id, exchange);
   ExchangeResult result =
       co_await client_.Exchange(std::move(exchange), proxied.watch);
-  if (const auto* answer = std::get_if<HttpAnswer>(&result.outcome)) {
-    const auto failure = FailureFromPeerRefusal(*answer);
-    if (failure) result.outcome = *failure;
+  const auto* answer = std::get_if<HttpAnswer>(&result.outcome);
+  if (answer == nullptr) co_return result;
+  const auto failure = FailureFromPeerRefusal(*answer, result.trace);
+  if (!failure) co_return result;
+  // A late copy of a refusal without the id could not be told from the next
+  // answer, so no connection that may bring one is kept.
+  if (FieldValue(answer->fields, kRequestIdField).empty()) {
+    client_.CloseIdleConnections(to.forwards);
   }
+  result.outcome = *failure;
   co_return result;
 }
 
--- a/unit_tests/transport/request_proxy_test.cc
+++ b/unit_tests/transport/request_proxy_test.cc
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "sapphirebank/transport/forward_fields.h"
 #include "sapphirebank/transport/process_clock.h"
 #include "sapphirebank/transport/signed_field.h"
 #include "unit_tests/transport/loop_thread.h"
@@ -63,18 +64,30 @@
   ScriptedProxy(const ScriptedProxy&) = delete;
   ScriptedProxy& operator=(const ScriptedProxy&) = delete;
 
-  HttpAnswer Send() {
-    HttpRequest request;
-    request.head.method = "GET";
-    request.head.target = "/permits/1";
-    request.watch = std::make_shared<CallerWatch>();
-    return loop_.Run(proxy_->HandleCaller(std::move(request)));
+  HttpAnswer Send() { return loop_.Run(proxy_->HandleCaller(MakeRequest())); }
+
+  // Passes on a request as another entry host does.
+  HttpAnswer Forward(const RequestId& id) {
+    ForwardedRequest forwarded;
+    forwarded.id = id;
+    forwarded.time_left = std::chrono::seconds(1);
+    HttpRequest request = MakeRequest();
+    AddForwardFields(FleetSecret("secret"), forwarded, request.head, "");
+    return loop_.Run(proxy_->HandleForward(std::move(request)));
   }
 
   // Outcomes of the attempts at backend servers so far.
   const std::vector<OutcomeKind>& outcomes() const { return outcomes_; }
 
  private:
+  static HttpRequest MakeRequest() {
+    HttpRequest request;
+    request.head.method = "GET";
+    request.head.target = "/permits/1";
+    request.watch = std::make_shared<CallerWatch>();
+    return request;
+  }
+
   LoopThread& loop_;
   std::vector<DispatchDecision> decisions_;
   std::vector<OutcomeKind> outcomes_;
@@ -93,6 +106,12 @@
   return decision;
 }
 
+DispatchDecision ToHost(const Endpoint& endpoint) {
+  DispatchDecision decision;
+  decision.place = ForwardTo{HostId("entry-2"), endpoint};
+  return decision;
+}
+
 DispatchDecision Refused(ErrorKind kind) {
   DispatchDecision decision;
   decision.place = Error(kind, "no server left");
@@ -138,24 +157,38 @@
   CHECK(nlohmann::json::parse(answer.body)["execution"] == "not run");
 }
 
-// Returns the request id that a request's head names.
-std::string RequestIdIn(const std::string& head) {
-  constexpr std::string_view kStart = "x-sapphirebank-request-id: ";
-  const auto at = head.find(kStart);
+std::string FieldIn(const std::string& head, const std::string& name) {
+  const std::string start = name + ": ";
+  const auto at = head.find(start);
   if (at == std::string::npos) return "";
-  const auto begin = at + kStart.size();
+  const auto begin = at + start.size();
   return head.substr(begin, head.find("\r\n", begin) - begin);
 }
 
+// Returns the request id in the head of a request to a backend server or to
+// another entry host.
+std::string RequestIdIn(const std::string& head) {
+  const std::string forwarded = FieldIn(head, std::string(kForwardField));
+  if (forwarded.empty()) return FieldIn(head, "x-sapphirebank-request-id");
+  return nlohmann::json::parse(forwarded)["id"];
+}
+
 // Returns an answer that names the request `id`; none if that is empty.
 std::string AnswerText(std::string_view status, const std::string& id,
-                       const std::string& body) {
-  std::string text =
-      fmt::format("HTTP/1.1 {}\r\nContent-Length: {}\r\n", status, body.size());
+                       const std::string& body,
+                       const std::string& fields = "") {
+  std::string text = fmt::format("HTTP/1.1 {}\r\n{}Content-Length: {}\r\n",
+                                 status, fields, body.size());
   if (!id.empty()) text += "x-sapphirebank-request-id: " + id + "\r\n";
   return text + "\r\n" + body;
 }
 
+// Returns another entry host's refusal of a request that was not run.
+std::string RefusalText(const std::string& id) {
+  return AnswerText("503 Service Unavailable", id, "full",
+                    "x-sapphirebank-refusal: queue_full\r\n");
+}
+
 // Answers each request on a connection with "answer N", N counted over all
 // connections, behind a second copy of the answer before it on the same
 // connection.
@@ -250,5 +283,92 @@
   CHECK(answer.body == "nothing");
 }
 
+TEST_CASE("another host's answer to an earlier request is not taken",
+          "[transport]") {
+  RepeatingServer host(true);
+  LoopThread loop;
+  const DispatchDecision decision = ToHost(host.endpoint());
+  ScriptedProxy proxy(loop, {decision, decision});
+  CHECK(proxy.Send().body == "answer 1");
+  CHECK(proxy.Send().body == "answer 2");
+  CHECK(host.connections() == 1);
+}
+
+// Sends two requests to another host, of which the second is refused behind
+// `before`, and nothing takes it after that. Returns the second answer.
+HttpAnswer AnswerToRefused(bool names_id, bool repeats_first) {
+  ScriptedServer host([=](boost::asio::ip::tcp::socket& socket, int) {
+    const std::string id = RequestIdIn(ScriptedServer::ReadHead(socket));
+    const std::string first = AnswerText("200 OK", id, "first");
+    ScriptedServer::Write(socket, first);
+    const std::string head = ScriptedServer::ReadHead(socket);
+    if (head.empty()) return;
+    if (repeats_first) ScriptedServer::Write(socket, first);
+    const std::string refused_id = names_id ? RequestIdIn(head) : "";
+    ScriptedServer::Write(socket, RefusalText(refused_id));
+  });
+  LoopThread loop;
+  const DispatchDecision decision = ToHost(host.endpoint());
+  ScriptedProxy proxy(
+      loop, {decision, decision, Refused(ErrorKind::kNoBackendServer)});
+  CHECK(proxy.Send().body == "first");
+  return proxy.Send();
+}
+
+// Hosts of earlier builds refuse without the id.
+TEST_CASE("another host's refusal counts as 'not run' as the first answer only",
+          "[transport]") {
+  const bool names_id = GENERATE(true, false);
+  CAPTURE(names_id);
+  const HttpAnswer first = AnswerToRefused(names_id, false);
+  CHECK(first.status == 503);
+  CHECK(nlohmann::json::parse(first.body)["execution"] == "not run");
+  const HttpAnswer second = AnswerToRefused(names_id, true);
+  CHECK(second.status == 502);
+  CHECK(nlohmann::json::parse(second.body)["execution"] == "unknown");
+}
+
+// Guards against REFUSED: a late copy of another host's refusal.
+TEST_CASE("a copy of another host's refusal is not taken for the next one",
+          "[transport]") {
+  const bool names_id = GENERATE(true, false);
+  CAPTURE(names_id);
+  // Refuses the first request. Answers the second one, behind a copy of that
+  // refusal if it comes on the same connection.
+  std::atomic<int> requests = 0;
+  ScriptedServer host([&](boost::asio::ip::tcp::socket& socket, int) {
+    std::string refusal;
+    for (auto head = ScriptedServer::ReadHead(socket); !head.empty();
+         head = ScriptedServer::ReadHead(socket)) {
+      const std::string id = RequestIdIn(head);
+      const bool refuses = requests++ == 0;
+      ScriptedServer::Write(socket, refusal);
+      if (refuses) refusal = RefusalText(names_id ? id : "");
+      ScriptedServer::Write(
+          socket, refuses ? refusal : AnswerText("200 OK", id, "served"));
+    }
+  });
+  LoopThread loop;
+  const DispatchDecision decision = ToHost(host.endpoint());
+  ScriptedProxy proxy(loop, {decision, Refused(ErrorKind::kNoBackendServer),
+                             decision, Refused(ErrorKind::kNoBackendServer)});
+  const HttpAnswer first = proxy.Send();
+  CHECK(first.status == 503);
+  CHECK(nlohmann::json::parse(first.body)["execution"] == "not run");
+  const HttpAnswer second = proxy.Send();
+  CHECK(second.status == 200);
+  CHECK(second.body == "served");
+}
+
+TEST_CASE("a refusal names its request to the host that passed it on",
+          "[transport]") {
+  LoopThread loop;
+  const DispatchDecision refused = Refused(ErrorKind::kQueueFull);
+  ScriptedProxy proxy(loop, {refused, refused});
+  const std::string_view name = "x-sapphirebank-request-id";
+  CHECK(FieldValue(proxy.Forward(RequestId("7")).fields, name) == "7");
+  CHECK(FieldValue(proxy.Send().fields, name).empty());
+}
+
 }  // namespace
 }  // namespace sapphirebank
