Entry hosts tell each other that 'not run' is proved

Refusals now bear x-sapphirebank-not-run: proved; for a request that must run once a refusal without it counts as unknown (502). The build before ignores the field, as it does all with that prefix.

Test: 'an entry host's refusal without a proof promises nothing for orders'.

--- a/programs/fleet_host/entry_request_detour.cc
+++ b/programs/fleet_host/entry_request_detour.cc
@@ -194,7 +194,11 @@
       ErrorKindFromName(refusal).value_or(ErrorKind::kInternal);
   const ErrorAnswer& row = AnswerFor(kind);
   last.failure = kind;
-  if (row.execution == Execution::kNotRun && is_certain) {
+  // A host of an earlier build says so without a proof.
+  const bool is_proved =
+      context.route->idempotent ||
+      FieldValue(answer.fields, kNotRunField) == kNotRunProved;
+  if (row.execution == Execution::kNotRun && is_certain && is_proved) {
     last.evidence = NotRunEvidence::kHostRefused;
   }
   execution.End(last.evidence);
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -360,11 +360,17 @@
   return Refuse(context, ErrorKind::kBackendBroken);
 }
 
+// The proof is an argument so that nothing else can ask for such a refusal.
 HttpAnswer EntryRequestHandler::MakeNotRunRefusal(const NotRunProof& /*proof*/,
                                                   RequestContext& context,
                                                   ErrorKind kind) {
-  return MakeRefusal(context, kind,
-                     std::min(AnswerFor(kind).retry_after, kMaxRetryAfter));
+  HttpAnswer answer = MakeRefusal(
+      context, kind, std::min(AnswerFor(kind).retry_after, kMaxRetryAfter));
+  if (context.detour) {
+    answer.fields.push_back(
+        {std::string(kNotRunField), std::string(kNotRunProved)});
+  }
+  return answer;
 }
 
 HttpAnswer EntryRequestHandler::MakeRefusal(RequestContext& context,
--- a/sapphirebank/transport/http_server.cc
+++ b/sapphirebank/transport/http_server.cc
@@ -378,6 +378,8 @@
     if (settings_.marks_refusals) {
       const std::string name(AnswerFor(error.kind).name);
       answer.fields.push_back({std::string(kRefusalField), name});
+      answer.fields.push_back(
+          {std::string(kNotRunField), std::string(kNotRunProved)});
     }
     co_return co_await Write(stream, std::move(answer), false, false);
   }
--- a/sapphirebank/transport/signed_field.h
+++ b/sapphirebank/transport/signed_field.h
@@ -17,6 +17,10 @@
 // ErrorKind. Distinguishes a refusal by a host from an answer of a backend
 // server.
 inline constexpr std::string_view kRefusalField = "x-sapphirebank-refusal";
+// Set beside kRefusalField when the host has proved that no attempt of the
+// request has run; hosts of earlier builds do not set it.
+inline constexpr std::string_view kNotRunField = "x-sapphirebank-not-run";
+inline constexpr std::string_view kNotRunProved = "proved";
 
 // Adds `values` in kForwardField and their signature to the header fields of
 // `head`. The signature covers method, target, the values and the body, for one
--- a/unit_tests/platform/entry_detour_test.cc
+++ b/unit_tests/platform/entry_detour_test.cc
@@ -117,7 +117,8 @@
           "[platform]") {
   const std::string refusal =
       "HTTP/1.1 503 Service Unavailable\r\n"
-      "X-Sapphirebank-Refusal: queue_full\r\nContent-Length: 0\r\n\r\n";
+      "X-Sapphirebank-Refusal: queue_full\r\n"
+      "X-Sapphirebank-Not-Run: proved\r\nContent-Length: 0\r\n\r\n";
   const std::string own =
       "HTTP/1.1 200 OK\r\nSapphirebank-Request-Id: q3\r\n"
       "Sapphirebank-Server-Stamp: s\r\nContent-Length: 0\r\n\r\n";
@@ -150,6 +151,30 @@
   }
 }
 
+// Guards against REFUSED during an upgrade: a host of the build before says
+// 'not run' without a proof.
+TEST_CASE("an entry host's refusal without a proof promises nothing for orders",
+          "[platform]") {
+  ScriptedServer other_host([](boost::asio::ip::tcp::socket& socket, int) {
+    const std::string head = ScriptedServer::ReadHead(socket);
+    const std::string id = head.find("POST") == std::string::npos ? "l1" : "o1";
+    ScriptedServer::Write(
+        socket,
+        "HTTP/1.1 503 Service Unavailable\r\nSapphirebank-Request-Id: " + id +
+            "\r\nX-Sapphirebank-Refusal: queue_full\r\n"
+            "Connection: close\r\nContent-Length: 0\r\n\r\n");
+  });
+  LoopThread loop;
+  ClosedPort closed[2];
+  TestEntryHost host(loop, "127.0.0.2", other_host.endpoint().port);
+  host.Update({closed[0].endpoint(), closed[1].endpoint()}, {});
+  host.Send("/lookup/1", "q1");
+  REQUIRE(host.path_is_lost());
+  host.Update({closed[0].endpoint(), closed[1].endpoint()}, {"127.0.0.1:80"});
+  CHECK(host.Send("/order/1", "o1").status == 502);
+  CHECK(host.Send("/lookup/1", "l1").status == 503);
+}
+
 // Guards against REFUSED: a kind that does not say 'not run' has a status that
 // does.
 TEST_CASE("an entry host's refusal of unknown outcome promises nothing",
