--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -339,7 +339,8 @@
 HttpAnswer EntryRequestHandler::Refuse(RequestContext& context,
                                        ErrorKind kind) {
   const ErrorAnswer& row = AnswerFor(kind);
-  if (row.execution == Execution::kUnknown) {
+  const bool says_not_run = row.execution == Execution::kNotRun;
+  if (!says_not_run && !PromisesNotRun(row.http_status)) {
     return MakeRefusal(context, kind, Duration::zero());
   }
   const std::optional<NotRunProof> proof = context.execution.Proof();
@@ -359,11 +360,17 @@
   return Refuse(context, ErrorKind::kBackendBroken);
 }
 
+// The proof is an argument so that nothing else can ask for such a refusal.
 HttpAnswer EntryRequestHandler::MakeNotRunRefusal(const NotRunProof& /*proof*/,
                                                   RequestContext& context,
                                                   ErrorKind kind) {
-  return MakeRefusal(context, kind,
-                     std::min(AnswerFor(kind).retry_after, kMaxRetryAfter));
+  HttpAnswer answer = MakeRefusal(
+      context, kind, std::min(AnswerFor(kind).retry_after, kMaxRetryAfter));
+  if (context.detour) {
+    answer.fields.push_back(
+        {std::string(kNotRunField), std::string(kNotRunProved)});
+  }
+  return answer;
 }
 
 HttpAnswer EntryRequestHandler::MakeRefusal(RequestContext& context,
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -430,10 +430,15 @@
   co_await reader.ReadBody(error);
   if (error) co_return Failure(AttemptStage::kSent, error, reused);
   std::unique_ptr<AnswerParser> parser = reader.TakeParser();
+  if (!sequence.RecordBody(parser->get().body())) {
+    trace.doubt = sequence.doubt();
+    pool_->RecordStrayBytes(exchange.to);
+    co_return Failure(AttemptStage::kSent, error, reused);
+  }
 
   ExchangeResult result;
   result.reused_connection = reused;
-  HttpAnswer answer = AnswerOf(parser->get());
+  HttpAnswer answer = reader.TakeHead();
   if (const auto length = parser->content_length()) {
     answer.stream_length = *length;
     answer.stream_length_known = true;
@@ -448,8 +453,11 @@
   }
   const bool has_more_bytes = connection->buffer.size() > 0;
   if (has_more_bytes) pool_->RecordStrayBytes(exchange.to);
+  // A late copy of an answer that names no request could not be told from the
+  // next answer.
+  const bool names_request = sequence.match() == AnswerMatch::kOwn;
   if (parser->keep_alive() && !has_more_bytes && !request_truncated &&
-      sequence.answers_skipped() == 0) {
+      names_request && sequence.answers_skipped() == 0) {
     connection->server_idle_time = KeepAliveTimeout(answer.fields);
     pool_->ReturnIdle(exchange.to, std::move(connection));
   }
--- a/unit_tests/transport/answer_order_simulation.h
+++ b/unit_tests/transport/answer_order_simulation.h
@@ -20,12 +20,15 @@
 
 namespace sapphirebank {
 
-// Requests that must run once, sent to a faulty server over connections in
-// memory. The server writes copies of its answers, whole or cut at any byte,
-// before, within and after later answers, breaks off, leaves out the request id
-// and puts informational answers before its own. On a new connection it writes
-// copies of answers that name other requests. What it did with each request is
-// compared to what the caller is told.
+// Requests sent to a faulty server over connections in memory: those that must
+// run once on one of their own each, the others on a kept one. The server
+// writes copies of its answers, whole or cut at any byte, before, within and
+// after later answers, breaks off, leaves out the request id and puts
+// informational answers before its own. On a new connection it writes copies of
+// answers that name other requests, and of rejections that name none. Some
+// answers to requests that ran have the status of a rejection, or its
+// statement, but never both. What it did with each request is compared to what
+// the caller is told.
 class AnswerOrderSimulation {
  public:
   // What went wrong, as counts of requests.
@@ -49,6 +52,7 @@
   void Run(int requests) {
     for (int i = 0; i < requests; ++i) {
       Request request;
+      request.idempotent = Chance(0.5);
       // A caller may send a refused request again under its id.
       const bool is_again = last_refused_ != nullptr && Chance(0.3);
       if (is_again) {
@@ -71,6 +75,7 @@
   struct Written {
     std::string id;
     std::string bytes;
+    bool is_rejection = false;
   };
 
   struct Connection {
@@ -87,6 +92,7 @@
 
   struct Request {
     std::string id;
+    bool idempotent = false;
     int runs = 0;
     // Status and stamp that the server that ran it gave.
     int status = 0;
@@ -104,15 +110,15 @@
   }
   std::size_t Below(std::size_t count) { return random_() % count; }
 
-  // Sends a request until it is answered, refused or in doubt, as an entry host
-  // does with one that must run once.
+  // Sends a request until it is answered, refused or in doubt.
   void SendUntilKnown(Request& request) {
     ExecutionRecord record;
     for (int attempts = 0; attempts < kMaxAttempts; ++attempts) {
       ExecutionRecord::Attempt attempt(record);
       const Received received = Exchange(request);
-      attempt.End(received.answer ? EvidenceOf(received.statement)
-                                  : NotRunEvidence::kNone);
+      attempt.End(received.answer
+                      ? EvidenceOf(received.statement, request.idempotent)
+                      : NotRunEvidence::kNone);
       if (record.MayHaveRun()) {
         CheckAnswer(request, received);
         return;
@@ -143,7 +149,7 @@
 
   // Sends a request over a kept connection or a new one, and reads its answer.
   Received Exchange(Request& request) {
-    std::shared_ptr<Connection> connection = TakeConnection(request.id);
+    std::shared_ptr<Connection> connection = TakeConnection(request);
     const bool is_used = !connection->carried.empty();
     connection->carried.push_back(request.id);
     const bool is_closed = Answer(request, *connection);
@@ -166,6 +172,7 @@
     loop_.restart();
     received.statement.match = sequence.match();
     received.statement.is_first_answer = sequence.is_first();
+    received.statement.is_first_request = !is_used;
     if (is_reusable && !is_closed && bytes_left == 0 &&
         !sequence.HasStrayBytes()) {
       kept_ = Reopen(*connection);
@@ -184,7 +191,8 @@
     co_await reader.ReadBody(error);
     if (error) co_return;
     const std::unique_ptr<AnswerParser> parser = reader.TakeParser();
-    received.answer = AnswerOf(parser->get());
+    if (!sequence.RecordBody(parser->get().body())) co_return;
+    received.answer = reader.TakeHead();
     const HeaderFields& fields = received.answer->fields;
     received.statement.status = received.answer->status;
     received.statement.not_run =
@@ -204,13 +212,14 @@
     return connection;
   }
 
-  std::shared_ptr<Connection> TakeConnection(const std::string& id) {
+  std::shared_ptr<Connection> TakeConnection(const Request& request) {
+    if (!request.idempotent) return std::make_shared<Connection>(loop_);
     auto kept = std::exchange(kept_, nullptr);
     // Bytes that arrive while a connection is idle close it.
     const bool is_seen = kept && !kept->late.empty() && Chance(0.2);
     const bool has_carried =
-        kept && std::find(kept->carried.begin(), kept->carried.end(), id) !=
-                    kept->carried.end();
+        kept && std::find(kept->carried.begin(), kept->carried.end(),
+                          request.id) != kept->carried.end();
     if (kept && !is_seen && !has_carried) return kept;
     return std::make_shared<Connection>(loop_);
   }
@@ -231,7 +240,9 @@
   // Decides what the server does with a request and writes its bytes. Returns
   // whether it closes the connection.
   bool Answer(Request& request, Connection& connection) {
+    const int runs = request.runs;
     const std::string own = Decide(request);
+    const bool was_rejected = request.runs == runs;
     std::string bytes = std::exchange(connection.late, std::string());
     if (Chance(0.05)) bytes += CopyOfOther(request.id);
     if (Chance(0.05)) bytes += "HTTP/1.1 102 Processing\r\n\r\n";
@@ -242,8 +253,8 @@
     const bool breaks_off = Chance(0.05);
     if (breaks_off) answer.resize(Below(answer.size() + 1));
     bytes += answer;
-    connection.written.push_back({request.id, own});
-    written_.push_back({request.id, own});
+    connection.written.push_back({request.id, own, was_rejected});
+    written_.push_back(connection.written.back());
     if (Chance(0.1)) bytes += Copy(connection);
     while (Chance(0.4)) connection.late += Copy(connection);
     connection.stream.append(bytes);
@@ -258,12 +269,12 @@
   }
 
   // Returns the same of an answer that was written on any connection and names
-  // another request.
+  // another request, or of a rejection that names none.
   std::string CopyOfOther(const std::string& id) {
     if (written_.empty()) return "";
     const Written& other = written_[Below(written_.size())];
     const bool names_request = other.bytes.find(other.id) != std::string::npos;
-    if (other.id == id || !names_request) return "";
+    if (other.id == id || (!names_request && !other.is_rejection)) return "";
     ++coverage_.stray_copies;
     return Cut(other.bytes);
   }
@@ -290,11 +301,17 @@
       fields.push_back({"Sapphirebank-Not-Executed", "1"});
     } else {
       ++request.runs;
-      request.status = drawn < 0.7 ? 200 : drawn < 0.9 ? 500 : 504;
+      request.status = drawn < 0.7    ? 200
+                       : drawn < 0.9  ? 500
+                       : drawn < 0.97 ? 504
+                                      : 503;
       request.stamp = fmt::format("s{:x}.{}", random_(), request.status);
       stamps_.push_back(request.stamp);
       line = fmt::format("{} Some Reason", request.status);
       fields.push_back({"Sapphirebank-Server-Stamp", request.stamp});
+      if (request.status != 503 && Chance(0.02)) {
+        fields.push_back({"Sapphirebank-Not-Executed", "1"});
+      }
     }
     fields.push_back({"Content-Length", std::to_string(body.size())});
     std::shuffle(fields.begin(), fields.end(), random_);
--- a/unit_tests/transport/request_proxy_test.cc
+++ b/unit_tests/transport/request_proxy_test.cc
@@ -1,9 +1,13 @@
 #include "sapphirebank/transport/request_proxy.h"
 
+#include <fmt/format.h>
+
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "sapphirebank/transport/forward_fields.h"
 #include "sapphirebank/transport/process_clock.h"
 #include "sapphirebank/transport/signed_field.h"
 #include "unit_tests/transport/loop_thread.h"
@@ -42,7 +46,10 @@
       callback(decisions_.at(next_++));
     };
     hooks.cancel_dispatch = [](DispatchId) {};
-    hooks.finish_attempt = [](AttemptId, const Outcome&, const auto&) {};
+    hooks.finish_attempt = [this](AttemptId, const Outcome& outcome,
+                                  const auto&) {
+      outcomes_.push_back(outcome.kind);
+    };
     hooks.acquire_retry_token = [](const ServiceId&, const auto& callback) {
       callback(true);
     };
@@ -57,17 +64,33 @@
   ScriptedProxy(const ScriptedProxy&) = delete;
   ScriptedProxy& operator=(const ScriptedProxy&) = delete;
 
-  HttpAnswer Send() {
+  HttpAnswer Send() { return loop_.Run(proxy_->HandleCaller(MakeRequest())); }
+
+  // Passes on a request as another entry host does.
+  HttpAnswer Forward(const RequestId& id) {
+    ForwardedRequest forwarded;
+    forwarded.id = id;
+    forwarded.time_left = std::chrono::seconds(1);
+    HttpRequest request = MakeRequest();
+    AddForwardFields(FleetSecret("secret"), forwarded, request.head, "");
+    return loop_.Run(proxy_->HandleForward(std::move(request)));
+  }
+
+  // Outcomes of the attempts at backend servers so far.
+  const std::vector<OutcomeKind>& outcomes() const { return outcomes_; }
+
+ private:
+  static HttpRequest MakeRequest() {
     HttpRequest request;
     request.head.method = "GET";
     request.head.target = "/permits/1";
     request.watch = std::make_shared<CallerWatch>();
-    return loop_.Run(proxy_->HandleCaller(std::move(request)));
+    return request;
   }
 
- private:
   LoopThread& loop_;
   std::vector<DispatchDecision> decisions_;
+  std::vector<OutcomeKind> outcomes_;
   std::size_t next_ = 0;
   std::optional<RequestProxy> proxy_;
 };
@@ -83,6 +106,12 @@
   return decision;
 }
 
+DispatchDecision ToHost(const Endpoint& endpoint) {
+  DispatchDecision decision;
+  decision.place = ForwardTo{HostId("entry-2"), endpoint};
+  return decision;
+}
+
 DispatchDecision Refused(ErrorKind kind) {
   DispatchDecision decision;
   decision.place = Error(kind, "no server left");
@@ -128,5 +157,218 @@
   CHECK(nlohmann::json::parse(answer.body)["execution"] == "not run");
 }
 
+std::string FieldIn(const std::string& head, const std::string& name) {
+  const std::string start = name + ": ";
+  const auto at = head.find(start);
+  if (at == std::string::npos) return "";
+  const auto begin = at + start.size();
+  return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+// Returns the request id in the head of a request to a backend server or to
+// another entry host.
+std::string RequestIdIn(const std::string& head) {
+  const std::string forwarded = FieldIn(head, std::string(kForwardField));
+  if (forwarded.empty()) return FieldIn(head, "x-sapphirebank-request-id");
+  return nlohmann::json::parse(forwarded)["id"];
+}
+
+// Returns an answer that names the request `id`; none if that is empty.
+std::string AnswerText(std::string_view status, const std::string& id,
+                       const std::string& body,
+                       const std::string& fields = "") {
+  std::string text = fmt::format("HTTP/1.1 {}\r\n{}Content-Length: {}\r\n",
+                                 status, fields, body.size());
+  if (!id.empty()) text += "x-sapphirebank-request-id: " + id + "\r\n";
+  return text + "\r\n" + body;
+}
+
+// Returns another entry host's refusal of a request that was not run.
+std::string RefusalText(const std::string& id) {
+  return AnswerText("503 Service Unavailable", id, "full",
+                    "x-sapphirebank-refusal: queue_full\r\n");
+}
+
+// Answers each request on a connection with "answer N", N counted over all
+// connections, behind a second copy of the answer before it on the same
+// connection.
+class RepeatingServer {
+ public:
+  explicit RepeatingServer(bool echoes_id)
+      : server_([this, echoes_id](boost::asio::ip::tcp::socket& socket, int) {
+          ++connections_;
+          std::string last;
+          for (auto head = ScriptedServer::ReadHead(socket); !head.empty();
+               head = ScriptedServer::ReadHead(socket)) {
+            const std::string id = echoes_id ? RequestIdIn(head) : "";
+            const std::string answer =
+                AnswerText("200 OK", id, fmt::format("answer {}", ++answers_));
+            ScriptedServer::Write(socket, last + answer);
+            last = answer;
+          }
+        }) {}
+
+  Endpoint endpoint() const { return server_.endpoint(); }
+  int connections() const { return connections_; }
+
+ private:
+  std::atomic<int> connections_ = 0;
+  int answers_ = 0;
+  ScriptedServer server_;
+};
+
+// Guards against MIXED: a late copy of an earlier answer on a kept connection.
+TEST_CASE("a copy of an earlier answer is not taken for the next request's",
+          "[transport]") {
+  RepeatingServer server(true);
+  LoopThread loop;
+  const DispatchDecision decision = ToServer(server.endpoint());
+  ScriptedProxy proxy(loop, {decision, decision});
+  CHECK(proxy.Send().body == "answer 1");
+  CHECK(proxy.Send().body == "answer 2");
+  CHECK(server.connections() == 1);
+}
+
+TEST_CASE("a server that does not name requests gets each on a new connection",
+          "[transport]") {
+  RepeatingServer server(false);
+  LoopThread loop;
+  const DispatchDecision decision = ToServer(server.endpoint());
+  ScriptedProxy proxy(loop, {decision, decision, decision});
+  for (int number = 1; number <= 3; ++number) {
+    const HttpAnswer answer = proxy.Send();
+    CHECK(answer.status == 200);
+    CHECK(answer.body == fmt::format("answer {}", number));
+    CHECK(server.connections() == number);
+  }
+}
+
+// Servers and devices in between write 408 to connections that were idle, and
+// some servers answer errors without the fields of their other answers.
+TEST_CASE("an answer without an id on a kept connection is asked for again",
+          "[transport]") {
+  const std::string status =
+      GENERATE("200 OK", "408 Request Timeout", "500 Internal Server Error",
+               "503 Service Unavailable");
+  CAPTURE(status);
+  ScriptedServer server([&](boost::asio::ip::tcp::socket& socket, int number) {
+    const std::string id = RequestIdIn(ScriptedServer::ReadHead(socket));
+    ScriptedServer::Write(socket, AnswerText("200 OK", id, "own"));
+    if (number > 0 || !ScriptedServer::ReadRequest(socket)) return;
+    ScriptedServer::Write(socket, AnswerText(status, "", "without id"));
+  });
+  LoopThread loop;
+  const DispatchDecision decision = ToServer(server.endpoint());
+  ScriptedProxy proxy(loop, {decision, decision, decision});
+  CHECK(proxy.Send().body == "own");
+  const HttpAnswer second = proxy.Send();
+  CHECK(second.status == 200);
+  CHECK(second.body == "own");
+  // The server did not crash on the request.
+  CHECK(proxy.outcomes() == std::vector<OutcomeKind>({OutcomeKind::kSuccess,
+                                                      OutcomeKind::kHttpError,
+                                                      OutcomeKind::kSuccess}));
+}
+
+TEST_CASE("an answer without an id on a new connection is passed on",
+          "[transport]") {
+  ScriptedServer server([](boost::asio::ip::tcp::socket& socket, int) {
+    if (!ScriptedServer::ReadRequest(socket)) return;
+    ScriptedServer::Write(socket, AnswerText("404 Not Found", "", "nothing"));
+  });
+  LoopThread loop;
+  ScriptedProxy proxy(loop, {ToServer(server.endpoint())});
+  const HttpAnswer answer = proxy.Send();
+  CHECK(answer.status == 404);
+  CHECK(answer.body == "nothing");
+}
+
+TEST_CASE("another host's answer to an earlier request is not taken",
+          "[transport]") {
+  RepeatingServer host(true);
+  LoopThread loop;
+  const DispatchDecision decision = ToHost(host.endpoint());
+  ScriptedProxy proxy(loop, {decision, decision});
+  CHECK(proxy.Send().body == "answer 1");
+  CHECK(proxy.Send().body == "answer 2");
+  CHECK(host.connections() == 1);
+}
+
+// Sends two requests to another host, of which the second is refused behind
+// `before`, and nothing takes it after that. Returns the second answer.
+HttpAnswer AnswerToRefused(bool names_id, bool repeats_first) {
+  ScriptedServer host([=](boost::asio::ip::tcp::socket& socket, int) {
+    const std::string id = RequestIdIn(ScriptedServer::ReadHead(socket));
+    const std::string first = AnswerText("200 OK", id, "first");
+    ScriptedServer::Write(socket, first);
+    const std::string head = ScriptedServer::ReadHead(socket);
+    if (head.empty()) return;
+    if (repeats_first) ScriptedServer::Write(socket, first);
+    const std::string refused_id = names_id ? RequestIdIn(head) : "";
+    ScriptedServer::Write(socket, RefusalText(refused_id));
+  });
+  LoopThread loop;
+  const DispatchDecision decision = ToHost(host.endpoint());
+  ScriptedProxy proxy(
+      loop, {decision, decision, Refused(ErrorKind::kNoBackendServer)});
+  CHECK(proxy.Send().body == "first");
+  return proxy.Send();
+}
+
+// Hosts of earlier builds refuse without the id.
+TEST_CASE("another host's refusal counts as 'not run' as the first answer only",
+          "[transport]") {
+  const bool names_id = GENERATE(true, false);
+  CAPTURE(names_id);
+  const HttpAnswer first = AnswerToRefused(names_id, false);
+  CHECK(first.status == 503);
+  CHECK(nlohmann::json::parse(first.body)["execution"] == "not run");
+  const HttpAnswer second = AnswerToRefused(names_id, true);
+  CHECK(second.status == 502);
+  CHECK(nlohmann::json::parse(second.body)["execution"] == "unknown");
+}
+
+// Guards against REFUSED: a late copy of another host's refusal.
+TEST_CASE("a copy of another host's refusal is not taken for the next one",
+          "[transport]") {
+  const bool names_id = GENERATE(true, false);
+  CAPTURE(names_id);
+  // Refuses the first request. Answers the second one, behind a copy of that
+  // refusal if it comes on the same connection.
+  std::atomic<int> requests = 0;
+  ScriptedServer host([&](boost::asio::ip::tcp::socket& socket, int) {
+    std::string refusal;
+    for (auto head = ScriptedServer::ReadHead(socket); !head.empty();
+         head = ScriptedServer::ReadHead(socket)) {
+      const std::string id = RequestIdIn(head);
+      const bool refuses = requests++ == 0;
+      ScriptedServer::Write(socket, refusal);
+      if (refuses) refusal = RefusalText(names_id ? id : "");
+      ScriptedServer::Write(
+          socket, refuses ? refusal : AnswerText("200 OK", id, "served"));
+    }
+  });
+  LoopThread loop;
+  const DispatchDecision decision = ToHost(host.endpoint());
+  ScriptedProxy proxy(loop, {decision, Refused(ErrorKind::kNoBackendServer),
+                             decision, Refused(ErrorKind::kNoBackendServer)});
+  const HttpAnswer first = proxy.Send();
+  CHECK(first.status == 503);
+  CHECK(nlohmann::json::parse(first.body)["execution"] == "not run");
+  const HttpAnswer second = proxy.Send();
+  CHECK(second.status == 200);
+  CHECK(second.body == "served");
+}
+
+TEST_CASE("a refusal names its request to the host that passed it on",
+          "[transport]") {
+  LoopThread loop;
+  const DispatchDecision refused = Refused(ErrorKind::kQueueFull);
+  ScriptedProxy proxy(loop, {refused, refused});
+  const std::string_view name = "x-sapphirebank-request-id";
+  CHECK(FieldValue(proxy.Forward(RequestId("7")).fields, name) == "7");
+  CHECK(FieldValue(proxy.Send().fields, name).empty());
+}
+
 }  // namespace
 }  // namespace sapphirebank
