--- a/system_tests/fleet.cc
+++ b/system_tests/fleet.cc
@@ -99,6 +99,8 @@
         ::open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(log, STDERR_FILENO);
     ::dup2(log, STDOUT_FILENO);
+    // A socket of the test that the program inherits would outlive its close.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::execv(path.c_str(), argv.data());
     ::_exit(127);
   }
--- a/system_tests/platform/endless_server.h
+++ b/system_tests/platform/endless_server.h
@@ -1,18 +1,12 @@
 #pragma once
 
 #include <atomic>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
-#include <chrono>
-#include <list>
-#include <mutex>
 #include <string>
-#include <thread>
 #include <utility>
 
-#include "system_tests/platform/stand_in_server.h"
+#include "system_tests/platform/socket_server.h"
 
 namespace sapphirebank::system_tests {
 
@@ -26,59 +20,14 @@
       : start_(std::move(start)),
         repeated_(std::move(repeated)),
         length_(length),
-        acceptor_(loop_, {boost::asio::ip::make_address(ip), kServerPort}) {
-    accept_thread_ = std::thread([this] { Accept(); });
-    heartbeat_thread_ =
-        std::thread([this, ip, control_ip = std::move(control_ip)] {
-          StandInHeartbeat heartbeat;
-          heartbeat.id = "endless";
-          heartbeat.ip = ip;
-          heartbeat.service = "bulk";
-          heartbeat.slots = 1000;
-          for (; !stopping_; ++heartbeat.sequence) {
-            SendHeartbeat(control_ip, heartbeat);
-            std::this_thread::sleep_for(std::chrono::milliseconds(200));
-          }
-        });
-  }
-  ~EndlessServer() {
-    stopping_ = true;
-    boost::asio::ip::tcp::socket wake(loop_);
-    boost::system::error_code ignored;
-    wake.connect(acceptor_.local_endpoint(), ignored);
-    accept_thread_.join();
-    heartbeat_thread_.join();
-    for (Connection& connection : connections_) {
-      connection.socket.shutdown(boost::asio::socket_base::shutdown_both,
-                                 ignored);
-      connection.thread.join();
-    }
-  }
-  EndlessServer(const EndlessServer&) = delete;
-  EndlessServer& operator=(const EndlessServer&) = delete;
+        server_({.id = "endless", .ip = ip, .service = "bulk", .slots = 1000},
+                {std::move(control_ip)},
+                [this](SocketServer::Socket& socket) { Answer(socket); }) {}
 
   int request_count() const { return request_count_; }
 
  private:
-  struct Connection {
-    boost::asio::ip::tcp::socket socket;
-    std::thread thread;
-  };
-
-  void Accept() {
-    boost::system::error_code error;
-    while (!stopping_) {
-      boost::asio::ip::tcp::socket socket(loop_);
-      acceptor_.accept(socket, error);
-      if (error || stopping_) continue;
-      Connection& connection =
-          connections_.emplace_back(Connection{std::move(socket), {}});
-      connection.thread =
-          std::thread([this, &connection] { Answer(connection.socket); });
-    }
-  }
-
-  void Answer(boost::asio::ip::tcp::socket& socket) {
+  void Answer(SocketServer::Socket& socket) {
     std::string head;
     boost::system::error_code error;
     boost::asio::read_until(socket, boost::asio::dynamic_buffer(head),
@@ -108,13 +57,8 @@
   std::string start_;
   std::string repeated_;
   std::size_t length_;
-  boost::asio::io_context loop_;
-  boost::asio::ip::tcp::acceptor acceptor_;
-  std::atomic<bool> stopping_{false};
   std::atomic<int> request_count_{0};
-  std::list<Connection> connections_;
-  std::thread accept_thread_;
-  std::thread heartbeat_thread_;
+  SocketServer server_;
 };
 
 }  // namespace sapphirebank::system_tests
--- a/system_tests/platform/path_test.cc
+++ b/system_tests/platform/path_test.cc
@@ -296,8 +296,9 @@
   }));
   CAPTURE(row.name);
   PlatformFleet fleet;
-  const EndlessServer endless("127.0.9.41", PlatformFleet::ControlHostIp(0),
-                              row.start, row.repeated, row.length);
+  const EndlessServer endless(PlatformFleet::LoopbackIp(41),
+                              PlatformFleet::ControlHostIp(0), row.start,
+                              row.repeated, row.length);
   json plan = fleet.MakePlan(5);
   plan["routes"]["bulk"] = plan["routes"]["lookup"];
   plan["routes"]["bulk"]["pathPrefix"] = "/bulk/";
--- a/system_tests/platform/platform_fleet.h
+++ b/system_tests/platform/platform_fleet.h
@@ -28,7 +28,7 @@
 // A fleet of real processes on loopback addresses: three control hosts, two
 // entry hosts and two stand-in backend servers, which run in the test process.
 // Settings, data and logs are in a temporary folder that the destructor
-// removes.
+// removes unless it is to be kept.
 class PlatformFleet {
  public:
   PlatformFleet() {
@@ -39,7 +39,7 @@
     for (int i = 0; i < kEntryHosts; ++i) StartEntryHost(i);
     for (int index = 0; index < 2; ++index) {
       servers_.push_back(std::make_unique<StandInServer>(
-          fmt::format("i-{}", index), fmt::format("127.0.9.{}", 31 + index),
+          fmt::format("i-{}", index), LoopbackIp(31 + index),
           ControlHostIps()));
     }
   }
@@ -47,19 +47,21 @@
     servers_.clear();
     entry_hosts_.clear();
     control_hosts_.clear();
-    std::filesystem::remove_all(folder_);
+    if (!keeps_folder_) std::filesystem::remove_all(folder_);
   }
 
   static constexpr int kControlHosts = 3;
   static constexpr int kEntryHosts = 2;
   static constexpr std::size_t kEntryMemoryMb = 160;
 
-  static std::string ControlHostIp(int index) {
-    return fmt::format("127.0.9.{}", 11 + index);
-  }
-  static std::string EntryHostIp(int index) {
-    return fmt::format("127.0.9.{}", 21 + index);
+  // Returns an address of this fleet. Fleets that run at the same time have
+  // different numbers from 1 to 254 in SAPPHIREBANK_TEST_NET.
+  static std::string LoopbackIp(int number) {
+    const char* net = ::getenv("SAPPHIREBANK_TEST_NET");
+    return fmt::format("127.0.{}.{}", net == nullptr ? "9" : net, number);
   }
+  static std::string ControlHostIp(int index) { return LoopbackIp(11 + index); }
+  static std::string EntryHostIp(int index) { return LoopbackIp(21 + index); }
   static std::vector<std::string> ControlHostIps() {
     std::vector<std::string> ips;
     ips.reserve(kControlHosts);
@@ -97,6 +99,12 @@
         StartProcess(fmt::format("front-{}", index), settings);
   }
 
+  // Keeps the logs of the hosts, and returns their folder.
+  std::string KeepFolder() {
+    keeps_folder_ = true;
+    return folder_.string();
+  }
+
   std::string DataFolder(int index) const {
     return (folder_ / fmt::format("data-{}", index)).string();
   }
@@ -234,6 +242,7 @@
   }
 
   std::filesystem::path folder_;
+  bool keeps_folder_ = false;
   std::map<int, std::unique_ptr<Process>> control_hosts_;
   std::map<int, std::unique_ptr<Process>> entry_hosts_;
   std::vector<std::unique_ptr<StandInServer>> servers_;
