Names and comments of the evidence that a request has not run

From the review: KindWithProof, RunAttemptsWithProof and ReplaceUnprovedPromise say what they do; HttpClient takes its connection in one place and records the answers in one. No logic is changed.

--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -96,7 +96,7 @@
     context.needs_token = context.workspace != nullptr &&
                           context.workspace->rate > 0 && !has_token &&
                           !state_.TryTakeToken(context.workspace->id);
-    answer = PassOn(context, co_await Forward(context));
+    answer = ReplaceUnprovedPromise(context, co_await Forward(context));
   } else {
     answer = Refuse(context, admitted.error().kind);
   }
@@ -350,8 +350,8 @@
   return MakeNotRunRefusal(*proof, context, kind);
 }
 
-HttpAnswer EntryRequestHandler::PassOn(RequestContext& context,
-                                       HttpAnswer answer) {
+HttpAnswer EntryRequestHandler::ReplaceUnprovedPromise(RequestContext& context,
+                                                       HttpAnswer answer) {
   const bool is_own_refusal = context.refusal_kind.has_value();
   if (is_own_refusal || !PromisesNotRun(answer.status)) return answer;
   log_.Write(
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -178,7 +178,7 @@
                          Duration retry_after);
   // Returns the answer of a server as it is, unless its status promises that
   // the request has not run: no server's answer that is passed on says so.
-  HttpAnswer PassOn(RequestContext& context, HttpAnswer answer);
+  HttpAnswer ReplaceUnprovedPromise(RequestContext& context, HttpAnswer answer);
   void LogRequest(const RequestContext& context, const HttpAnswer& answer);
   void RecordMetrics(const RequestContext& context);
 
--- a/sapphirebank/request/answer_sequence.h
+++ b/sapphirebank/request/answer_sequence.h
@@ -11,8 +11,8 @@
 enum class AnswerMatch {
   kOwn,
   kOther,  // It answers an earlier request.
-  // It does not say. On a connection that has carried another request, it may
-  // be a second copy of that one's answer.
+  // It names no request, or two. On a connection that has carried another
+  // request, it may be a second copy of that one's answer.
   kUnknown,
 };
 
--- a/sapphirebank/request/execution_record.cc
+++ b/sapphirebank/request/execution_record.cc
@@ -78,7 +78,7 @@
   return NotRunProof();
 }
 
-ErrorKind ProvedKind(const ExecutionRecord& record, ErrorKind kind) {
+ErrorKind KindWithProof(const ExecutionRecord& record, ErrorKind kind) {
   const ErrorAnswer& row = AnswerFor(kind);
   const bool needs_proof =
       row.execution == Execution::kNotRun || PromisesNotRun(row.http_status);
--- a/sapphirebank/request/execution_record.h
+++ b/sapphirebank/request/execution_record.h
@@ -18,7 +18,7 @@
   kNone,            // It may have run.
   kNothingSent,     // No byte of it was passed to the system for sending.
   kServerRejected,  // The backend server's answer says so.
-  kMisdirected,     // Another backend server has the address and rejected it.
+  kMisdirected,     // Another backend server has the address (status 421).
   kHostRefused,     // The entry host that it was sent to says so.
 };
 
@@ -93,6 +93,6 @@
 
 // Returns `kind`, or kBackendBroken where `kind` says that the request has not
 // run and the record has no proof of it.
-ErrorKind ProvedKind(const ExecutionRecord& record, ErrorKind kind);
+ErrorKind KindWithProof(const ExecutionRecord& record, ErrorKind kind);
 
 }  // namespace sapphirebank
--- a/sapphirebank/transport/detour_fields.h
+++ b/sapphirebank/transport/detour_fields.h
@@ -22,7 +22,8 @@
   PlanVersion plan_version = 0;
   // Attempts that backend servers have received.
   int attempts_received = 0;
-  // A backend server may have run the request.
+  // A backend server may have run the request. For hosts of earlier builds; the
+  // sending host keeps count itself.
   bool may_have_run = false;
   // The next attempt is charged to the retry budget.
   bool is_retry = false;
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -222,6 +222,14 @@
   co_return sent;
 }
 
+// Records what `sequence` makes of the answers so far.
+void RecordAnswers(const AnswerSequence& sequence, ExchangeTrace& trace) {
+  trace.match = sequence.match();
+  trace.answers_skipped = sequence.answers_skipped();
+  trace.is_first_answer = sequence.is_first();
+  trace.doubt = sequence.doubt();
+}
+
 // Returns the time-out in the Keep-Alive header field, or zero if it has none.
 Duration KeepAliveTimeout(const HeaderFields& fields) {
   constexpr std::string_view kTimeout = "timeout=";
@@ -241,6 +249,20 @@
   Pool(asio::io_context& loop, HttpClientSettings settings)
       : loop_(loop), settings_(settings) {}
 
+  // Returns an idle connection that the exchange may use, or opens one.
+  // `exchange` must outlive the call; a failure is stored in `error`.
+  asio::awaitable<ConnectionPtr> Acquire(const HttpExchange& exchange,
+                                         error_code& error) {
+    ConnectionPtr connection;
+    if (!exchange.fresh_connection) {
+      connection = TakeIdle(exchange.to, exchange.identity);
+    }
+    if (!connection) {
+      connection = co_await Open(exchange.to, exchange.connect_timeout, error);
+    }
+    co_return connection;
+  }
+
   // Returns an idle connection for a request with this identity, or null.
   ConnectionPtr TakeIdle(const Endpoint& to, std::uint64_t identity) {
     const auto found = idle_.find(to);
@@ -371,15 +393,8 @@
     HttpExchange exchange, std::shared_ptr<CallerWatch> watch,
     ExchangeTrace& trace) {
   error_code error;
-  ConnectionPtr connection;
-  if (!exchange.fresh_connection) {
-    connection = pool_->TakeIdle(exchange.to, exchange.identity);
-  }
-  if (!connection) {
-    connection =
-        co_await pool_->Open(exchange.to, exchange.connect_timeout, error);
-    if (error) co_return Failure(AttemptStage::kNotConnected, error, false);
-  }
+  ConnectionPtr connection = co_await pool_->Acquire(exchange, error);
+  if (error) co_return Failure(AttemptStage::kNotConnected, error, false);
   const bool reused = !connection->carried.empty();
   trace.connection = connection->number;
   if (watch && watch->hung_up()) {
@@ -420,10 +435,7 @@
     return true;
   });
   const bool is_own = co_await reader.ReadHead(sequence, error);
-  trace.match = sequence.match();
-  trace.answers_skipped = sequence.answers_skipped();
-  trace.is_first_answer = sequence.is_first();
-  trace.doubt = sequence.doubt();
+  RecordAnswers(sequence, trace);
   if (send_watch.was_cut()) co_return CutOff(sent, reused);
   if (sequence.HasStrayBytes()) pool_->RecordStrayBytes(exchange.to);
   if (!is_own) co_return Failure(AttemptStage::kSent, error, reused);
@@ -431,7 +443,7 @@
   if (error) co_return Failure(AttemptStage::kSent, error, reused);
   std::unique_ptr<AnswerParser> parser = reader.TakeParser();
   if (!sequence.RecordBody(parser->get().body())) {
-    trace.doubt = sequence.doubt();
+    RecordAnswers(sequence, trace);
     pool_->RecordStrayBytes(exchange.to);
     co_return Failure(AttemptStage::kSent, error, reused);
   }
--- a/sapphirebank/transport/request_proxy.cc
+++ b/sapphirebank/transport/request_proxy.cc
@@ -212,7 +212,7 @@
   if (proxied.needs_claim()) {
     result = co_await RunWithClaim(proxied);
   } else {
-    result = co_await RunProved(proxied);
+    result = co_await RunAttemptsWithProof(proxied);
   }
   if (!result) co_return Refuse(proxied, result.error());
   HttpAnswer answer = std::move(*result);
@@ -249,7 +249,7 @@
   // Run to the end even if the caller hangs up: the answer is stored for a
   // resend with the same key.
   proxied.watch = nullptr;
-  Result<HttpAnswer> result = co_await RunProved(proxied);
+  Result<HttpAnswer> result = co_await RunAttemptsWithProof(proxied);
   hooks_.complete_claim(ClaimCompletion(claim, result));
   co_return result;
 }
@@ -300,11 +300,11 @@
 
 // Runs the request. A failure says that it has not run only if that is proved
 // for all of its attempts.
-asio::awaitable<Result<HttpAnswer>> RequestProxy::RunProved(
+asio::awaitable<Result<HttpAnswer>> RequestProxy::RunAttemptsWithProof(
     ProxiedRequest& proxied) {
   Result<HttpAnswer> result = co_await RunAttempts(proxied);
   if (!result) {
-    result.error().kind = ProvedKind(proxied.execution, result.error().kind);
+    result.error().kind = KindWithProof(proxied.execution, result.error().kind);
   }
   co_return result;
 }
--- a/sapphirebank/transport/request_proxy.h
+++ b/sapphirebank/transport/request_proxy.h
@@ -100,7 +100,8 @@
       ProxiedRequest& proxied);
   CompleteClaim ClaimCompletion(const Claim& claim,
                                 const Result<HttpAnswer>& result) const;
-  boost::asio::awaitable<Result<HttpAnswer>> RunProved(ProxiedRequest& proxied);
+  boost::asio::awaitable<Result<HttpAnswer>> RunAttemptsWithProof(
+      ProxiedRequest& proxied);
   boost::asio::awaitable<Result<HttpAnswer>> RunAttempts(
       ProxiedRequest& proxied);
   boost::asio::awaitable<ExchangeResult> SendAttempt(
--- a/unit_tests/request/execution_record_test.cc
+++ b/unit_tests/request/execution_record_test.cc
@@ -106,12 +106,12 @@
           "[request]") {
   ExecutionRecord record;
   for (const ErrorAnswer& row : ErrorTable()) {
-    CHECK(ProvedKind(record, row.kind) == row.kind);
+    CHECK(KindWithProof(record, row.kind) == row.kind);
   }
   { const ExecutionRecord::Attempt abandoned(record); }
   for (const ErrorAnswer& row : ErrorTable()) {
     CAPTURE(row.name);
-    const ErrorAnswer& proved = AnswerFor(ProvedKind(record, row.kind));
+    const ErrorAnswer& proved = AnswerFor(KindWithProof(record, row.kind));
     CHECK_FALSE(PromisesNotRun(proved.http_status));
     CHECK(proved.execution == Execution::kUnknown);
   }
@@ -134,14 +134,14 @@
     CAPTURE(row.name);
     const ErrorKind kind = row.kind;
     ExecutionRecord record;
-    CHECK(ProvedKind(record, kind) == kind);
+    CHECK(KindWithProof(record, kind) == kind);
     {
       ExecutionRecord::Attempt attempt(record);
       attempt.End(NotRunEvidence::kNothingSent);
     }
-    CHECK(ProvedKind(record, kind) == kind);
+    CHECK(KindWithProof(record, kind) == kind);
     { const ExecutionRecord::Attempt abandoned(record); }
-    const ErrorKind proved = ProvedKind(record, kind);
+    const ErrorKind proved = KindWithProof(record, kind);
     CHECK(AnswerFor(proved).execution == Execution::kUnknown);
     const bool needs_proof =
         row.execution == Execution::kNotRun || PromisesNotRun(row.http_status);
