--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -390,27 +390,14 @@
 
 void ControlProcess::OnServerRequest(LinkId link, const HostId& from,
                                      const json& message) {
-  DispatchQuery query;
-  query.service = ServiceId(message.at("s").get<std::string>());
-  query.zone = ZoneId(message.at("z").get<std::string>());
-  query.repeatable = message.at("r").get<bool>();
-  query.is_retry = message.at("again").get<bool>();
-  query.latency_objective = ReadDuration(message.at("o"));
-  query.time_left = ReadDuration(message.at("d"));
-  if (const auto workspace = message.find("w"); workspace != message.end()) {
-    query.workspace = WorkspaceId(workspace->get<std::string>());
-  }
-  for (const auto& id : message.at("x")) {
-    query.excluded.insert(BackendId(id.get<std::string>()));
-  }
+  const auto query = message.get<DispatchQuery>();
   const auto number = message.at("n").get<std::uint64_t>();
   const DispatchChoice choice =
       hub_.Assign(Now(), {from, number}, query).value_or(DispatchChoice());
-  links_.Send(link, {{"t", "use"},
-                     {"n", number},
-                     {"id", choice.server.value()},
-                     {"busy", choice.is_busy},
-                     {"token", choice.has_token}});
+  json answer = choice;
+  answer["t"] = "use";
+  answer["n"] = number;
+  links_.Send(link, answer);
 }
 
 void ControlProcess::OnCallDone(const json& message) {
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -256,18 +256,10 @@
 bool EntryLink::RequestServer(std::uint64_t number,
                               const DispatchQuery& query) {
   if (!hub_answered_) return false;
-  json names = json::array();
-  for (const BackendId& id : query.excluded) names.push_back(id.value());
-  json message = {{"t", "ask"},
-                  {"n", number},
-                  {"s", query.service.value()},
-                  {"z", settings_.zone.value()},
-                  {"r", query.repeatable},
-                  {"again", query.is_retry},
-                  {"o", query.latency_objective.count()},
-                  {"d", query.time_left.count()},
-                  {"x", std::move(names)}};
-  if (!query.workspace.empty()) message["w"] = query.workspace.value();
+  json message = query;
+  message["t"] = "ask";
+  message["n"] = number;
+  message["z"] = settings_.zone.value();
   links_.Send(*link_, message);
   return true;
 }
@@ -285,10 +277,8 @@
     } else if (link != link_) {
       return;
     } else if (type == "use") {
-      hooks_.server_assigned(
-          message.at("n").get<std::uint64_t>(),
-          {BackendId(message.at("id").get<std::string>()),
-           message.at("busy").get<bool>(), message.at("token").get<bool>()});
+      hooks_.server_assigned(message.at("n").get<std::uint64_t>(),
+                             message.get<DispatchChoice>());
     } else if (type == "update") {
       ApplyUpdate(message.at("u").get<FleetUpdate>());
     }
--- a/programs/fleet_host/entry_request_context.h
+++ b/programs/fleet_host/entry_request_context.h
@@ -58,6 +58,8 @@
   std::optional<EntryState::Choice> next_choice;
   // The next attempt is charged to the retry budget.
   bool charge_retry_budget = false;
+  // When the hub wants the caller of a refused request to return.
+  std::optional<Duration> return_after;
   // Time spent in exchanges with backend servers.
   Duration backend_time{};
   // Why the request was refused; nothing when a server's answer was passed
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -261,6 +261,11 @@
     }
     const Result<EntryState::Choice> choice = co_await ChooseServer(context);
     if (!choice) co_return Refuse(context, choice.error().kind);
+    if (choice->refusal) {
+      last.failure = choice->refusal->kind;
+      context.return_after = choice->refusal->retry_after;
+      break;
+    }
     if (!choice->server) break;
     last = co_await RunAttempt(context, *choice);
     if (last.assignment_outcome) {
@@ -286,6 +291,14 @@
   query.tried = context.tried;
   query.latency_objective = context.route->latency_objective;
   query.deadline = context.deadline;
+  query.route = context.route->name;
+  query.body_bytes = context.request.body.size();
+  query.rank.route = context.route->rank;
+  query.fingerprint = context.fingerprint;
+  if (context.workspace != nullptr) {
+    query.rank.workspace = context.workspace->rank;
+    query.caller = context.workspace->id;
+  }
   return query;
 }
 
@@ -364,8 +377,9 @@
 HttpAnswer EntryRequestHandler::MakeNotRunRefusal(const NotRunProof& /*proof*/,
                                                   RequestContext& context,
                                                   ErrorKind kind) {
-  HttpAnswer answer = MakeRefusal(
-      context, kind, std::min(AnswerFor(kind).retry_after, kMaxRetryAfter));
+  const Duration retry_after = context.return_after.value_or(
+      std::min(AnswerFor(kind).retry_after, kMaxRetryAfter));
+  HttpAnswer answer = MakeRefusal(context, kind, retry_after);
   if (context.detour) {
     answer.fields.push_back(
         {std::string(kNotRunField), std::string(kNotRunProved)});
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -75,6 +75,11 @@
   hub_query.is_retry = query.is_retry;
   hub_query.workspace = query.workspace;
   hub_query.latency_objective = query.latency_objective;
+  hub_query.route = query.route;
+  hub_query.body_bytes = query.body_bytes;
+  hub_query.rank = query.rank;
+  hub_query.caller = query.caller;
+  hub_query.fingerprint = query.fingerprint;
   hub_query.time_left = std::max(query.deadline - now, Duration::zero());
   for (const KnownServerPtr& server : query.tried) {
     hub_query.excluded.insert(server->state.announcement.id);
@@ -110,6 +115,10 @@
       choice.is_busy = waiter->choice.is_busy;
       co_return choice;
     }
+    if (waiter->choice.refusal) {
+      choice.refusal = waiter->choice.refusal;
+      co_return choice;
+    }
     hooks_.end_assignment(number, AssignmentOutcome::kInconclusive);
     query.may_use_rate_limited = !waiter->answered;
   }
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -123,6 +123,8 @@
     bool has_token = false;
     // The hub did not answer in time, this question or one shortly before.
     bool hub_is_silent = false;
+    // The hub refused the request.
+    std::optional<DispatchRefusal> refusal;
   };
 
   // Returns the server that the hub assigns, or one that this host chooses when
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -93,7 +93,7 @@
   out = json::array({server.id.value(), server.service.value(),
                      ToString(server.endpoint), server.zone.value(),
                      server.slots, server.leaving, server.warm_up_left.count(),
-                     server.sequence, server.incarnation});
+                     server.sequence, server.incarnation, server.version});
 }
 
 void from_json(const json& in, ServerAnnouncement& server) {
@@ -108,6 +108,8 @@
   server.warm_up_left = ReadDuration(in.at(6));
   in.at(7).get_to(server.sequence);
   in.at(8).get_to(server.incarnation);
+  // Earlier builds do not send it.
+  if (in.size() > 9) in.at(9).get_to(server.version);
 }
 
 void to_json(json& out, const ReadyHost& host) {
--- /dev/null
+++ b/sapphirebank/fleet/rollout.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+#include "sapphirebank/core/ids.h"
+#include "sapphirebank/core/time.h"
+
+namespace sapphirebank {
+
+// Progress of a rollout: the move of a service's requests to the servers that
+// announce another version.
+enum class RolloutPhase : std::uint8_t {
+  // The new version gets a bounded share of the requests and is compared with
+  // the others.
+  kTrial,
+  // The new version gets all requests; those in flight at other servers end.
+  kSwitch,
+  // The other servers may stop.
+  kCompleted,
+  // The new version gets no requests.
+  kRolledBack,
+};
+
+// A rollout of one service, as the replicated record holds it.
+struct Rollout {
+  ServiceId service;
+  std::string target_version;
+  // Time from the order by which the rollout should be completed.
+  Duration duration{};
+  // Number of the order, which increases with each order of the fleet.
+  std::uint64_t order = 0;
+  RolloutPhase phase = RolloutPhase::kTrial;
+  // Why the phase is what it is, for operators.
+  std::string reason;
+
+  bool IsOver() const {
+    return phase == RolloutPhase::kCompleted ||
+           phase == RolloutPhase::kRolledBack;
+  }
+
+  friend bool operator==(const Rollout&, const Rollout&) = default;
+};
+
+// Which requests a server may get, by its version.
+enum class VersionUse : std::uint8_t {
+  kOpen,     // All.
+  kByShare,  // Those that its hub grants to the new version.
+  kNone,
+};
+
+// Returns the use of a server of `version` while `rollout` is the last one of
+// its service.
+inline VersionUse UseOf(const Rollout& rollout, std::string_view version) {
+  const bool is_target = version == rollout.target_version;
+  switch (rollout.phase) {
+    case RolloutPhase::kTrial:
+      return is_target ? VersionUse::kByShare : VersionUse::kOpen;
+    case RolloutPhase::kSwitch:
+    case RolloutPhase::kCompleted:
+      return is_target ? VersionUse::kOpen : VersionUse::kNone;
+    case RolloutPhase::kRolledBack:
+      return is_target ? VersionUse::kNone : VersionUse::kOpen;
+  }
+  return VersionUse::kNone;
+}
+
+}  // namespace sapphirebank
--- a/sapphirebank/fleet/server_announcement.cc
+++ b/sapphirebank/fleet/server_announcement.cc
@@ -45,6 +45,9 @@
       server.warm_up_left > kLongestReadDuration) {
     return fail("remaining warm-up");
   }
+  if (!server.version.empty() && !IsName(server.version)) {
+    return fail("version");
+  }
   if (server.sequence > kMaxExactNumber) return fail("sequence");
   if (server.incarnation > kMaxExactNumber) return fail("incarnation");
   return {};
--- a/sapphirebank/fleet/server_announcement.h
+++ b/sapphirebank/fleet/server_announcement.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "sapphirebank/core/endpoint.h"
@@ -14,6 +15,8 @@
 struct ServerAnnouncement {
   BackendId id;
   ServiceId service;
+  // Version of the server's software; empty if it announces none.
+  std::string version;
   Endpoint endpoint;
   ZoneId zone;
   std::uint32_t slots = 1;
--- a/sapphirebank/fleet/server_chooser.h
+++ b/sapphirebank/fleet/server_chooser.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <cstdint>
 #include <span>
+#include <string>
 #include <vector>
 
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/random.h"
 #include "sapphirebank/core/time.h"
+#include "sapphirebank/fleet/dispatch_query.h"
 #include "sapphirebank/fleet/entry_view.h"
 #include "sapphirebank/fleet/traffic_plan.h"
 
@@ -41,6 +44,12 @@
   // Latency objective of the route, and the deadline of the request.
   Duration latency_objective{};
   Instant deadline;
+  // For the hub; see DispatchQuery.
+  std::string route;
+  std::uint64_t body_bytes = 0;
+  RequestRank rank;
+  WorkspaceId caller;
+  RequestFingerprint fingerprint = 0;
 };
 
 // Chooses the backend server for an attempt: the less loaded of two random
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -12,6 +12,7 @@
 #include "sapphirebank/core/random.h"
 #include "sapphirebank/core/time.h"
 #include "sapphirebank/fleet/attempt_duration_estimator.h"
+#include "sapphirebank/fleet/dispatch_query.h"
 #include "sapphirebank/fleet/server_liveness_tracker.h"
 #include "sapphirebank/fleet/server_registry.h"
 #include "sapphirebank/fleet/server_token_buckets.h"
@@ -54,36 +55,6 @@
   Duration full_server_penalty = std::chrono::milliseconds(150);
 };
 
-// An entry host's request for a backend server.
-struct DispatchQuery {
-  ServiceId service;
-  // Zone of the entry host, whose servers are preferred.
-  ZoneId zone;
-  bool repeatable = false;
-  // An attempt after one that reached a server; it is charged to the retry
-  // budget.
-  bool is_retry = false;
-  // Servers already tried, or that the host cannot reach.
-  std::set<BackendId> excluded;
-  // Latency objective of the route. Requests of a service that have the same
-  // one are taken to need the same work.
-  Duration latency_objective = std::chrono::seconds(1);
-  // Time left until the request's deadline.
-  Duration time_left = std::chrono::seconds(4);
-  // Workspace from whose rate a token is taken first; empty for none.
-  WorkspaceId workspace;
-};
-
-// The server assigned to a request.
-struct DispatchChoice {
-  BackendId server;
-  // Requests are or may be queued at the server, so a late answer says
-  // nothing about its health.
-  bool is_busy = false;
-  // A rate token was taken, if the query asked for one.
-  bool has_token = false;
-};
-
 // Identifies an assignment by the entry host and the host's number for it.
 using AssignmentId = std::pair<HostId, std::uint64_t>;
 
--- a/sapphirebank/fleet/traffic_plan.h
+++ b/sapphirebank/fleet/traffic_plan.h
@@ -37,6 +37,8 @@
   int max_tries = 1;
   // Requests need no key.
   bool open = false;
+  // Rank of its requests where room is short; 0 is the most urgent.
+  int rank = 0;
   std::vector<RouteShare> shares;
 };
 
@@ -53,6 +55,8 @@
   std::vector<std::string> keys;
   double rate = 0;  // Requests per second over all hosts; 0 is unlimited.
   double burst = 0;
+  // Rank of its requests where room is short; 0 is the most urgent.
+  int rank = 0;
 };
 
 // Limits on the size and duration of callers' requests.
