Rollouts in the replicated record

Orders and phases of rollouts live in FleetRecord and its log commands. Of several orders for a service at once one takes effect; a repeated order and a stale leader's phase change nothing.

The objects of the changed files compile; unit tests not run yet. Samples of rollouts are a stub until the hub collects them.

--- a/sapphirebank/consensus/control_command.cc
+++ b/sapphirebank/consensus/control_command.cc
@@ -118,7 +118,7 @@
 // Encoded names of the alternatives of ControlCommand, in the same order.
 constexpr auto kCommandNames = std::to_array<std::string_view>(
     {"change", "restore", "claim", "complete", "end_host", "clock", "plan",
-     "zone", "retire"});
+     "zone", "retire", "rollout", "rollout_phase"});
 static_assert(kCommandNames.size() == std::variant_size_v<ControlCommand>);
 
 template <std::size_t kIndex = 0>
--- a/sapphirebank/consensus/control_command.h
+++ b/sapphirebank/consensus/control_command.h
@@ -106,7 +106,7 @@
 using ControlCommand =
     std::variant<ApplyChange, RestoreDeclarations, Claim, CompleteClaim,
                  ExpireIncarnations, AdvanceClock, StorePlan, SetZoneOut,
-                 RetireBackend>;
+                 RetireBackend, StartRollout, SetRolloutPhase>;
 
 // Returns `command` as CBOR.
 std::string EncodeCommand(const ControlCommand& command);
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -18,6 +18,7 @@
 #include "sapphirebank/fleet/plan_history.h"
 #include "sapphirebank/fleet/retry_budget_share.h"
 #include "sapphirebank/fleet/server_dispatcher.h"
+#include "sapphirebank/fleet/rollout_samples.h"
 #include "sapphirebank/fleet/server_registry.h"
 #include "sapphirebank/fleet/traffic_plan.h"
 #include "sapphirebank/fleet/workspace_token_buckets.h"
@@ -161,6 +162,9 @@
     return registry_.TakeHealthChanges();
   }
 
+  // Leader only: returns what all hosts saw of rollouts since the last call.
+  std::map<ServiceId, RolloutSamples> TakeRolloutSamples() { return {}; }
+
  private:
   // An entry host or a relay that reports here.
   struct Reporter {
--- a/sapphirebank/fleet/fleet_record.cc
+++ b/sapphirebank/fleet/fleet_record.cc
@@ -7,6 +7,52 @@
 
 using nlohmann::json;
 
+namespace {
+
+bool MayFollow(RolloutPhase from, RolloutPhase to) {
+  switch (from) {
+    case RolloutPhase::kTrial:
+      return to == RolloutPhase::kSwitch || to == RolloutPhase::kRolledBack;
+    case RolloutPhase::kSwitch:
+      return to == RolloutPhase::kCompleted || to == RolloutPhase::kRolledBack;
+    case RolloutPhase::kCompleted:
+    case RolloutPhase::kRolledBack:
+      return false;
+  }
+  return false;
+}
+
+RolloutPhase PhaseFromJson(const json& in) {
+  const auto phase = in.get<unsigned>();
+  if (phase > static_cast<unsigned>(RolloutPhase::kRolledBack)) {
+    throw json::out_of_range::create(401, "unknown phase of a rollout", &in);
+  }
+  return static_cast<RolloutPhase>(phase);
+}
+
+json RolloutToJson(const Rollout& rollout, std::uint64_t change) {
+  return {{"service", rollout.service.value()},
+          {"target", rollout.target_version},
+          {"duration", rollout.duration.count()},
+          {"order", rollout.order},
+          {"phase", static_cast<unsigned>(rollout.phase)},
+          {"reason", rollout.reason},
+          {"change", change}};
+}
+
+Rollout RolloutFromJson(const json& in) {
+  Rollout rollout;
+  rollout.service = ServiceId(in.at("service").get<std::string>());
+  in.at("target").get_to(rollout.target_version);
+  rollout.duration = Duration(in.at("duration").get<std::int64_t>());
+  in.at("order").get_to(rollout.order);
+  rollout.phase = PhaseFromJson(in.at("phase"));
+  in.at("reason").get_to(rollout.reason);
+  return rollout;
+}
+
+}  // namespace
+
 void FleetRecord::Apply(const StorePlan& plan) {
   if (plan.version <= version_) return;
   version_ = plan.version;
@@ -46,6 +92,48 @@
   retired_.erase(oldest);
 }
 
+void FleetRecord::Apply(const StartRollout& start) {
+  const Rollout* const last = FindRollout(start.service);
+  if (last != nullptr && !last->IsOver()) return;
+  if ((last != nullptr ? last->order : 0) != start.follows) return;
+  Rollout rollout;
+  rollout.service = start.service;
+  rollout.target_version = start.target_version;
+  rollout.duration = start.duration;
+  rollout.order = ++changes_;
+  rollout_changes_[start.service] = changes_;
+  rollouts_[start.service] = std::move(rollout);
+}
+
+void FleetRecord::Apply(const SetRolloutPhase& step) {
+  const auto found = rollouts_.find(step.service);
+  if (found == rollouts_.end()) return;
+  Rollout& rollout = found->second;
+  if (rollout.order != step.order) return;
+  if (!MayFollow(rollout.phase, step.phase)) return;
+  rollout.phase = step.phase;
+  rollout.reason = step.reason;
+  rollout_changes_[step.service] = ++changes_;
+  if (step.phase == RolloutPhase::kCompleted) {
+    current_versions_[step.service] = rollout.target_version;
+  }
+}
+
+const Rollout* FleetRecord::FindRollout(const ServiceId& service) const {
+  const auto found = rollouts_.find(service);
+  return found == rollouts_.end() ? nullptr : &found->second;
+}
+
+std::string FleetRecord::CurrentVersion(const ServiceId& service) const {
+  const auto found = current_versions_.find(service);
+  return found == current_versions_.end() ? std::string() : found->second;
+}
+
+std::uint64_t FleetRecord::RolloutChange(const ServiceId& service) const {
+  const auto found = rollout_changes_.find(service);
+  return found == rollout_changes_.end() ? 0 : found->second;
+}
+
 bool FleetRecord::IsRetired(const BackendId& backend,
                             Incarnation incarnation) const {
   const auto found = retired_.find(backend);
@@ -88,6 +176,18 @@
          {"zone_changes", std::move(zone_changes)},
          {"retired", std::move(retired)},
          {"changes", record.changes_}};
+  if (!record.rollouts_.empty()) {
+    json rollouts = json::array();
+    for (const auto& [service, rollout] : record.rollouts_) {
+      rollouts.push_back(RolloutToJson(rollout, record.RolloutChange(service)));
+    }
+    json versions = json::array();
+    for (const auto& [service, version] : record.current_versions_) {
+      versions.push_back({service.value(), version});
+    }
+    out["rollouts"] = std::move(rollouts);
+    out["versions"] = std::move(versions);
+  }
   // Read by earlier builds.
   if (!record.plan_changes_.empty()) {
     out["plan_change"] = record.plan_changes_.rbegin()->second;
@@ -126,6 +226,24 @@
     record.retired_[BackendId(item.at(0).get<std::string>())] = {
         item.at(1).get<Incarnation>(), item.at(2).get<std::uint64_t>()};
   }
+  record.rollouts_.clear();
+  record.rollout_changes_.clear();
+  record.current_versions_.clear();
+  // Earlier builds have no rollouts.
+  if (const auto found = in.find("rollouts"); found != in.end()) {
+    for (const auto& item : *found) {
+      Rollout rollout = RolloutFromJson(item);
+      const ServiceId service = rollout.service;
+      item.at("change").get_to(record.rollout_changes_[service]);
+      record.rollouts_[service] = std::move(rollout);
+    }
+  }
+  if (const auto found = in.find("versions"); found != in.end()) {
+    for (const auto& item : *found) {
+      record.current_versions_[ServiceId(item.at(0).get<std::string>())] =
+          item.at(1).get<std::string>();
+    }
+  }
 }
 
 void to_json(json& out, const StorePlan& plan) {
@@ -156,4 +274,32 @@
   in.at("incarnation").get_to(backend.incarnation);
 }
 
+void to_json(json& out, const StartRollout& start) {
+  out = {{"service", start.service.value()},
+         {"target", start.target_version},
+         {"duration", start.duration.count()},
+         {"follows", start.follows}};
+}
+
+void from_json(const json& in, StartRollout& start) {
+  start.service = ServiceId(in.at("service").get<std::string>());
+  in.at("target").get_to(start.target_version);
+  start.duration = Duration(in.at("duration").get<std::int64_t>());
+  in.at("follows").get_to(start.follows);
+}
+
+void to_json(json& out, const SetRolloutPhase& step) {
+  out = {{"service", step.service.value()},
+         {"order", step.order},
+         {"phase", static_cast<unsigned>(step.phase)},
+         {"reason", step.reason}};
+}
+
+void from_json(const json& in, SetRolloutPhase& step) {
+  step.service = ServiceId(in.at("service").get<std::string>());
+  in.at("order").get_to(step.order);
+  step.phase = PhaseFromJson(in.at("phase"));
+  in.at("reason").get_to(step.reason);
+}
+
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/fleet_record.h
+++ b/sapphirebank/fleet/fleet_record.h
@@ -10,6 +10,8 @@
 
 #include "sapphirebank/core/error.h"
 #include "sapphirebank/core/ids.h"
+#include "sapphirebank/core/time.h"
+#include "sapphirebank/fleet/rollout.h"
 
 namespace sapphirebank {
 
@@ -43,8 +45,34 @@
   friend bool operator==(const RetireBackend&, const RetireBackend&) = default;
 };
 
+// Command that orders a rollout of a service.
+struct StartRollout {
+  ServiceId service;
+  std::string target_version;
+  Duration duration{};
+  // Order number of the service's last rollout, which must be over, or 0 if it
+  // had none. With another one the command changes nothing, so that of several
+  // orders at once one takes effect, and a repeated one none.
+  std::uint64_t follows = 0;
+
+  friend bool operator==(const StartRollout&, const StartRollout&) = default;
+};
+
+// Command that moves the rollout `order` of a service to another phase. It
+// changes nothing if that is not the last rollout or if the phase does not
+// follow its present one.
+struct SetRolloutPhase {
+  ServiceId service;
+  std::uint64_t order = 0;
+  RolloutPhase phase = RolloutPhase::kTrial;
+  std::string reason;
+
+  friend bool operator==(const SetRolloutPhase&,
+                         const SetRolloutPhase&) = default;
+};
+
 // State replicated among the control hosts: the traffic plan, the zones out of
-// service, and the retired incarnations of backend servers.
+// service, the retired incarnations of backend servers, and the rollouts.
 class FleetRecord {
  public:
   // Maximum of retired incarnations kept. Late heartbeats arrive within
@@ -59,11 +87,28 @@
   void Apply(const StorePlan& plan);
   void Apply(const SetZoneOut& zone);
   void Apply(const RetireBackend& backend);
+  void Apply(const StartRollout& start);
+  void Apply(const SetRolloutPhase& step);
 
   PlanVersion version() const { return version_; }
   const std::string& document() const { return document_; }
   const std::set<ZoneId>& zones_out() const { return zones_out_; }
 
+  // Returns the last rollout of each service. The order number of a rollout is
+  // that of the change that started it.
+  const std::map<ServiceId, Rollout>& rollouts() const { return rollouts_; }
+
+  // Returns the last rollout of the service, or null.
+  const Rollout* FindRollout(const ServiceId& service) const;
+
+  // Returns the version to which the last completed rollout of the service
+  // moved it; empty without one.
+  std::string CurrentVersion(const ServiceId& service) const;
+
+  // Returns the number of the change that brought the service's last rollout to
+  // its phase, or 0 without a rollout.
+  std::uint64_t RolloutChange(const ServiceId& service) const;
+
   // Returns whether this incarnation of the backend server is retired.
   bool IsRetired(const BackendId& backend, Incarnation incarnation) const;
 
@@ -103,6 +148,9 @@
   std::set<ZoneId> zones_out_;
   std::map<ZoneId, std::uint64_t> zone_changes_;
   std::map<BackendId, Retirement> retired_;
+  std::map<ServiceId, Rollout> rollouts_;
+  std::map<ServiceId, std::uint64_t> rollout_changes_;
+  std::map<ServiceId, std::string> current_versions_;
   std::uint64_t changes_ = 0;
 };
 
@@ -112,5 +160,9 @@
 void from_json(const nlohmann::json& json, SetZoneOut& zone);
 void to_json(nlohmann::json& json, const RetireBackend& backend);
 void from_json(const nlohmann::json& json, RetireBackend& backend);
+void to_json(nlohmann::json& json, const StartRollout& start);
+void from_json(const nlohmann::json& json, StartRollout& start);
+void to_json(nlohmann::json& json, const SetRolloutPhase& step);
+void from_json(const nlohmann::json& json, SetRolloutPhase& step);
 
 }  // namespace sapphirebank
--- a/unit_tests/fleet/fleet_record_test.cc
+++ b/unit_tests/fleet/fleet_record_test.cc
@@ -109,10 +109,88 @@
   CHECK(restored->fleet().ZoneChange(ZoneId("kochi")) == 2);
 }
 
+TEST_CASE("of two rollout orders at once one takes effect", "[fleet]") {
+  const ServiceId docs("docs");
+  FleetRecord record;
+  record.Apply(StorePlan{4, "four"});
+  record.Apply(StartRollout{docs, "v2", std::chrono::seconds(12)});
+  record.Apply(StartRollout{docs, "v3", std::chrono::seconds(9)});
+  CHECK(record.changes() == 2);
+  REQUIRE(record.FindRollout(docs) != nullptr);
+  CHECK(record.FindRollout(docs)->target_version == "v2");
+  CHECK(record.FindRollout(docs)->order == 2);
+}
+
+// An order that is sent again as its acknowledgement was lost may be in the log
+// a second time after the end of the first.
+TEST_CASE("a repeated rollout order changes nothing", "[fleet]") {
+  const ServiceId docs("docs");
+  const StartRollout order{docs, "v2", std::chrono::seconds(12)};
+  FleetRecord record;
+  record.Apply(order);
+  record.Apply(SetRolloutPhase{docs, 1, RolloutPhase::kRolledBack, "bad"});
+  record.Apply(order);
+  CHECK(record.FindRollout(docs)->phase == RolloutPhase::kRolledBack);
+  CHECK(record.changes() == 2);
+  StartRollout next = order;
+  next.follows = 1;
+  record.Apply(next);
+  CHECK(record.FindRollout(docs)->phase == RolloutPhase::kTrial);
+  CHECK(record.FindRollout(docs)->order == 3);
+}
+
+TEST_CASE("a stale leader's phase of a rollout changes nothing", "[fleet]") {
+  const ServiceId docs("docs");
+  FleetRecord record;
+  const auto step = [&](std::uint64_t order, RolloutPhase phase) {
+    record.Apply(SetRolloutPhase{docs, order, phase, "reason"});
+    return record.FindRollout(docs)->phase;
+  };
+  record.Apply(StartRollout{docs, "v2", std::chrono::seconds(12)});
+  CHECK(step(1, RolloutPhase::kCompleted) == RolloutPhase::kTrial);
+  CHECK(step(1, RolloutPhase::kRolledBack) == RolloutPhase::kRolledBack);
+  // The former leader had not seen the roll-back.
+  CHECK(step(1, RolloutPhase::kSwitch) == RolloutPhase::kRolledBack);
+  CHECK(step(1, RolloutPhase::kCompleted) == RolloutPhase::kRolledBack);
+  record.Apply(StartRollout{docs, "v3", std::chrono::seconds(12), 1});
+  const std::uint64_t order = record.FindRollout(docs)->order;
+  CHECK(step(1, RolloutPhase::kRolledBack) == RolloutPhase::kTrial);
+  CHECK(step(order, RolloutPhase::kSwitch) == RolloutPhase::kSwitch);
+  CHECK(step(order, RolloutPhase::kTrial) == RolloutPhase::kSwitch);
+  CHECK(record.CurrentVersion(docs).empty());
+  CHECK(step(order, RolloutPhase::kCompleted) == RolloutPhase::kCompleted);
+  CHECK(step(order, RolloutPhase::kRolledBack) == RolloutPhase::kCompleted);
+  CHECK(record.CurrentVersion(docs) == "v3");
+  CHECK(record.RolloutChange(docs) == record.changes());
+}
+
+TEST_CASE("rollouts survive a snapshot, and snapshots without them are read",
+          "[fleet]") {
+  const ServiceId docs("docs");
+  ControlState state;
+  REQUIRE(state.Apply(StorePlan{4, "four"}));
+  const nlohmann::json before = state.fleet();
+  CHECK_FALSE(before.contains("rollouts"));
+  CHECK(before.get<FleetRecord>().rollouts().empty());
+  REQUIRE(state.Apply(StartRollout{docs, "v2", std::chrono::seconds(12)}));
+  REQUIRE(state.Apply(SetRolloutPhase{docs, 2, RolloutPhase::kSwitch, "good"}));
+  REQUIRE(
+      state.Apply(SetRolloutPhase{docs, 2, RolloutPhase::kCompleted, "done"}));
+  REQUIRE(state.Apply(StartRollout{docs, "v3", std::chrono::seconds(9), 2}));
+  const auto restored = ControlState::Restore(state.Snapshot());
+  REQUIRE(restored);
+  CHECK(restored->Snapshot() == state.Snapshot());
+  CHECK(restored->fleet().rollouts() == state.fleet().rollouts());
+  CHECK(restored->fleet().CurrentVersion(docs) == "v2");
+  CHECK(restored->fleet().RolloutChange(docs) == 5);
+}
+
 TEST_CASE("record commands survive the log encoding", "[fleet]") {
   const std::vector<ControlCommand> commands = {
       StorePlan{3, "three"}, SetZoneOut{ZoneId("kochi"), true},
-      RetireBackend{BackendId("a"), 8}};
+      RetireBackend{BackendId("a"), 8},
+      StartRollout{ServiceId("docs"), "v2", std::chrono::seconds(12), 7},
+      SetRolloutPhase{ServiceId("docs"), 8, RolloutPhase::kRolledBack, "bad"}};
   for (const ControlCommand& command : commands) {
     CHECK(DecodeCommand(EncodeCommand(command)) == command);
   }
