Rolled back versions stay without requests in the next rollout

A rolled back version's servers may still run when another version is ordered; by the last rollout alone they counted as servers of the old version. Rollout gets the barred versions, kept in the record. Rollouts as JSON have a codec of their own, for messages too.

--- a/sapphirebank/fleet/fleet_record.cc
+++ b/sapphirebank/fleet/fleet_record.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <vector>
+
+#include "sapphirebank/fleet/rollout_codec.h"
 
 namespace sapphirebank {
 
@@ -22,33 +25,21 @@
   return false;
 }
 
-RolloutPhase PhaseFromJson(const json& in) {
-  const auto phase = in.get<unsigned>();
-  if (phase > static_cast<unsigned>(RolloutPhase::kRolledBack)) {
-    throw json::out_of_range::create(401, "unknown phase of a rollout", &in);
+// Returns the versions without requests while a rollout to `target` follows
+// `last`.
+std::vector<std::string> BarredVersions(const Rollout* last,
+                                        const std::string& target) {
+  std::vector<std::string> barred;
+  if (last == nullptr) return barred;
+  barred = last->barred_versions;
+  if (last->phase == RolloutPhase::kRolledBack) {
+    barred.push_back(last->target_version);
   }
-  return static_cast<RolloutPhase>(phase);
-}
-
-json RolloutToJson(const Rollout& rollout, std::uint64_t change) {
-  return {{"service", rollout.service.value()},
-          {"target", rollout.target_version},
-          {"duration", rollout.duration.count()},
-          {"order", rollout.order},
-          {"phase", static_cast<unsigned>(rollout.phase)},
-          {"reason", rollout.reason},
-          {"change", change}};
-}
-
-Rollout RolloutFromJson(const json& in) {
-  Rollout rollout;
-  rollout.service = ServiceId(in.at("service").get<std::string>());
-  in.at("target").get_to(rollout.target_version);
-  rollout.duration = Duration(in.at("duration").get<std::int64_t>());
-  in.at("order").get_to(rollout.order);
-  rollout.phase = PhaseFromJson(in.at("phase"));
-  in.at("reason").get_to(rollout.reason);
-  return rollout;
+  std::erase(barred, target);
+  if (barred.size() > FleetRecord::kMaxBarredVersions) {
+    barred.erase(barred.begin());
+  }
+  return barred;
 }
 
 }  // namespace
@@ -100,6 +91,7 @@
   rollout.service = start.service;
   rollout.target_version = start.target_version;
   rollout.duration = start.duration;
+  rollout.barred_versions = BarredVersions(last, start.target_version);
   rollout.order = ++changes_;
   rollout_changes_[start.service] = changes_;
   rollouts_[start.service] = std::move(rollout);
@@ -179,7 +171,8 @@
   if (!record.rollouts_.empty()) {
     json rollouts = json::array();
     for (const auto& [service, rollout] : record.rollouts_) {
-      rollouts.push_back(RolloutToJson(rollout, record.RolloutChange(service)));
+      rollouts.push_back(RolloutToJson(rollout));
+      rollouts.back()["change"] = record.RolloutChange(service);
     }
     json versions = json::array();
     for (const auto& [service, version] : record.current_versions_) {
@@ -298,7 +291,7 @@
 void from_json(const json& in, SetRolloutPhase& step) {
   step.service = ServiceId(in.at("service").get<std::string>());
   in.at("order").get_to(step.order);
-  step.phase = PhaseFromJson(in.at("phase"));
+  step.phase = RolloutPhaseFromJson(in.at("phase"));
   in.at("reason").get_to(step.reason);
 }
 
--- a/sapphirebank/fleet/fleet_record.h
+++ b/sapphirebank/fleet/fleet_record.h
@@ -84,6 +84,9 @@
   // repeat a plan for seconds, in which a few dozen others may follow.
   static constexpr std::size_t kMaxPlanChanges = 256;
 
+  // Maximum of rolled back versions of a service that get no requests.
+  static constexpr std::size_t kMaxBarredVersions = 16;
+
   void Apply(const StorePlan& plan);
   void Apply(const SetZoneOut& zone);
   void Apply(const RetireBackend& backend);
--- a/sapphirebank/fleet/rollout.h
+++ b/sapphirebank/fleet/rollout.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/time.h"
@@ -34,6 +36,14 @@
   RolloutPhase phase = RolloutPhase::kTrial;
   // Why the phase is what it is, for operators.
   std::string reason;
+  // Versions from which earlier rollouts were rolled back, oldest first. Their
+  // servers may still run and get no requests.
+  std::vector<std::string> barred_versions;
+
+  bool IsBarred(std::string_view version) const {
+    return std::find(barred_versions.begin(), barred_versions.end(), version) !=
+           barred_versions.end();
+  }
 
   bool IsOver() const {
     return phase == RolloutPhase::kCompleted ||
@@ -53,6 +63,7 @@
 // Returns the use of a server of `version` while `rollout` is the last one of
 // its service.
 inline VersionUse UseOf(const Rollout& rollout, std::string_view version) {
+  if (rollout.IsBarred(version)) return VersionUse::kNone;
   const bool is_target = version == rollout.target_version;
   switch (rollout.phase) {
     case RolloutPhase::kTrial:
--- a/unit_tests/fleet/fleet_record_test.cc
+++ b/unit_tests/fleet/fleet_record_test.cc
@@ -139,6 +139,28 @@
   CHECK(record.FindRollout(docs)->order == 3);
 }
 
+// Its servers may still run when the next version comes.
+TEST_CASE("a rolled back version gets no requests in the next rollout",
+          "[fleet]") {
+  const ServiceId docs("docs");
+  const auto use = [&](const FleetRecord& record, const char* version) {
+    return UseOf(*record.FindRollout(docs), version);
+  };
+  FleetRecord record;
+  record.Apply(StartRollout{docs, "v2", std::chrono::seconds(12)});
+  record.Apply(SetRolloutPhase{docs, 1, RolloutPhase::kRolledBack, "bad"});
+  record.Apply(StartRollout{docs, "v3", std::chrono::seconds(12), 1});
+  CHECK(use(record, "v1") == VersionUse::kOpen);
+  CHECK(use(record, "v2") == VersionUse::kNone);
+  CHECK(use(record, "v3") == VersionUse::kByShare);
+  const nlohmann::json snapshot = record;
+  CHECK(use(snapshot.get<FleetRecord>(), "v2") == VersionUse::kNone);
+  record.Apply(SetRolloutPhase{docs, 3, RolloutPhase::kRolledBack, "bad"});
+  record.Apply(StartRollout{docs, "v2", std::chrono::seconds(12), 3});
+  CHECK(use(record, "v2") == VersionUse::kByShare);
+  CHECK(use(record, "v3") == VersionUse::kNone);
+}
+
 TEST_CASE("a stale leader's phase of a rollout changes nothing", "[fleet]") {
   const ServiceId docs("docs");
   FleetRecord record;
