--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -17,6 +17,7 @@
 #include "sapphirebank/fleet/fleet_record.h"
 #include "sapphirebank/fleet/plan_history.h"
 #include "sapphirebank/fleet/retry_budget_share.h"
+#include "sapphirebank/fleet/rollout_samples.h"
 #include "sapphirebank/fleet/server_dispatcher.h"
 #include "sapphirebank/fleet/server_registry.h"
 #include "sapphirebank/fleet/traffic_plan.h"
@@ -161,6 +162,12 @@
     return registry_.TakeHealthChanges();
   }
 
+  // Authority only: returns what all hosts saw of the services with a trial
+  // since the last call.
+  std::map<ServiceId, RolloutSamples> TakeRolloutSamples() {
+    return std::exchange(rollout_samples_, {});
+  }
+
  private:
   // An entry host or a relay that reports here.
   struct Reporter {
@@ -239,6 +246,7 @@
   Instant rates_settled_at_;  // Authority only: from then on they are sent.
   std::vector<RequestFingerprint> quarantined_;
   std::uint32_t total_entry_hosts_ = 1;
+  std::map<ServiceId, RolloutSamples> rollout_samples_;
   // Version of the state that all updates share.
   std::uint64_t shared_state_version_ = 1;
   Instant next_shared_state_at_;
