--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -162,8 +162,11 @@
     return registry_.TakeHealthChanges();
   }
 
-  // Leader only: returns what all hosts saw of rollouts since the last call.
-  std::map<ServiceId, RolloutSamples> TakeRolloutSamples() { return {}; }
+  // Authority only: returns what all hosts saw of the services with a trial
+  // since the last call.
+  std::map<ServiceId, RolloutSamples> TakeRolloutSamples() {
+    return std::exchange(rollout_samples_, {});
+  }
 
  private:
   // An entry host or a relay that reports here.
@@ -243,6 +246,7 @@
   Instant rates_settled_at_;  // Authority only: from then on they are sent.
   std::vector<RequestFingerprint> quarantined_;
   std::uint32_t total_entry_hosts_ = 1;
+  std::map<ServiceId, RolloutSamples> rollout_samples_;
   // Version of the state that all updates share.
   std::uint64_t shared_state_version_ = 1;
   Instant next_shared_state_at_;
