Rollouts: versions limit what servers get, a share for the trial, samples

Hosts and hubs sent requests to servers of any version. Now the rollouts of the record say which servers may be used; a version in its trial gets a fraction of the requests that hubs assign, and hosts report how attempts end. Objects of the library compile; unit tests not run yet.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -230,6 +230,7 @@
   PushUpdates(now);
   PublishReady(now);
   LogHealthChanges();
+  LogShareChanges();
 }
 
 void ControlProcess::LogHealthChanges() {
@@ -245,6 +246,20 @@
   }
 }
 
+void ControlProcess::LogShareChanges() {
+  for (const RolloutShareChange& change : hub_.TakeShareChanges()) {
+    log_.Write(
+        LogLevel::kInfo, "rollout_share",
+        {{"service", change.service.value()},
+         {"order", change.order},
+         {"grants", change.is_granting},
+         {"reason", change.is_granting
+                        ? "the leader has confirmed this hub"
+                        : "the confirmation of this hub is too old"},
+         {"confirmation_age_ms", ToSeconds(change.confirmation_age) * 1e3}});
+  }
+}
+
 void ControlProcess::UpdateMetrics(Instant now) {
   if (now < next_metrics_) return;
   next_metrics_ = now + kMetricsPeriod;
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -122,6 +122,7 @@
   void SendUpdate(LinkId link, FleetUpdate update, Instant now);
   void PublishReady(Instant now);
   void LogHealthChanges();
+  void LogShareChanges();
   void LogHostsBehind(Instant now);
   void LogLateHandling(const HostId& from, Instant arrived_at);
   void UpdateMetrics(Instant now);
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -392,6 +392,7 @@
                                      const json& message) {
   const auto query = message.get<DispatchQuery>();
   const auto number = message.at("n").get<std::uint64_t>();
+  hub_.RecordConfirmation(confirmed_as_of_);
   const DispatchChoice choice =
       hub_.Assign(Now(), {from, number}, query).value_or(DispatchChoice());
   json answer = choice;
--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -145,6 +145,7 @@
   timer.cancel();
   context.request.watch->set_on_hang_up(nullptr);
   AttemptResult attempt = Classify(context, choice, result, guard, now);
+  if (attempt.received_by_server) CountRolloutRequest(*server);
   execution.End(attempt.evidence);
   context.attempts.push_back(
       {target.id.value(), result.trace, attempt.evidence});
@@ -164,8 +165,15 @@
     failure->timed_out = failure->timed_out || abandoned || is_over;
     const bool blames_server =
         !is_over && !failure->cut_off && !(abandoned && choice.is_busy);
+    // A version in its trial gets requests only where it has a free slot as far
+    // as its hub knows, so the attempt tells of its speed also then.
+    if (abandoned && choice.is_busy && !is_over &&
+        choice.server->version_use == VersionUse::kByShare) {
+      state_.RecordEnd(*choice.server,
+                       EndOf(context, *choice.server, sent_at, false));
+    }
     AttemptResult attempt =
-        ClassifyFailure(context, choice, result, blames_server);
+        ClassifyFailure(context, choice, result, blames_server, sent_at);
     attempt.is_retry_charged = is_replaced;
     path_prober_.Start();
     return attempt;
@@ -175,7 +183,7 @@
 
 EntryRequestHandler::AttemptResult EntryRequestHandler::ClassifyFailure(
     RequestContext& context, const EntryState::Choice& choice,
-    const ExchangeResult& result, bool blames_server) {
+    const ExchangeResult& result, bool blames_server, Instant sent_at) {
   KnownServer& server = *choice.server;
   const auto& failure = std::get<AttemptFailure>(result.outcome);
   AttemptResult attempt;
@@ -210,9 +218,13 @@
   // it was sent; the hub has seen it overdue since.
   unanswered.is_fault = !failure.timed_out || now < context.deadline;
   unanswered.request = context.fingerprint;
-  // A server that wrote an answer of another request did not crash on this one.
-  unanswered.may_have_crashed =
-      !failure.timed_out && result.trace.doubt == AnswerDoubt::kNone;
+  // A server that wrote an answer of another request did not crash on this one,
+  // and a version in its trial crashes on requests that are sound.
+  unanswered.may_have_crashed = !failure.timed_out &&
+                                result.trace.doubt == AnswerDoubt::kNone &&
+                                server.version_use != VersionUse::kByShare;
+  const bool was_abandoned = unanswered.is_fault && failure.timed_out;
+  unanswered.end = EndOf(context, server, sent_at, !was_abandoned);
   if (unanswered.is_fault) {
     client_.CloseIdleConnections(server.state.announcement.endpoint);
   }
@@ -220,6 +232,25 @@
   return attempt;
 }
 
+AttemptEnd EntryRequestHandler::EndOf(const RequestContext& context,
+                                      const KnownServer& server,
+                                      Instant sent_at, bool failed) const {
+  AttemptEnd end;
+  end.route = context.route->name;
+  end.failed = failed;
+  end.time = MonotonicNow() - sent_at;
+  end.server_is_healthy = server.state.health == ServerHealth::kUp;
+  return end;
+}
+
+void EntryRequestHandler::CountRolloutRequest(const KnownServer& server) {
+  const ServerAnnouncement& target = server.state.announcement;
+  const Rollout* rollout = state_.view().versions().FindRunning(target.service);
+  if (rollout == nullptr) return;
+  metrics_.CountRolloutRequest(target.service,
+                               target.version == rollout->target_version);
+}
+
 void EntryRequestHandler::LogLongWay(const RequestContext& context,
                                      const KnownServer& server,
                                      Instant checked_at, Duration way) {
@@ -305,6 +336,7 @@
     // A rejection behind a stray answer is no error of the server.
     if (info.not_run || info.misdirected) return attempt;
     attempt.assignment_outcome = AssignmentOutcome::kFailed;
+    state_.RecordEnd(server, EndOf(context, server, sent_at, true));
     state_.RecordServerError(server);
     return attempt;
   }
@@ -314,6 +346,7 @@
     answer.fields.push_back({std::string(kServerField), id.value()});
   }
   const bool failed = answer.status >= kFirstServerError;
+  state_.RecordEnd(server, EndOf(context, server, sent_at, failed));
   attempt.assignment_outcome =
       failed ? AssignmentOutcome::kFailed : AssignmentOutcome::kServed;
   if (failed) {
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -115,7 +115,15 @@
   AttemptResult ClassifyFailure(RequestContext& context,
                                 const EntryState::Choice& choice,
                                 const ExchangeResult& result,
-                                bool blames_server);
+                                bool blames_server, Instant sent_at);
+
+  // Returns what the end of an attempt that began at `sent_at` tells of the
+  // server's version.
+  AttemptEnd EndOf(const RequestContext& context, const KnownServer& server,
+                   Instant sent_at, bool failed) const;
+
+  // Counts a request that reached a server of a service with a rollout.
+  void CountRolloutRequest(const KnownServer& server);
 
   // entry_request_detour.cc
   bool ShouldDetour(const RequestContext& context) const;
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -85,6 +85,8 @@
     hub_query.excluded.insert(server->state.announcement.id);
   }
   for (const KnownServerPtr& server : view_.ServersOf(query.service->id)) {
+    // The hub knows the versions itself, and the servers of one are many.
+    if (server->version_use == VersionUse::kNone) continue;
     if (now < server->avoid_until || !view_.MayReceiveRequests(now, *server)) {
       hub_query.excluded.insert(server->state.announcement.id);
     }
@@ -110,6 +112,10 @@
       hub_breaker_.RecordTimeout(MonotonicNow());
     }
     choice.server = view_.Find(waiter->choice.server);
+    // The hub and this host learn of a change of a rollout at different times.
+    if (choice.server && choice.server->version_use == VersionUse::kNone) {
+      choice.server.reset();
+    }
     if (choice.server) {
       choice.assignment = number;
       choice.is_busy = waiter->choice.is_busy;
@@ -193,6 +199,10 @@
     if (attempt.assignment != 0) {
       hooks_.end_assignment(attempt.assignment, outcome);
     }
+    if (verdict.blames_servers && attempt.end) {
+      const KnownServerPtr server = view_.Find(attempt.server);
+      if (server) RecordEnd(*server, *attempt.end);
+    }
     if (!verdict.blames_servers || !attempt.is_fault) continue;
     ++outcomes_[attempt.server].hard_failures;
     if (attempt.may_have_crashed) {
@@ -202,6 +212,11 @@
   }
 }
 
+void EntryState::RecordEnd(const KnownServer& server, const AttemptEnd& end) {
+  if (path_.IsLost()) return;
+  sampler_.Record(view_.versions(), server.state.announcement, end);
+}
+
 void EntryState::RecordAnswer(Instant now) { Settle(path_.RecordAnswer(now)); }
 
 void EntryState::RecordProbes(Instant now, bool connected) {
@@ -274,6 +289,7 @@
   report.requests = std::exchange(requests_, {});
   report.crashes = std::exchange(crashes_, {});
   report.rate_limits = std::exchange(rate_limits_, {});
+  report.rollout_samples = sampler_.Take();
   report.known_servers = std::exchange(wanted_servers_, {});
   for (auto& [workspace, account] : accounts_) {
     // Requests that a lost leader did not answer are repeated.
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -13,6 +13,7 @@
 #include "sapphirebank/fleet/entry_view.h"
 #include "sapphirebank/fleet/hub_circuit_breaker.h"
 #include "sapphirebank/fleet/retry_budget_share.h"
+#include "sapphirebank/fleet/rollout_sampler.h"
 #include "sapphirebank/fleet/server_chooser.h"
 #include "sapphirebank/fleet/server_dispatcher.h"
 #include "sapphirebank/fleet/server_path_monitor.h"
@@ -77,6 +78,11 @@
   void RecordUnreachable(Instant now, KnownServer& server,
                          UnansweredAttempt attempt);
 
+  // Records how an attempt ended that the server has answered, or that this
+  // host abandoned, for the verdict on a rollout. That of a broken attempt is
+  // recorded once the server is known to be the cause.
+  void RecordEnd(const KnownServer& server, const AttemptEnd& end);
+
   // Entry hosts that requests may be sent to when this host reaches no server.
   DetourHosts& detour_hosts() { return detour_hosts_; }
 
@@ -178,6 +184,7 @@
   std::map<ServiceId, std::uint32_t> requests_;
   std::vector<EntryReport::Crash> crashes_;
   std::map<BackendId, std::optional<double>> rate_limits_;
+  RolloutSampler sampler_;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -41,7 +41,12 @@
     quarantined_ = {update.quarantined.begin(), update.quarantined.end()};
     request_rates_ = update.request_rates;
     entry_hosts_ = update.entry_hosts;
+    // A hub of an earlier build knows none, and what was known holds.
+    if (update.versions) versions_.SetRecord(*update.versions);
   }
+  const bool servers_changed =
+      has_registry && (update.full_registry || !update.servers.empty());
+  if (update.shared_state || servers_changed) ApplyVersions(now);
   Result<void> plan_applied;
   if (update.plan) {
     plan_applied = ApplyPlan(*update.plan);
@@ -70,13 +75,35 @@
     if (zones_out.contains(zone) == IsZoneOut(zone)) continue;
     if (zones_out.contains(zone)) {
       EndSending(now, *server, lease_.zone_bound);
-    } else {
+    } else if (server->version_use != VersionUse::kNone) {
       server->arrival_limit.reset();
     }
   }
   zones_out_ = zones_out;
 }
 
+// Applies what the record says of versions to the servers.
+void EntryView::ApplyVersions(Instant now) {
+  if (!versions_.IsActive()) return;
+  std::vector<const ServerAnnouncement*> announcements;
+  announcements.reserve(servers_.size());
+  for (const auto& [id, server] : servers_) {
+    announcements.push_back(&server->state.announcement);
+  }
+  versions_.SetServers(announcements);
+  for (const auto& [id, server] : servers_) {
+    const ServerAnnouncement& announcement = server->state.announcement;
+    const VersionUse before = server->version_use;
+    server->version_use = versions_.UseOf(announcement);
+    if (server->version_use == before) continue;
+    if (server->version_use == VersionUse::kNone) {
+      EndSending(now, *server, lease_.departure_bound);
+    } else if (before == VersionUse::kNone && !IsZoneOut(announcement.zone)) {
+      server->arrival_limit.reset();
+    }
+  }
+}
+
 // The departure was not acknowledged before this host knew of it, unless the
 // lease of the view before was so short that nobody waited for this host.
 void EntryView::EndSending(Instant now, KnownServer& server,
@@ -189,6 +216,7 @@
   // A later incarnation is a different object.
   return found != servers_.end() && found->second.get() == &server &&
          !IsZoneOut(announcement.zone) &&
+         server.version_use != VersionUse::kNone &&
          signals_.Permit(now, announcement.id, announcement.incarnation);
 }
 
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -16,6 +16,7 @@
 #include "sapphirebank/fleet/fleet_messages.h"
 #include "sapphirebank/fleet/server_signals.h"
 #include "sapphirebank/fleet/traffic_plan.h"
+#include "sapphirebank/fleet/version_policy.h"
 #include "sapphirebank/fleet/view_lease_settings.h"
 
 namespace sapphirebank {
@@ -34,8 +35,10 @@
   // This host could not reach the server and sends it no requests until then,
   // whatever other hosts report.
   Instant avoid_until;
+  // Which requests the server may get, by its version.
+  VersionUse version_use = VersionUse::kOpen;
   // By when requests on their way to the server must have arrived; set once it
-  // has left or its zone is out of service.
+  // has left, its zone is out of service, or its version gets no requests.
   std::optional<Instant> arrival_limit;
   // Since when this host knows of a rate limit of the server.
   Instant limited_since;
@@ -84,7 +87,8 @@
   // Returns by when a request on its way to `server` must have arrived whole,
   // as far as is known now: no acknowledged departure of the server, or of its
   // zone, is longer ago then than its limit. Later leases move it further, and
-  // the departure ends that.
+  // the departure ends that. A version that may get no more requests counts as
+  // a departure: the servers of a replaced one stop.
   Instant ArrivalLimit(const KnownServer& server) const;
 
   // Returns the age of the last confirmed update.
@@ -112,14 +116,17 @@
   KnownServerPtr Find(const BackendId& id) const;
 
   // Returns whether the server may still be sent requests: a request that was
-  // assigned to it may have waited while it left, asked for a pause, or its
-  // zone went out of service.
+  // assigned to it may have waited while it left, asked for a pause, its zone
+  // went out of service, or its version was rolled back or replaced.
   bool MayReceiveRequests(Instant now, const KnownServer& server) const;
 
   // Uses servers again that this host could not reach, as the cause was its own
   // path.
   void EndAvoidance();
 
+  // Returns which requests servers may get by their versions.
+  const VersionPolicy& versions() const { return versions_; }
+
   // What servers told this host in their answers.
   ServerSignals& signals() { return signals_; }
 
@@ -133,6 +140,7 @@
   Result<void> ApplyPlan(const PlanUpdate& news);
   void ApplyServers(Instant now, const FleetUpdate& update);
   void ApplyZones(Instant now, const std::set<ZoneId>& zones_out);
+  void ApplyVersions(Instant now);
 
   // Sets the limit for requests on their way to a server that may get no more
   // of them, where a host has `bound` from an acknowledgement on.
@@ -153,6 +161,7 @@
   std::map<BackendId, KnownServerPtr> servers_;
   std::map<ServiceId, std::vector<KnownServerPtr>> servers_by_service_;
   std::set<ZoneId> zones_out_;
+  VersionPolicy versions_;
   std::unordered_set<RequestFingerprint> quarantined_;
   ServerSignals signals_;
   std::map<ServiceId, double> request_rates_;
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -16,6 +16,19 @@
 // constants. An earlier one would let entry hosts overload cold servers.
 constexpr Duration kRateSettlingTime = std::chrono::milliseconds(4500);
 
+ServerRegistrySettings RegistrySettings(const FleetHubSettings& settings) {
+  ServerRegistrySettings registry = settings.registry;
+  registry.judges_versions_apart = settings.rollout_share > 0;
+  return registry;
+}
+
+RolloutShareSettings ShareSettings(const FleetHubSettings& settings) {
+  RolloutShareSettings share;
+  share.share = settings.rollout_share;
+  share.fleet_start = settings.rollout_start;
+  return share;
+}
+
 }  // namespace
 
 FleetHub::FleetHub(FleetHubSettings settings, std::uint64_t id,
@@ -23,11 +36,12 @@
     : settings_(settings),
       id_(id),
       self_(self),
-      registry_(settings.registry),
+      registry_(RegistrySettings(settings)),
       dispatcher_(settings.dispatcher, self.zone, random),
       retries_(kHubRetryShare, settings.retry_slack),
       crash_detector_(settings.crash_detection),
-      hubs_({self}) {}
+      hubs_({self}),
+      rollout_share_(ShareSettings(settings)) {}
 
 void FleetHub::BecomeLeader(Instant now) {
   is_leader_ = true;
@@ -43,6 +57,7 @@
     leader_buckets_.Configure(now, *plan_, LeaderBucketShare(hubs_.size()));
   token_orders_.clear();
   pending_report_ = EntryReport();
+  rollout_samples_.clear();
   must_report_to_leader_ = false;
   next_shared_state_at_ = now;
 }
@@ -56,6 +71,7 @@
 void FleetHub::ApplyRecord(Instant now, const FleetRecord& record,
                            const std::shared_ptr<const TrafficPlan>& plan) {
   registry_.ApplyRetirements(record);
+  ApplyRollouts(record);
   if (plan && (!plan_ || plan->version() > plan_->version())) {
     plan_ = plan;
     plans_.Add(plan->version(), record.document());
@@ -122,6 +138,7 @@
 
 // Applies the reported outcomes, or adds them to the report for the leader.
 void FleetHub::AggregateReport(Instant now, const EntryReport& report) {
+  AggregateSamples(report);
   for (const auto& [server, outcomes] : report.outcomes) {
     if (outcomes.hard_failures > 0) {
       dispatcher_.RecordHardFailure(now, server);
@@ -256,8 +273,7 @@
   if (!query.workspace.empty() && !has_token) return DispatchChoice();
   if (!query.is_retry) retries_.CountRequest(query.service);
   if (query.is_retry && !retries_.CanRetry(query.service)) return std::nullopt;
-  auto choice =
-      dispatcher_.Assign(now, id, query, registry_, zones_out_, *plan_);
+  auto choice = AssignByVersion(now, id, query);
   if (choice && query.is_retry) retries_.TryAcquire(query.service);
   if (!choice && !has_token) return std::nullopt;
   if (!choice) choice.emplace();
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -18,6 +18,7 @@
 #include "sapphirebank/fleet/plan_history.h"
 #include "sapphirebank/fleet/retry_budget_share.h"
 #include "sapphirebank/fleet/rollout_samples.h"
+#include "sapphirebank/fleet/rollout_share.h"
 #include "sapphirebank/fleet/server_dispatcher.h"
 #include "sapphirebank/fleet/server_registry.h"
 #include "sapphirebank/fleet/traffic_plan.h"
@@ -31,6 +32,11 @@
   CrashingRequestSettings crash_detection;
   // Retries per window of the whole fleet beyond those added by requests.
   double retry_slack = 0;
+  // Fraction of a service's requests that a version in its trial may get, and
+  // requests that it may get from the whole fleet beyond that. Without a share
+  // no rollouts are configured, and versions tell nothing.
+  double rollout_share = 0;
+  double rollout_start = 0;
   // An entry host without a report for this time is no longer advertised to
   // callers: four reports, and well below the 6 s after which advertising it
   // would violate the limit.
@@ -118,6 +124,17 @@
   void ApplyLeaderUpdate(Instant now, const FleetUpdate& update,
                          const FleetRecord& record);
 
+  // Records that this hub's record had everything committed before `as_of`.
+  void RecordConfirmation(Instant as_of) {
+    rollout_share_.RecordConfirmation(as_of);
+  }
+
+  // Returns which trials this hub has begun or stopped to grant requests to
+  // since the last call.
+  std::vector<RolloutShareChange> TakeShareChanges() {
+    return rollout_share_.TakeChanges();
+  }
+
   // Assigns a request of an entry host to a server; a retry only within the
   // retry budget. Takes a rate token first if the query names a workspace, and
   // assigns no server without one.
@@ -162,8 +179,8 @@
     return registry_.TakeHealthChanges();
   }
 
-  // Authority only: returns what all hosts saw of the services with a trial
-  // since the last call.
+  // Authority only: returns what all hosts saw of services with a rollout since
+  // the last call.
   std::map<ServiceId, RolloutSamples> TakeRolloutSamples() {
     return std::exchange(rollout_samples_, {});
   }
@@ -207,6 +224,15 @@
   FleetUpdate FillUpdate(Instant now, Reporter& host,
                          const FleetRecord& record);
   void AggregateReport(Instant now, const EntryReport& report);
+
+  // fleet_hub_rollouts.cc
+  bool LimitsVersions(const FleetRecord& record) const;
+  void ApplyRollouts(const FleetRecord& record);
+  std::optional<DispatchChoice> AssignByVersion(Instant now,
+                                                const AssignmentId& id,
+                                                const DispatchQuery& query);
+  void AggregateSamples(const EntryReport& report);
+
   void GrantTokens(Instant now, const HostId& host, bool is_relay,
                    const WorkspaceId& workspace, std::uint32_t wanted);
   std::uint32_t TakeLocalTokens(Instant now, const WorkspaceId& workspace,
@@ -246,6 +272,11 @@
   Instant rates_settled_at_;  // Authority only: from then on they are sent.
   std::vector<RequestFingerprint> quarantined_;
   std::uint32_t total_entry_hosts_ = 1;
+  // Servers are limited by their versions, as `versions_` says.
+  bool limits_versions_ = false;
+  VersionRecord versions_;
+  RolloutShare rollout_share_;
+  // Authority only.
   std::map<ServiceId, RolloutSamples> rollout_samples_;
   // Version of the state that all updates share.
   std::uint64_t shared_state_version_ = 1;
--- a/sapphirebank/fleet/fleet_hub_updates.cc
+++ b/sapphirebank/fleet/fleet_hub_updates.cc
@@ -81,6 +81,7 @@
     reporter.shared_state_sent = shared_state_version_;
     update.shared_state = true;
     update.zones_out = record.zones_out();
+    if (LimitsVersions(record)) update.versions = VersionRecordOf(record);
     if (!is_leader_ || now >= rates_settled_at_) {
       update.request_rates = request_rates_;
     }
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -2,6 +2,7 @@
 
 #include "sapphirebank/core/cbor.h"
 #include "sapphirebank/core/json_read.h"
+#include "sapphirebank/fleet/rollout_messages.h"
 
 namespace sapphirebank {
 namespace {
@@ -56,6 +57,7 @@
   for (const auto& [service, rate] : update.request_rates) {
     out["rates"][service.value()] = rate;
   }
+  if (update.versions) out["versions"] = *update.versions;
   if (!update.quarantined.empty()) out["quarantined"] = update.quarantined;
   if (!update.hubs.empty()) out["hubs"] = update.hubs;
   if (!update.detour_hosts.empty()) out["detours"] = update.detour_hosts;
@@ -73,6 +75,9 @@
   if (const auto found = in.find("rates"); found != in.end()) {
     update.request_rates = MapFromJson<ServiceId, double>(*found);
   }
+  if (const auto found = in.find("versions"); found != in.end()) {
+    update.versions = found->get<VersionRecord>();
+  }
   ReadOptional(in, "quarantined", update.quarantined);
   ReadOptional(in, "hubs", update.hubs);
   ReadOptional(in, "detours", update.detour_hosts);
@@ -145,6 +150,9 @@
   for (const auto& [id, limit] : report.rate_limits) {
     out["limits"][id.value()] = RateLimitToJson(limit);
   }
+  for (const auto& [service, samples] : report.rollout_samples) {
+    out["samples"][service.value()] = samples;
+  }
   if (!report.known_servers.empty()) out["known"] = report.known_servers;
 }
 
@@ -184,6 +192,9 @@
       report.rate_limits[BackendId(id)] = ReadRateLimit(limit);
     }
   }
+  if (const auto found = in.find("samples"); found != in.end()) {
+    report.rollout_samples = MapFromJson<ServiceId, RolloutSamples>(*found);
+  }
   ReadOptional(in, "known", report.known_servers);
 }
 
--- a/sapphirebank/fleet/fleet_messages.h
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -14,8 +14,10 @@
 #include "sapphirebank/core/time.h"
 #include "sapphirebank/fleet/crashing_request_detector.h"
 #include "sapphirebank/fleet/fleet_record.h"
+#include "sapphirebank/fleet/rollout_samples.h"
 #include "sapphirebank/fleet/server_announcement.h"
 #include "sapphirebank/fleet/server_health_tracker.h"
+#include "sapphirebank/fleet/version_policy.h"
 
 namespace sapphirebank {
 
@@ -74,6 +76,8 @@
   std::vector<Crash> crashes;
   // Rate limits that servers have named, or no longer name, in answers.
   std::map<BackendId, std::optional<double>> rate_limits;
+  // What was seen of services with a rollout since the last report.
+  std::map<ServiceId, RolloutSamples> rollout_samples;
   // Servers that the receiver may not know.
   std::vector<ServerAnnouncement> known_servers;
 };
@@ -131,9 +135,11 @@
   bool full_registry = false;
   std::vector<ServerUpdate> servers;
   std::optional<PlanUpdate> plan;
-  // Whether the update carries zones, rates, quarantine and hubs, which are
-  // sent when they change.
+  // Whether the update carries zones, versions, rates, quarantine and hubs,
+  // which are sent when they change.
   bool shared_state = false;
+  // Nothing where no rollouts are configured; earlier builds never send it.
+  std::optional<VersionRecord> versions;
   std::set<ZoneId> zones_out;
   // Requests per second over all hosts, by service.
   std::map<ServiceId, double> request_rates;
--- a/sapphirebank/fleet/server_chooser.cc
+++ b/sapphirebank/fleet/server_chooser.cc
@@ -14,7 +14,8 @@
 // Returns whether the server may be used at all and was not tried yet.
 bool IsEligible(Instant now, const EntryView& view, const ServerQuery& query,
                 const KnownServerPtr& server) {
-  return view.MayReceiveRequests(now, *server) && !WasTried(query, server);
+  return server->version_use == VersionUse::kOpen &&
+         view.MayReceiveRequests(now, *server) && !WasTried(query, server);
 }
 
 // Returns whether the server is expected to succeed. Servers on probation only
--- a/sapphirebank/fleet/server_chooser.h
+++ b/sapphirebank/fleet/server_chooser.h
@@ -55,7 +55,8 @@
 // Chooses the backend server for an attempt: the less loaded of two random
 // healthy servers in this host's zone (Mitzenmacher, "The Power of Two Choices
 // in Randomized Load Balancing", 2001). Falls back to healthy servers of other
-// zones, then to unhealthy ones.
+// zones, then to unhealthy ones. A version in its trial gets requests from hubs
+// only, which know its share.
 class ServerChooser {
  public:
   ServerChooser(ServerChooserSettings settings, ZoneId zone, Random random)
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -33,10 +33,19 @@
   if (indexed_change_ == registry.urgent_changes()) return;
   indexed_change_ = registry.urgent_changes();
   index_.clear();
+  RefreshVersions(registry);
   for (const auto& [id, entry] : registry.entries()) {
     if (entry.state.retired) continue;
     const ServerAnnouncement& announcement = entry.state.announcement;
+    const VersionUse use = versions_.UseOf(announcement);
+    if (use == VersionUse::kNone) continue;
     ServiceServers& servers = index_[announcement.service];
+    if (use == VersionUse::kByShare) {
+      (IsOwn(announcement) ? servers.own_trial : servers.other_trial)
+          .push_back(&entry.state);
+      liveness_.Track(now, id);
+      continue;
+    }
     (IsOwn(announcement) ? servers.own : servers.others[announcement.zone])
         .push_back(&entry.state);
     liveness_.Track(now, id);
@@ -172,17 +181,24 @@
     if (best != nullptr) chosen = best->server;
   }
   if (chosen == nullptr) return std::nullopt;
-  const BackendId server = chosen->announcement.id;
-  if (chosen->rate_limit) {
-    rate_limits_.TryTake(now, server, NamedLimit(*chosen));
+  return RecordChoice(now, id, query, *chosen);
+}
+
+DispatchChoice ServerDispatcher::RecordChoice(Instant now,
+                                              const AssignmentId& id,
+                                              const DispatchQuery& query,
+                                              const ServerState& chosen) {
+  const BackendId server = chosen.announcement.id;
+  if (chosen.rate_limit) {
+    rate_limits_.TryTake(now, server, NamedLimit(chosen));
   }
   // Requests that other hubs send to their servers are not counted here.
-  const bool load_is_partial = !IsOwn(chosen->announcement);
+  const bool load_is_partial = !IsOwn(chosen.announcement);
   const int in_flight = liveness_.StatusOf(now, server).in_flight;
   const bool is_busy =
-      static_cast<std::uint32_t>(in_flight) >= chosen->announcement.slots;
+      static_cast<std::uint32_t>(in_flight) >= chosen.announcement.slots;
   const PendingAssignment pending = {
-      now, now + OverdueAge(query, *chosen, in_flight)};
+      now, now + OverdueAge(query, chosen, in_flight)};
   assignments_[id] = {server,
                       pending,
                       now + query.time_left + settings_.end_report_slack,
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -17,6 +17,7 @@
 #include "sapphirebank/fleet/server_registry.h"
 #include "sapphirebank/fleet/server_token_buckets.h"
 #include "sapphirebank/fleet/traffic_plan.h"
+#include "sapphirebank/fleet/version_policy.h"
 
 namespace sapphirebank {
 
@@ -89,6 +90,18 @@
                                        const std::set<ZoneId>& zones_out,
                                        const TrafficPlan& plan);
 
+  // Assigns a request to a server of the version in trial that has a free slot,
+  // or returns nothing. Prefers the servers of this hub; others only where it
+  // has none, and only warm ones, as it does not know what they get.
+  std::optional<DispatchChoice> AssignTrial(Instant now, const AssignmentId& id,
+                                            const DispatchQuery& query,
+                                            const ServerRegistry& registry,
+                                            const std::set<ZoneId>& zones_out,
+                                            const TrafficPlan& plan);
+
+  // Sets which requests servers may get by their versions.
+  void SetVersions(VersionRecord record);
+
   // Sets the hubs that divide the zone's servers among them, and the address of
   // this one. Until then cold servers get the fraction of a hub of another
   // zone.
@@ -143,6 +156,10 @@
   };
 
   void RefreshIndex(Instant now, const ServerRegistry& registry);
+  void RefreshVersions(const ServerRegistry& registry);
+  DispatchChoice RecordChoice(Instant now, const AssignmentId& id,
+                              const DispatchQuery& query,
+                              const ServerState& chosen);
   void Classify(Instant now, const DispatchQuery& query, const Servers& servers,
                 Candidates& candidates);
   Candidates ClassifyOwn(Instant now, const DispatchQuery& query);
@@ -185,9 +202,13 @@
   struct ServiceServers {
     Servers own;
     std::map<ZoneId, Servers> others;
+    // Servers of the version in trial, of this hub and others.
+    Servers own_trial;
+    Servers other_trial;
   };
   std::map<ServiceId, ServiceServers> index_;
   std::uint64_t indexed_change_ = 0;
+  VersionPolicy versions_;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/server_path_monitor.h
+++ b/sapphirebank/fleet/server_path_monitor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -9,6 +10,7 @@
 #include "sapphirebank/core/state_chart.h"
 #include "sapphirebank/core/time.h"
 #include "sapphirebank/fleet/crashing_request_detector.h"
+#include "sapphirebank/fleet/rollout_sampler.h"
 
 namespace sapphirebank {
 
@@ -24,6 +26,8 @@
   RequestFingerprint request = 0;
   // The server may have crashed on the request.
   bool may_have_crashed = false;
+  // For the samples of rollouts; nothing where the server was not reached.
+  std::optional<AttemptEnd> end{};
 };
 
 // Unanswered attempts that are no longer held, and what they tell.
--- a/sapphirebank/fleet/server_registry.cc
+++ b/sapphirebank/fleet/server_registry.cc
@@ -66,6 +66,7 @@
   const bool details_changed = before.endpoint != announcement.endpoint ||
                                before.service != announcement.service ||
                                before.zone != announcement.zone ||
+                               before.version != announcement.version ||
                                before.slots != announcement.slots;
   const bool retirement_changed = entry.state.retired != retired;
   entry.state.announcement = announcement;
@@ -98,9 +99,10 @@
   // This host may know a later incarnation before the leader does.
   if (incoming.incarnation < current.incarnation) return;
   const bool is_new_incarnation = incoming.incarnation != current.incarnation;
-  if (is_new_incarnation || incoming.sequence > current.sequence) {
-    entry.state.announcement = incoming;
-  }
+  const bool is_newer =
+      is_new_incarnation || incoming.sequence > current.sequence;
+  const bool version_changed = is_newer && incoming.version != current.version;
+  if (is_newer) entry.state.announcement = incoming;
   if (is_new_incarnation) entry.last_heartbeat_at = now;
   // Remaining times shift slightly by message latency.
   constexpr Duration kTransitTolerance = std::chrono::milliseconds(100);
@@ -111,7 +113,7 @@
   const bool is_retired =
       update.retired || record.IsRetired(incoming.id, incoming.incarnation);
   const bool is_urgent = is_new_incarnation || warm_up_extended ||
-                         entry.state.retired != is_retired;
+                         version_changed || entry.state.retired != is_retired;
   const bool limit_is_settled =
       is_new_incarnation ||
       now - entry.rate_limit_reported_at >= settings_.rate_limit_settling_time;
@@ -161,13 +163,19 @@
   MarkChanged(entry);
 }
 
+bool ServerRegistry::AreJudgedTogether(const ServerAnnouncement& a,
+                                       const ServerAnnouncement& b) const {
+  return a.service == b.service &&
+         (!settings_.judges_versions_apart || a.version == b.version);
+}
+
 std::size_t ServerRegistry::CountDownInService(
     const ServerAnnouncement& announcement) const {
   return static_cast<std::size_t>(
       std::count_if(entries_.begin(), entries_.end(), [&](const auto& item) {
         const ServerState& state = item.second.state;
         return state.health == ServerHealth::kDown && !state.retired &&
-               state.announcement.service == announcement.service;
+               AreJudgedTogether(state.announcement, announcement);
       }));
 }
 
@@ -178,7 +186,7 @@
   std::size_t active = 0;
   for (const auto& [id, other] : entries_) {
     if (!other.state.retired &&
-        other.state.announcement.service == entry.state.announcement.service) {
+        AreJudgedTogether(other.state.announcement, entry.state.announcement)) {
       ++active;
     }
   }
--- a/sapphirebank/fleet/server_registry.h
+++ b/sapphirebank/fleet/server_registry.h
@@ -28,6 +28,9 @@
   // Servers of a zone that returns to service may be cold without announcing
   // it.
   Duration zone_return_warm_up = std::chrono::seconds(3);
+  // Servers of each version of a service are judged apart from the others, so
+  // that the failures of a new version keep no other server in use.
+  bool judges_versions_apart = false;
 };
 
 // A change of a server's health and the counts that caused it.
@@ -111,6 +114,8 @@
   }
   bool IsOutdated(const ServerAnnouncement& announcement) const;
   void RetireOthersAtEndpoint(const ServerAnnouncement& announcement);
+  bool AreJudgedTogether(const ServerAnnouncement& a,
+                         const ServerAnnouncement& b) const;
   std::size_t CountDownInService(const ServerAnnouncement& announcement) const;
   bool MayTakeDown(const Entry& entry) const;
 
--- a/sapphirebank/telemetry/fleet_metrics.cc
+++ b/sapphirebank/telemetry/fleet_metrics.cc
@@ -90,6 +90,10 @@
       ejections_prevented_(
           Register<Counter>("sapphirebank_ejections_prevented_total",
                             "Ejections left out because of the floor.")),
+      rollout_requests_(Register<Counter>(
+          "sapphirebank_rollout_requests_total",
+          "Requests that reached backend servers during rollouts, by service "
+          "and version: new or other.")),
       backend_servers_(Register<Gauge>("sapphirebank_backend_servers",
                                        "Backend servers by state.")),
       detection_(
@@ -185,6 +189,14 @@
   ejections_prevented_.Add({{"service", ServiceLabel(service)}}).Increment();
 }
 
+void FleetMetrics::CountRolloutRequest(const ServiceId& service,
+                                       bool new_version) {
+  rollout_requests_
+      .Add({{"service", ServiceLabel(service)},
+            {"version", new_version ? "new" : "other"}})
+      .Increment();
+}
+
 void FleetMetrics::SetBackendServers(const ServiceId& service,
                                      std::size_t in_use, std::size_t ejected) {
   const std::string label = ServiceLabel(service);
--- a/sapphirebank/telemetry/fleet_metrics.h
+++ b/sapphirebank/telemetry/fleet_metrics.h
@@ -80,6 +80,10 @@
   // backend servers than the floor of the service.
   void CountEjectionPrevented(const ServiceId& service);
 
+  // Counts a request that reached a backend server of `service` during a
+  // rollout: one of the new version, or another.
+  void CountRolloutRequest(const ServiceId& service, bool new_version);
+
   // Sets how many backend servers of `service` receive requests and how many
   // are ejected.
   void SetBackendServers(const ServiceId& service, std::size_t in_use,
@@ -138,6 +142,7 @@
   Family<prometheus::Gauge>& longest_wait_;
   Family<prometheus::Counter>& ejections_;
   Family<prometheus::Counter>& ejections_prevented_;
+  Family<prometheus::Counter>& rollout_requests_;
   Family<prometheus::Gauge>& backend_servers_;
   Family<prometheus::Histogram>& detection_;
   Family<prometheus::Gauge>& configuration_revision_;
