Tests of rollouts' traffic

Bound over several hubs, one of them cut off, restart, an order replaced; a version that is out while a request waits; hosts without a hub; the message of the build before. Compiled, not run yet.

--- a/sapphirebank/fleet/rollout_messages.cc
+++ b/sapphirebank/fleet/rollout_messages.cc
@@ -4,7 +4,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include "sapphirebank/core/json_read.h"
+#include "sapphirebank/fleet/rollout_codec.h"
 
 namespace sapphirebank {
 namespace {
@@ -46,8 +46,7 @@
 void to_json(json& out, const VersionRecord& versions) {
   json rollouts = json::array();
   for (const auto& [service, rollout] : versions.rollouts) {
-    rollouts.push_back({service.value(), rollout.target_version, rollout.order,
-                        static_cast<unsigned>(rollout.phase)});
+    rollouts.push_back(RolloutToJson(rollout));
   }
   json current = json::object();
   for (const auto& [service, version] : versions.current_versions) {
@@ -58,11 +57,7 @@
 
 void from_json(const json& in, VersionRecord& versions) {
   for (const json& item : in.at("rollouts")) {
-    Rollout rollout;
-    rollout.service = ServiceId(item.at(0).get<std::string>());
-    item.at(1).get_to(rollout.target_version);
-    item.at(2).get_to(rollout.order);
-    rollout.phase = ReadEnum(item.at(3), RolloutPhase::kRolledBack);
+    Rollout rollout = RolloutFromJson(item);
     versions.rollouts[rollout.service] = std::move(rollout);
   }
   for (const auto& [service, version] : in.at("current").items()) {
--- a/sapphirebank/fleet/version_policy.cc
+++ b/sapphirebank/fleet/version_policy.cc
@@ -21,7 +21,10 @@
   for (const ServerAnnouncement* server : servers) {
     if (server->version.empty()) continue;
     const Rollout* last = FindLast(server->service);
-    if (last != nullptr && server->version == last->target_version) continue;
+    if (last != nullptr && (server->version == last->target_version ||
+                            last->IsBarred(server->version))) {
+      continue;
+    }
     const auto [found, is_first] = first_starts_.try_emplace(
         server->service, FirstStart{server->incarnation, server->version});
     FirstStart& first = found->second;
--- a/sapphirebank/fleet/version_policy.h
+++ b/sapphirebank/fleet/version_policy.h
@@ -39,7 +39,7 @@
   bool IsActive() const { return record_.has_value(); }
 
   // Takes the servers in use. A service without a completed rollout has the
-  // version of the server that started first, apart from that of its rollout.
+  // version of the server that started first, apart from those of its rollouts.
   void SetServers(std::span<const ServerAnnouncement* const> servers);
 
   // Returns which requests the server may get. One that announces no version
--- a/unit_tests/fleet/entry_view_test.cc
+++ b/unit_tests/fleet/entry_view_test.cc
@@ -5,6 +5,7 @@
 #include "sapphirebank/core/compression.h"
 #include "sapphirebank/fleet/server_chooser.h"
 #include "unit_tests/fleet/fleet_fixtures.h"
+#include "unit_tests/fleet/rollout_fixtures.h"
 
 namespace sapphirebank {
 namespace {
@@ -361,5 +362,90 @@
   CHECK(view.MayReceiveRequests(kStart, *view.Find(BackendId("a"))));
 }
 
+FleetUpdate MakeVersionUpdate(std::uint64_t record, RolloutPhase phase) {
+  FleetUpdate update = MakeUpdate(record, 1);
+  update.shared_state = true;
+  update.versions = MakeVersions(MakeRollout(phase));
+  return update;
+}
+
+// Guards against a request at a version that was rolled back, or replaced,
+// while the request waited for a connection.
+TEST_CASE(
+    "a server that was chosen may be sent nothing once its version is out",
+    "[fleet]") {
+  ViewLeaseSettings lease = kLeaseSettings;
+  lease.way = milliseconds(300);
+  for (const bool is_rolled_back : {true, false}) {
+    EntryView view(ReadTestPlan, lease);
+    FleetUpdate update = MakeVersionUpdate(1, RolloutPhase::kTrial);
+    update.servers.push_back({MakeVersionedServer("old", "v1", 1)});
+    update.servers.push_back({MakeVersionedServer("new", "v2", 2)});
+    REQUIRE(view.Apply(kStart, kStart, update));
+    const KnownServerPtr before = view.Find(BackendId("old"));
+    const KnownServerPtr target = view.Find(BackendId("new"));
+    CHECK(view.MayReceiveRequests(kStart, *before));
+    CHECK(view.MayReceiveRequests(kStart, *target));
+    const Instant now = kStart + milliseconds(500);
+    REQUIRE(view.Apply(
+        now, now,
+        MakeVersionUpdate(2, is_rolled_back ? RolloutPhase::kRolledBack
+                                            : RolloutPhase::kSwitch)));
+    const KnownServer& out = is_rolled_back ? *target : *before;
+    const KnownServer& used = is_rolled_back ? *before : *target;
+    CHECK_FALSE(view.MayReceiveRequests(now, out));
+    CHECK(view.MayReceiveRequests(now, used));
+    CHECK(view.ArrivalLimit(out) ==
+          now + lease.departure_bound + milliseconds(150));
+    CHECK(view.ArrivalLimit(used) == now + kLease + milliseconds(150));
+    // A zone that returns, and an update without versions, do not change that.
+    FleetUpdate zone = MakeUpdate(3);
+    zone.shared_state = true;
+    zone.zones_out = {ZoneId("kochi")};
+    REQUIRE(view.Apply(now, now, zone));
+    zone.zones_out.clear();
+    REQUIRE(view.Apply(now, now, zone));
+    CHECK_FALSE(view.MayReceiveRequests(now, out));
+    CHECK(view.ArrivalLimit(out) < view.ArrivalLimit(used));
+    // The next order may permit the version.
+    REQUIRE(view.Apply(now, now, MakeVersionUpdate(4, RolloutPhase::kTrial)));
+    CHECK(view.MayReceiveRequests(now, out));
+    CHECK(view.ArrivalLimit(out) == view.ArrivalLimit(used));
+  }
+}
+
+// Guards against hosts without a hub, whose own choices no share counts, and
+// against a version that is found before its order.
+TEST_CASE(
+    "without a hub a host uses no version in its trial or before its order",
+    "[fleet]") {
+  ChooserFixture fixture;
+  const auto use = [&](const VersionRecord& versions) {
+    FleetUpdate update = MakeUpdate(1, 1);
+    update.shared_state = true;
+    update.versions = versions;
+    update.servers = {{MakeVersionedServer("old", "v1", 1)},
+                      {MakeVersionedServer("new", "v2", 2)}};
+    REQUIRE(fixture.view.Apply(kStart, kStart, update));
+    std::set<std::string> used;
+    for (int i = 0; i < 50; ++i) used.insert(fixture.Choose());
+    return used;
+  };
+  const std::set<std::string> only_old = {"old"};
+  CHECK(use(VersionRecord()) == only_old);
+  CHECK(use(MakeVersions(MakeRollout(RolloutPhase::kTrial))) == only_old);
+  CHECK(use(MakeVersions(MakeRollout(RolloutPhase::kRolledBack))) == only_old);
+  CHECK(use(MakeVersions(MakeRollout(RolloutPhase::kSwitch))) ==
+        std::set<std::string>{"new"});
+  // Not even where no other server is left.
+  fixture.view.Find(BackendId("old"))->avoid_until = kStart + seconds(1);
+  CHECK(use(MakeVersions(MakeRollout(RolloutPhase::kTrial))) == only_old);
+  FleetUpdate left = MakeUpdate(1);
+  left.servers = {{MakeVersionedServer("old", "v1", 1)}};
+  left.servers[0].retired = true;
+  REQUIRE(fixture.view.Apply(kStart, kStart, left));
+  CHECK(fixture.Choose().empty());
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/fleet/fleet_hub_test.cc
+++ b/unit_tests/fleet/fleet_hub_test.cc
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 
 #include "unit_tests/fleet/leader_and_relay.h"
+#include "unit_tests/fleet/rollout_fixtures.h"
 
 namespace sapphirebank {
 namespace {
@@ -229,5 +230,143 @@
         2);
 }
 
+// A leader and a relay of a service with two versions and an ordered rollout.
+struct HubsInTrial : LeaderAndRelay {
+  std::uint64_t next = 1;
+
+  HubsInTrial() {
+    FleetHubSettings settings;
+    settings.rollout_share = 0.08;
+    settings.rollout_start = 20;
+    settings.retry_slack = 60;
+    leader = FleetHub(settings, 1, {"10.0.0.1:7", ZoneId("kochi")}, Random(1));
+    relay = FleetHub(settings, 2, {"10.0.0.2:7", ZoneId("fann")}, Random(2));
+    leader.BecomeLeader(now);
+    relay.BecomeRelay();
+    Apply();
+    for (const auto& server : {MakeVersionedServer("old", "v1", 1, "fann"),
+                               MakeVersionedServer("new", "v2", 2, "fann")}) {
+      relay.ApplyHeartbeat(now, server, record);
+    }
+    Sync();
+  }
+
+  void Apply() {
+    const auto plan = MakePlan(MakePlanParts());
+    leader.ApplyRecord(now, record, plan);
+    relay.ApplyRecord(now, record, plan);
+  }
+  std::uint64_t Order(const std::string& version) {
+    const Rollout* last = record.FindRollout(ServiceId("desk"));
+    record.Apply(StartRollout{ServiceId("desk"), version, seconds(12),
+                              last != nullptr ? last->order : 0});
+    Apply();
+    return record.FindRollout(ServiceId("desk"))->order;
+  }
+  void SetPhase(RolloutPhase phase) {
+    const std::uint64_t order = record.FindRollout(ServiceId("desk"))->order;
+    record.Apply(SetRolloutPhase{ServiceId("desk"), order, phase, ""});
+    Apply();
+  }
+  // Returns how many of the requests at the relay the new version gets.
+  int Assign(int requests, bool is_retry = false) {
+    int granted = 0;
+    for (int i = 0; i < requests; ++i) {
+      relay.RecordConfirmation(now);
+      DispatchQuery query;
+      query.service = ServiceId("desk");
+      query.zone = ZoneId("fann");
+      query.route = "lookup";
+      query.is_retry = is_retry;
+      const auto choice = relay.Assign(now, {kEntry, next++}, query);
+      REQUIRE(choice);
+      if (choice->server == BackendId("new")) ++granted;
+      relay.EndAssignment(now, {kEntry, next - 1}, AssignmentOutcome::kServed);
+    }
+    return granted;
+  }
+};
+
+TEST_CASE("a hub grants the new version its share and no retries", "[fleet]") {
+  HubsInTrial hubs;
+  CHECK(hubs.Assign(100) == 0);
+  hubs.Order("v2");
+  const int granted = hubs.Assign(100);
+  CHECK(granted >= 8);
+  CHECK(granted <= 9);
+  hubs.Assign(20);
+  CHECK(hubs.Assign(5, true) == 0);
+  hubs.SetPhase(RolloutPhase::kRolledBack);
+  CHECK(hubs.Assign(100) == 0);
+  hubs.Order("v2");
+  hubs.SetPhase(RolloutPhase::kSwitch);
+  CHECK(hubs.Assign(10) == 10);
+}
+
+// Guards against a rollback that waits for the next periodic update.
+TEST_CASE("changes of a rollout are sent to hosts at once", "[fleet]") {
+  HubsInTrial hubs;
+  EntryReport report = hubs.MakeReport();
+  hubs.relay.HandleReport(hubs.now, kEntry, false, report, hubs.record);
+  FleetUpdate update = hubs.relay.BuildUpdate(hubs.now, kEntry, hubs.record);
+  REQUIRE_FALSE(hubs.relay.HasPendingUpdate(hubs.now, kEntry));
+  for (const RolloutPhase phase :
+       {RolloutPhase::kTrial, RolloutPhase::kRolledBack}) {
+    if (phase == RolloutPhase::kTrial) {
+      hubs.Order("v2");
+    } else {
+      hubs.SetPhase(phase);
+    }
+    REQUIRE(hubs.relay.HasPendingUpdate(hubs.now, kEntry));
+    update =
+        hubs.RoundTrip(hubs.relay.BuildUpdate(hubs.now, kEntry, hubs.record));
+    REQUIRE(update.versions);
+    CHECK(update.versions->rollouts.at(ServiceId("desk")).phase == phase);
+  }
+  // Without rollouts nothing is sent, and versions tell nothing.
+  LeaderAndRelay without;
+  update = without.leader.HandleReport(without.now, kEntry, false,
+                                       without.MakeReport(), without.record);
+  CHECK(update.shared_state);
+  CHECK_FALSE(update.versions);
+}
+
+TEST_CASE(
+    "samples of all hosts reach the leader, those of an earlier rollout "
+    "do not",
+    "[fleet]") {
+  HubsInTrial hubs;
+  const ServiceId desk("desk");
+  RolloutSamples samples;
+  samples.target[BackendId("new")]["lookup"].failed = 2;
+  samples.others["lookup"].answered.at(6) = 40;
+  const auto report = [&] {
+    for (const char* host : {"entry-1", "entry-2"}) {
+      EntryReport entry_report = hubs.MakeReport();
+      entry_report.rollout_samples[desk] = samples;
+      hubs.relay.HandleReport(hubs.now, HostId(host), false, entry_report,
+                              hubs.record);
+    }
+  };
+  hubs.Order("v2");
+  report();
+  hubs.Sync();
+  auto taken = hubs.leader.TakeRolloutSamples();
+  CHECK(taken[desk].target[BackendId("new")]["lookup"].failed == 4);
+  CHECK(taken[desk].others["lookup"].answered.at(6) == 80);
+  CHECK(hubs.leader.TakeRolloutSamples().empty());
+  // Collected and not sent when the next order comes.
+  report();
+  hubs.SetPhase(RolloutPhase::kRolledBack);
+  hubs.Order("v3");
+  hubs.Sync();
+  CHECK(hubs.leader.TakeRolloutSamples().empty());
+  // Sent by a host that does not know the order yet.
+  samples.others.clear();
+  report();
+  hubs.Sync();
+  CHECK(hubs.leader.TakeRolloutSamples().empty());
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/fleet/fleet_messages_test.cc
+++ b/unit_tests/fleet/fleet_messages_test.cc
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "unit_tests/fleet/fleet_fixtures.h"
+#include "unit_tests/fleet/rollout_fixtures.h"
 
 namespace sapphirebank {
 namespace {
@@ -30,6 +30,12 @@
   report.crashes.push_back({~std::uint64_t{0}, BackendId("a")});
   report.rate_limits[BackendId("a")] = 2.5;
   report.rate_limits[BackendId("b")] = std::nullopt;
+  RolloutSamples& samples = report.rollout_samples[ServiceId("desk")];
+  samples.target[BackendId("b")]["lookup"].failed = 3;
+  samples.target[BackendId("b")]["lookup"].answered.at(7) = 4;
+  samples.others["posting"].answered.back() = 1;
+  CHECK(json(report).get<EntryReport>().rollout_samples ==
+        report.rollout_samples);
   report.known_servers = {MakeServer("a"),
                           MakeServer("b", "fann", 1'700'000'000'000, 4)};
   CHECK(RoundTrip(report) == json(report));
@@ -50,6 +56,9 @@
   update.shared_state = true;
   update.zones_out = {ZoneId("kochi")};
   update.request_rates[ServiceId("desk")] = 12.5;
+  update.versions = MakeVersions(MakeRollout(RolloutPhase::kSwitch));
+  update.versions->current_versions[ServiceId("tiller")] = "v7";
+  CHECK(json(update).get<FleetUpdate>().versions == update.versions);
   update.quarantined = {1, ~std::uint64_t{0}};
   update.entry_hosts = 44;
   update.hubs = {{"10.0.0.9:7", ZoneId("fann")}};
@@ -67,6 +76,12 @@
   json update = FleetUpdate();
   CHECK_FALSE(update.contains("newest"));
   CHECK_FALSE(update.get<FleetUpdate>().has_newest_update);
+  update["general"] = {{"hosts", 3}};
+  CHECK_FALSE(update.get<FleetUpdate>().versions);
+  CHECK_FALSE(json(EntryReport()).contains("samples"));
+  json announcement = MakeVersionedServer("a", "v1", 1);
+  announcement.erase(announcement.size() - 1);
+  CHECK(announcement.get<ServerAnnouncement>().version.empty());
 }
 
 TEST_CASE("a corrupt message is refused as a whole", "[fleet]") {
--- a/unit_tests/fleet/server_dispatcher_test.cc
+++ b/unit_tests/fleet/server_dispatcher_test.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "unit_tests/fleet/fleet_fixtures.h"
+#include "unit_tests/fleet/rollout_fixtures.h"
 
 namespace sapphirebank {
 namespace {
@@ -302,5 +303,108 @@
   CHECK(fixture.Assign(later + seconds(2)) == hanging);
 }
 
+// Servers of an old and a new version, at a hub of a zone with two hubs.
+struct TrialFixture : DispatcherFixture {
+  TrialFixture() { dispatcher.SetZoneHubs({"hub"}, "hub"); }
+
+  void Add(const std::string& id, const std::string& version,
+           const std::string& in_zone = "kochi", Duration warm_up = {}) {
+    ServerAnnouncement server =
+        MakeVersionedServer(id, version, version == "v1" ? 1 : 2, in_zone);
+    server.warm_up_left = warm_up;
+    registry.ApplyHeartbeat(kStart, server, record);
+  }
+  void SetPhase(RolloutPhase phase) {
+    dispatcher.SetVersions(MakeVersions(MakeRollout(phase)));
+  }
+  std::string AssignTrial(Instant now, std::set<BackendId> excluded = {}) {
+    DispatchQuery query;
+    query.service = ServiceId("desk");
+    query.zone = zone;
+    query.excluded = std::move(excluded);
+    const auto choice = dispatcher.AssignTrial(
+        now, {HostId("entry"), next++}, query, registry, zones_out, *plan);
+    return choice ? choice->server.value() : "";
+  }
+  std::set<std::string> AssignMany() {
+    std::set<std::string> used;
+    for (int i = 0; i < 12; ++i) {
+      used.insert(Assign(kStart));
+      dispatcher.EndAssignmentsOf(HostId("entry"));
+    }
+    return used;
+  }
+};
+
+TEST_CASE("a hub's own choices follow the phase of a rollout", "[fleet]") {
+  using Used = std::set<std::string>;
+  TrialFixture fixture;
+  fixture.Add("old", "v1");
+  fixture.Add("new", "v2");
+  CHECK(fixture.AssignMany() == Used{"new", "old"});
+  fixture.dispatcher.SetVersions(VersionRecord());
+  CHECK(fixture.AssignMany() == Used{"old"});
+  fixture.SetPhase(RolloutPhase::kTrial);
+  CHECK(fixture.AssignMany() == Used{"old"});
+  CHECK(fixture.AssignTrial(kStart) == "new");
+  fixture.SetPhase(RolloutPhase::kSwitch);
+  CHECK(fixture.AssignMany() == Used{"new"});
+  CHECK(fixture.AssignTrial(kStart).empty());
+  fixture.SetPhase(RolloutPhase::kRolledBack);
+  CHECK(fixture.AssignMany() == Used{"old"});
+  CHECK(fixture.AssignTrial(kStart).empty());
+}
+
+TEST_CASE("a trial uses all free servers of the hub's zone that are in service",
+          "[fleet]") {
+  TrialFixture fixture;
+  fixture.Add("old", "v1");
+  for (const char* id : {"a", "b", "c"}) fixture.Add(id, "v2");
+  fixture.Add("far", "v2", "fann");
+  fixture.SetPhase(RolloutPhase::kTrial);
+  std::map<std::string, int> counts;
+  for (int i = 0; i < 6; ++i) ++counts[fixture.AssignTrial(kStart)];
+  CHECK(counts == std::map<std::string, int>{{"a", 2}, {"b", 2}, {"c", 2}});
+  // All slots are taken; none waits in the queue of a server.
+  CHECK(fixture.AssignTrial(kStart).empty());
+  fixture.dispatcher.EndAssignmentsOf(HostId("entry"));
+  CHECK(fixture.AssignTrial(kStart, {BackendId("a"), BackendId("b")}) == "c");
+  fixture.zones_out = {ZoneId("kochi")};
+  CHECK(fixture.AssignTrial(kStart) == "far");
+  fixture.zones_out = {ZoneId("kochi"), ZoneId("fann")};
+  CHECK(fixture.AssignTrial(kStart).empty());
+}
+
+// Guards against new servers, which start cold, that get more than they bear.
+TEST_CASE("a trial keeps to the warm-up limits", "[fleet]") {
+  TrialFixture fixture;
+  fixture.Add("old", "v1");
+  fixture.Add("cold", "v2", "kochi", seconds(3));
+  fixture.SetPhase(RolloutPhase::kTrial);
+  int assigned = 0;
+  for (Instant now = kStart; now < kStart + seconds(2);
+       now += milliseconds(5)) {
+    if (!fixture.AssignTrial(now).empty()) ++assigned;
+    fixture.dispatcher.EndAssignmentsOf(HostId("entry"));
+  }
+  // 0.8 of 6 a second, and one at once.
+  CHECK(assigned >= 8);
+  CHECK(assigned <= 11);
+  // Another hub, which does not know what it gets, leaves it out.
+  fixture.dispatcher.SetZoneHubs({"other"}, "hub");
+  CHECK(fixture.AssignTrial(kStart + seconds(2)).empty());
+}
+
+// Guards against a trial that sees nothing more of a version once its servers
+// are out of use.
+TEST_CASE("a version whose servers all fail goes on being tried", "[fleet]") {
+  TrialFixture fixture;
+  fixture.Add("old", "v1");
+  fixture.Add("a", "v2");
+  fixture.SetPhase(RolloutPhase::kTrial);
+  fixture.dispatcher.RecordHardFailure(kStart, BackendId("a"));
+  CHECK(fixture.AssignTrial(kStart) == "a");
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/fleet/server_registry_test.cc
+++ b/unit_tests/fleet/server_registry_test.cc
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "unit_tests/fleet/fleet_fixtures.h"
+#include "unit_tests/fleet/rollout_fixtures.h"
 
 namespace sapphirebank {
 namespace {
@@ -203,5 +204,33 @@
   CHECK_FALSE(StateOf(registry, "a").retired);
 }
 
+// Guards against a bad new version that uses up the servers that may go down,
+// so that a failing old one stays in use.
+TEST_CASE("the servers of a new version are judged apart from the others",
+          "[fleet]") {
+  for (const bool apart : {true, false}) {
+    ServerRegistrySettings settings;
+    settings.judges_versions_apart = apart;
+    ServerRegistry registry(settings);
+    const FleetRecord record;
+    for (const char* id : {"a1", "a2", "a3"}) {
+      registry.ApplyHeartbeat(kStart, MakeVersionedServer(id, "v1", 1), record);
+    }
+    for (const char* id : {"b1", "b2", "b3"}) {
+      registry.ApplyHeartbeat(kStart, MakeVersionedServer(id, "v2", 2), record);
+    }
+    for (const char* id : {"b1", "b2", "b3", "a1"}) {
+      registry.AddOutcomes(kStart, BackendId(id), {0, 0, 3});
+    }
+    const auto is_down = [&](const char* id) {
+      return registry.entries().at(BackendId(id)).state.health ==
+             ServerHealth::kDown;
+    };
+    CHECK(is_down("a1") == apart);
+    CHECK(is_down("b1"));
+    CHECK(is_down("b2") != apart);
+  }
+}
+
 }  // namespace
 }  // namespace sapphirebank
