--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -166,7 +166,7 @@
     const bool blames_server =
         !is_over && !failure->cut_off && !(abandoned && choice.is_busy);
     // A version in its trial gets requests only where it has a free slot as far
-    // as its hub knows, so the attempt tells of its speed also then.
+    // as its hub knows, so the attempt tells of its speed.
     if (abandoned && choice.is_busy && !is_over &&
         choice.server->version_use == VersionUse::kByShare) {
       state_.RecordEnd(*choice.server,
@@ -223,8 +223,7 @@
   unanswered.may_have_crashed = !failure.timed_out &&
                                 result.trace.doubt == AnswerDoubt::kNone &&
                                 server.version_use != VersionUse::kByShare;
-  const bool was_abandoned = unanswered.is_fault && failure.timed_out;
-  unanswered.end = EndOf(context, server, sent_at, !was_abandoned);
+  unanswered.end = EndOf(context, server, sent_at, true);
   if (unanswered.is_fault) {
     client_.CloseIdleConnections(server.state.announcement.endpoint);
   }
--- a/sapphirebank/fleet/rollout_sampler.h
+++ b/sapphirebank/fleet/rollout_sampler.h
@@ -16,9 +16,8 @@
 // How an attempt at a backend server ended.
 struct AttemptEnd {
   std::string route;
-  // The server answered with an error, broke the attempt off or did not answer
-  // by the deadline. An attempt that was abandoned before counts as one that
-  // took this long, and the answer would have come later.
+  // The server answered with an error, broke the attempt off, or did not answer
+  // by the deadline or by the time after which an attempt is replaced.
   bool failed = false;
   Duration time{};
   // The server was in good health when the attempt ended.
