--- a/programs/fleet_host/server_path_prober.cc
+++ b/programs/fleet_host/server_path_prober.cc
@@ -133,7 +133,8 @@
   round->changed.cancel();
 }
 
-// Returns random servers, those that this host does not avoid first.
+// Returns random servers, those that this host does not avoid first: servers
+// of a version that is out may have stopped.
 std::vector<Endpoint> ServerPathProber::ChooseServers(Instant now) {
   std::vector<KnownServerPtr> servers = state_.view().Servers();
   for (std::size_t i = servers.size(); i > 1; --i) {
@@ -142,6 +143,7 @@
   std::stable_partition(servers.begin(), servers.end(),
                         [&](const KnownServerPtr& server) {
                           return now >= server->avoid_until &&
+                                 server->version_use == VersionUse::kOpen &&
                                  server->state.health == ServerHealth::kUp;
                         });
   const std::size_t count =
