Operators' orders and reads of rollouts; the leader's decisions

rollouts.start and rollouts.get are decoded, checked behind a round of a majority, and acknowledged like other changes. The leader judges the samples of its hub and commits phases. Orders wait while a control host has a build without rollouts. Settings: rollout_share, rollout_slack, rollback; without a share no rollouts are served. Metrics by phase, decision and refusal.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -71,9 +71,26 @@
 FleetHubSettings HubSettings(const FleetSettings& settings) {
   FleetHubSettings hub;
   hub.retry_slack = settings.retry_slack;
+  // The rest of the limits is for requests that are assigned twice and for
+  // those in flight when a version is rolled back.
+  constexpr double kShareFraction = 0.8;
+  constexpr double kStartFraction = 0.4;
+  hub.rollout_share = kShareFraction * settings.rollout_share;
+  hub.rollout_start = kStartFraction * settings.rollout_slack;
   return hub;
 }
 
+RolloutControllerSettings RolloutSettings(const FleetSettings& settings) {
+  RolloutControllerSettings rollouts;
+  rollouts.change_bound =
+      UngatedLease(MakeViewLeaseSettings(settings.change_limits));
+  // An operator repeats an order for as long as its acknowledgement may take.
+  constexpr int kRepeatFactor = 2;
+  rollouts.repeat_window =
+      kRepeatFactor * settings.change_limits.acknowledgement;
+  return rollouts;
+}
+
 }  // namespace
 
 Result<std::unique_ptr<ControlProcess>> ControlProcess::Start(
@@ -121,6 +138,7 @@
       hub_(HubSettings(settings), RandomSeed(),
            HubHost{self_.value(), settings.zone}, Random(RandomSeed())),
       gate_(MakeViewLeaseSettings(settings.change_limits), MonotonicNow()),
+      rollouts_(RolloutSettings(settings)),
       started_at_(MonotonicNow()),
       published_addresses_(std::make_shared<const AddressesByZone>()),
       random_(RandomSeed()),
@@ -203,7 +221,10 @@
   const Instant now = Now();
   UpdateLeadership(now);
   UpdateMembership(now);
-  if (is_leader_) ConfirmLeadership(now);
+  if (is_leader_) {
+    ConfirmLeadership(now);
+    DecideRollouts(now);
+  }
   Send(host_.TakeEarlyMessages(now));
   ControlEffects effects = host_.Flush(now);
   Send(effects.messages);
@@ -266,6 +287,7 @@
   FleetMetrics& metrics = metrics_->metrics();
   if (plan_) metrics.SetConfigurationRevision(plan_->version());
   metrics.SetFreshnessAge(StateAge(now));
+  UpdateRolloutMetrics();
   struct Counts {
     std::size_t in_use = 0;
     std::size_t ejected = 0;
@@ -304,6 +326,7 @@
               {"is_leader", is_leader_}});
   if (is_leader_) gate_.RecordCommit(now, record.changes());
   hub_.ApplyRecord(now, record, plan_);
+  ApplyRollouts(now);
   if (pending_confirmation_ &&
       record.changes() >= pending_confirmation_->record) {
     confirmed_as_of_ = std::max(confirmed_as_of_, pending_confirmation_->as_of);
@@ -333,6 +356,7 @@
     return;
   }
   hub_.BecomeLeader(now);
+  rollouts_.BecomeLeader(now);
   const Instant former_rounds_end = host_.raft().former_rounds_end();
   gate_.BecomeLeader(now, host_.state().fleet().changes(), former_rounds_end);
   log_.Write(LogLevel::kInfo, "leadership_begun",
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -21,6 +21,7 @@
 #include "sapphirebank/fleet/fleet_call.h"
 #include "sapphirebank/fleet/fleet_hub.h"
 #include "sapphirebank/fleet/fleet_settings.h"
+#include "sapphirebank/fleet/rollout_controller.h"
 #include "sapphirebank/fleet/update_age.h"
 #include "sapphirebank/telemetry/log_writer.h"
 #include "sapphirebank/transport/decision_thread.h"
@@ -64,6 +65,8 @@
     std::optional<ReportedUpdateAge> update_age;
     // A control host that holds back acknowledgements; earlier builds do not.
     bool gates_changes = false;
+    // The same for one that serves rollouts.
+    bool knows_rollouts = false;
   };
 
   // Addresses of the ready entry hosts.
@@ -71,13 +74,16 @@
 
   // A call that waits for the leader's response.
   struct PendingCall {
-    // The command to replicate; nothing for a read of the plan.
+    // The command to replicate; nothing for a read.
     std::optional<ControlCommand> command;
+    // The service of a read of a rollout; nothing for one of the plan.
+    std::optional<ServiceId> rollout_of;
     // Of a departure.
     DepartureKnowledge knowledge;
     Callback callback;
     Instant deadline;
-    Instant not_before;  // Earliest time of the next attempt.
+    Instant not_before;   // Earliest time of the next attempt.
+    std::string failure;  // Of the last attempt.
     // The leader that the call was sent to.
     std::optional<HostId> sent_to;
   };
@@ -151,13 +157,33 @@
   void ConnectToOthers(Instant now);
   std::optional<LinkId> LinkTo(const HostId& host) const;
 
+  // control_process_rollouts.cc
+  static bool ConcernsRollouts(const PendingCall& call);
+  // Returns whether a failure is the answer to a call of an operator about
+  // rollouts; other calls are sent again until their deadline.
+  static bool IsRefusal(ErrorKind kind);
+  bool AllHubsKnowRollouts() const;
+  bool LeaderKnowsRollouts() const;
+  void ApplyRollouts(Instant now);
+  void DecideRollouts(Instant now);
+  RolloutConditions ConditionsOf(Instant now, const Rollout& rollout) const;
+  // Returns the versions whose servers get all requests of the service.
+  std::set<std::string> VersionsInUse(const ServiceId& service) const;
+  void ReadRollout(const ServiceId& service, Callback callback);
+  void OrderRollout(const StartRollout& order, Callback callback);
+  void CheckAndStartRollout(StartRollout order, const Callback& callback);
+  void UpdateRolloutMetrics();
+
   // control_process_calls.cc
   boost::asio::awaitable<HttpAnswer> Serve(HttpRequest request);
   void Execute(FleetCall call, Callback callback);
   void EnqueueCall(std::optional<ControlCommand> command, Callback callback);
+  void EnqueueRolloutRead(const ServiceId& service, Callback callback);
   Callback LogAcknowledgement(const ControlCommand& command, Callback callback);
   void ProcessPendingCalls(Instant now);
   void RetryLater(PendingCall& call);
+  // Answers a call with the result of an attempt, or sends it again later.
+  void EndAttempt(std::uint64_t number, Result<std::string> result);
   // `knowledge` is what the control host that got the call knows of a server
   // that leaves.
   void ExecuteAsLeader(std::optional<ControlCommand> command,
@@ -196,6 +222,8 @@
   std::map<RequestToken, std::function<void(Completion)>> completions_;
   std::map<std::uint64_t, PendingCall> pending_;
   ChangeGate gate_;
+  RolloutController rollouts_;
+  Instant next_rollout_check_;
   std::vector<HeldAcknowledgement> held_acknowledgements_;
   LatestStartClock latest_start_;
   // What the leader said of itself and the other control hosts.
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -40,6 +40,10 @@
     return fmt::format("zone {} {}", zone->zone.value(),
                        zone->out ? "out" : "in");
   }
+  if (const auto* rollout = std::get_if<StartRollout>(&command)) {
+    return fmt::format("rollout {} {}", rollout->service.value(),
+                       rollout->target_version);
+  }
   return "other";
 }
 
@@ -123,6 +127,10 @@
     EnqueueCall(plan->plan, std::move(callback));
   } else if (const auto* zone = std::get_if<SetZoneCall>(&call)) {
     EnqueueCall(zone->zone, std::move(callback));
+  } else if (const auto* rollout = std::get_if<StartRolloutCall>(&call)) {
+    EnqueueCall(rollout->order, std::move(callback));
+  } else if (const auto* read = std::get_if<ReadRolloutCall>(&call)) {
+    EnqueueRolloutRead(read->service, std::move(callback));
   } else {
     EnqueueCall(std::nullopt, std::move(callback));
   }
@@ -146,6 +154,15 @@
   pending_.emplace(next_call_++, std::move(pending));
 }
 
+void ControlProcess::EnqueueRolloutRead(const ServiceId& service,
+                                        Callback callback) {
+  PendingCall pending;
+  pending.rollout_of = service;
+  pending.callback = std::move(callback);
+  pending.deadline = Now() + kControlCallTimeout;
+  pending_.emplace(next_call_++, std::move(pending));
+}
+
 // Logs that a change was received and returns a callback that logs its
 // acknowledgement, or why it has none.
 ControlProcess::Callback ControlProcess::LogAcknowledgement(
@@ -178,20 +195,20 @@
     if (now >= call.deadline || !may_find_leader) expired.push_back(number);
     const bool is_sent = call.sent_to && call.sent_to == known_leader_;
     if (!known_leader_ || is_sent || now < call.not_before) continue;
+    if (ConcernsRollouts(call) && !LeaderKnowsRollouts()) {
+      call.failure = "the leading control host has a build without rollouts";
+      continue;
+    }
     if (is_leader_) {
       call.sent_to = known_leader_;
-      ExecuteAsLeader(call.command, call.knowledge,
-                      [this, id = number](Result<std::string> result) {
-                        const auto found = pending_.find(id);
-                        if (found == pending_.end()) return;
-                        if (!result) {
-                          RetryLater(found->second);
-                          return;
-                        }
-                        const Callback done = std::move(found->second.callback);
-                        pending_.erase(found);
-                        done(std::move(result));
-                      });
+      const Callback end = [this, id = number](Result<std::string> result) {
+        EndAttempt(id, std::move(result));
+      };
+      if (call.rollout_of) {
+        ReadRollout(*call.rollout_of, end);
+      } else {
+        ExecuteAsLeader(call.command, call.knowledge, end);
+      }
       FlushSoon(true);
       break;  // The call may have completed, invalidating the iterator.
     }
@@ -204,6 +221,7 @@
       message["known_start"] = call.knowledge.known_start;
       message["latest_start"] = call.knowledge.latest_start;
     }
+    if (call.rollout_of) message["rollout"] = call.rollout_of->value();
     links_.Send(*link, message);
   }
   for (const std::uint64_t number : expired) {
@@ -216,8 +234,9 @@
              is_accepted ? "the change is accepted and not in force everywhere"
              : !is_member_      ? "this control host is outside the group"
              : !may_find_leader ? "no majority of control hosts is in contact"
-                                : "no quorum of control hosts within the call "
-                                  "timeout"));
+             : !call.mapped().failure.empty()
+                 ? call.mapped().failure
+                 : "no quorum of control hosts within the call timeout"));
   }
 }
 
@@ -227,6 +246,23 @@
   call.not_before = Now() + kControlCallRetry;
 }
 
+void ControlProcess::EndAttempt(std::uint64_t number,
+                                Result<std::string> result) {
+  const auto found = pending_.find(number);
+  if (found == pending_.end()) return;
+  PendingCall& call = found->second;
+  const bool is_refusal =
+      !result && ConcernsRollouts(call) && IsRefusal(result.error().kind);
+  if (!result && !is_refusal) {
+    if (ConcernsRollouts(call)) call.failure = result.error().detail;
+    RetryLater(call);
+    return;
+  }
+  const Callback done = std::move(call.callback);
+  pending_.erase(found);
+  done(std::move(result));
+}
+
 std::optional<std::uint64_t> ControlProcess::AppliedChange(
     const ControlCommand& command) const {
   const FleetRecord& record = host_.state().fleet();
@@ -242,12 +278,21 @@
     }
     return record.ZoneChange(zone->zone);
   }
+  if (const auto* order = std::get_if<StartRollout>(&command)) {
+    const Rollout* last = record.FindRollout(order->service);
+    if (last == nullptr || last->target_version != order->target_version ||
+        last->duration != order->duration) {
+      return std::nullopt;
+    }
+    return last->order;
+  }
   return record.changes();
 }
 
 Duration ControlProcess::BoundFor(const ControlCommand& command) const {
   const ViewLeaseSettings& settings = gate_.settings();
   if (std::holds_alternative<StorePlan>(command)) return settings.plan_bound;
+  if (std::holds_alternative<StartRollout>(command)) return settings.plan_bound;
   if (std::holds_alternative<SetZoneOut>(command)) return settings.zone_bound;
   return settings.departure_bound;
 }
@@ -318,6 +363,12 @@
         Fail(ErrorKind::kNotLeader, "this control host is not the leader"));
     return;
   }
+  if (command) {
+    if (const auto* order = std::get_if<StartRollout>(&*command)) {
+      OrderRollout(*order, callback);
+      return;
+    }
+  }
   const RequestToken token = next_token_++;
   if (!command && now - confirmed_as_of_ > kMaxReadAge) {
     completions_[token] = [this, now, callback](const Completion& completion) {
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -76,6 +76,7 @@
   links_.Send(link, {{"t", "control"},
                      {"zone", settings_.zone.value()},
                      {"gates", true},
+                     {"rollouts", true},
                      {"age", StateAge(now).count()},
                      {"electing", IsElectingLeader(now)},
                      {"member", is_member_},
@@ -310,6 +311,7 @@
   peer.is_control = true;
   peer.zone = ZoneId(message.at("zone").get<std::string>());
   peer.gates_changes = message.value("gates", false);
+  peer.knows_rollouts = message.value("rollouts", false);
   host_.AddHost(peer.host);
   UpdateHubList();
   if (is_leader_) links_.Send(link, {{"t", "ready"}, {"list", ready_hosts_}});
@@ -402,15 +404,16 @@
 }
 
 void ControlProcess::OnCallDone(const json& message) {
-  const auto call = pending_.find(message.at("call").get<std::uint64_t>());
-  if (call == pending_.end()) return;
-  if (!message.at("ok").get<bool>()) {
-    RetryLater(call->second);
+  const auto number = message.at("call").get<std::uint64_t>();
+  std::string text = message.at("text").get<std::string>();
+  if (message.at("ok").get<bool>()) {
+    EndAttempt(number, std::move(text));
     return;
   }
-  const Callback done = std::move(call->second.callback);
-  pending_.erase(call);
-  done(message.at("text").get<std::string>());
+  // Earlier builds do not tell.
+  const auto kind = ErrorKindFromName(message.value("kind", std::string()));
+  EndAttempt(number,
+             Fail(kind.value_or(ErrorKind::kNotLeader), std::move(text)));
 }
 
 void ControlProcess::OnPeerCall(LinkId link, const json& message) {
@@ -425,14 +428,20 @@
   const DepartureKnowledge knowledge = {
       message.value("known_start", Incarnation{0}),
       message.value("latest_start", Incarnation{0})};
-  ExecuteAsLeader(
-      std::move(command), knowledge,
-      [this, link, number](const Result<std::string>& result) {
-        links_.Send(link, {{"t", "done"},
-                           {"call", number},
-                           {"ok", result.has_value()},
-                           {"text", result ? *result : result.error().detail}});
-      });
+  const Callback answer = [this, link,
+                           number](const Result<std::string>& result) {
+    json done = {{"t", "done"},
+                 {"call", number},
+                 {"ok", result.has_value()},
+                 {"text", result ? *result : result.error().detail}};
+    if (!result) done["kind"] = AnswerFor(result.error().kind).name;
+    links_.Send(link, done);
+  };
+  if (const auto service = message.find("rollout"); service != message.end()) {
+    ReadRollout(ServiceId(service->get<std::string>()), answer);
+    return;
+  }
+  ExecuteAsLeader(std::move(command), knowledge, answer);
 }
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/fleet_call.h
+++ b/sapphirebank/fleet/fleet_call.h
@@ -41,20 +41,30 @@
   SetZoneOut zone;
 };
 
+struct StartRolloutCall {
+  StartRollout order;
+};
+
+// Reads the last rollout of a service.
+struct ReadRolloutCall {
+  ServiceId service;
+};
+
 // A caller looks up addresses of entry hosts.
 struct LookupCall {
   ZoneId caller_zone;
 };
 
-using FleetCall = std::variant<HeartbeatCall, LeaveCall, StorePlanCall,
-                               ReadPlanCall, SetZoneCall, LookupCall>;
+using FleetCall =
+    std::variant<HeartbeatCall, LeaveCall, StorePlanCall, ReadPlanCall,
+                 SetZoneCall, StartRolloutCall, ReadRolloutCall, LookupCall>;
 
 // Decodes calls to a control host and encodes their answers.
 struct ControlCodec {
   // Decodes a call. The error describes the caller's mistake.
   std::function<Result<FleetCall>(const HttpRequest&)> read_call;
   // Encodes the answer to a successful call; `document` is the plan for
-  // ReadPlanCall.
+  // ReadPlanCall and what RolloutToJson wrote for ReadRolloutCall.
   std::function<HttpAnswer(const FleetCall&, const std::string& document)> done;
   std::function<HttpAnswer(const std::vector<std::string>& addresses,
                            Duration life)>
--- a/sapphirebank/fleet/fleet_settings.cc
+++ b/sapphirebank/fleet/fleet_settings.cc
@@ -117,6 +117,9 @@
   reader.Length("server_departure", limits.departure, kDurationRange);
   reader.Length("zone_change", limits.zone, kDurationRange);
   reader.Length("acknowledgement", limits.acknowledgement, kDurationRange);
+  reader.Number("rollout_share", settings.rollout_share, Range<double>{0, 1});
+  reader.Number("rollout_slack", settings.rollout_slack, Range<double>{0, 1e6});
+  reader.Length("rollback", settings.rollback, kDurationRange);
   reader.Length("grace", settings.grace, kDurationRange);
   reader.Length("longest_lookup_life", settings.longest_lookup_life,
                 kDurationRange);
--- a/sapphirebank/fleet/fleet_settings.h
+++ b/sapphirebank/fleet/fleet_settings.h
@@ -51,6 +51,13 @@
 
   // By when changes must be acknowledged and take effect everywhere.
   ChangeLimits change_limits;
+  // Bounds on the requests that a bad new version of a service gets: the
+  // fraction of the service's requests, the requests beyond it, and the time
+  // after which a version that was found to be bad gets none. Without a
+  // fraction no rollouts are served.
+  double rollout_share = 0;
+  double rollout_slack = 0;
+  Duration rollback = std::chrono::seconds(5);
   // Time from the termination signal until the process is killed.
   Duration grace = std::chrono::seconds(6);
   // Maximum time for which callers cache an answer of the directory.
--- a/sapphirebank/fleet/rollout.h
+++ b/sapphirebank/fleet/rollout.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -25,6 +26,26 @@
   kRolledBack,
 };
 
+// All phases in the order of the enum.
+inline constexpr std::array kRolloutPhases = {
+    RolloutPhase::kTrial, RolloutPhase::kSwitch, RolloutPhase::kCompleted,
+    RolloutPhase::kRolledBack};
+
+// Returns the phase's name in logs and metrics.
+constexpr std::string_view ToString(RolloutPhase phase) {
+  switch (phase) {
+    case RolloutPhase::kTrial:
+      return "trial";
+    case RolloutPhase::kSwitch:
+      return "switch";
+    case RolloutPhase::kCompleted:
+      return "completed";
+    case RolloutPhase::kRolledBack:
+      return "rolled_back";
+  }
+  return "unknown";
+}
+
 // A rollout of one service, as the replicated record holds it.
 struct Rollout {
   ServiceId service;
--- a/sapphirebank/fleet/rollout_controller.cc
+++ b/sapphirebank/fleet/rollout_controller.cc
@@ -5,9 +5,14 @@
 #include <algorithm>
 #include <utility>
 
+#include "sapphirebank/core/json_read.h"
+#include "sapphirebank/fleet/server_announcement.h"
+
 namespace sapphirebank {
 namespace {
 
+constexpr Duration kShortestDuration = std::chrono::seconds(1);
+
 constexpr Duration kProposalPeriod = std::chrono::seconds(1);
 
 // Least part of the duration that is left for the trial, and greatest part that
@@ -17,6 +22,25 @@
 
 }  // namespace
 
+Result<void> CheckOrderFields(const StartRollout& order) {
+  // The same names as in announcements of servers.
+  ServerAnnouncement server;
+  server.id = BackendId("any");
+  server.zone = ZoneId("any");
+  server.endpoint = {"127.0.0.1", 1};
+  server.service = order.service;
+  server.version = order.target_version;
+  if (order.target_version.empty()) {
+    return Fail(ErrorKind::kMalformedRequest, "the target version is empty");
+  }
+  if (auto checked = CheckAnnouncement(server); !checked) return checked;
+  if (order.duration < kShortestDuration ||
+      order.duration > kLongestReadDuration) {
+    return Fail(ErrorKind::kMalformedRequest, "the duration is out of range");
+  }
+  return {};
+}
+
 RolloutTimeline PlanRollout(Duration duration, Duration drain,
                             const RolloutControllerSettings& settings) {
   RolloutTimeline timeline;
@@ -144,7 +168,7 @@
 
 Result<RolloutOrderKind> RolloutController::CheckOrder(
     Instant now, const StartRollout& order, const FleetRecord& record,
-    const TrafficPlan* plan, const std::set<std::string>& versions) const {
+    const TrafficPlan* plan, const std::set<std::string>& in_use) const {
   if (plan == nullptr) {
     return Fail(ErrorKind::kNoConfiguration, "no plan has been stored yet");
   }
@@ -167,17 +191,8 @@
                 fmt::format("a rollout of {} to {} runs", order.service.value(),
                             last->target_version));
   }
-  // Versions with requests at present.
-  std::set<std::string> in_use = versions;
-  if (last != nullptr) {
-    for (const std::string& version : versions) {
-      if (UseOf(*last, version) == VersionUse::kNone) in_use.erase(version);
-    }
-  }
-  const bool is_only_one =
-      in_use == std::set<std::string>{order.target_version};
   if (record.CurrentVersion(order.service) == order.target_version ||
-      is_only_one) {
+      in_use.contains(order.target_version)) {
     return Fail(ErrorKind::kInvalidDeclaration,
                 fmt::format("{} is the current version of {}",
                             order.target_version, order.service.value()));
--- a/sapphirebank/fleet/rollout_controller.h
+++ b/sapphirebank/fleet/rollout_controller.h
@@ -64,6 +64,11 @@
   RolloutVerdict verdict;
 };
 
+// Checks what an order says by itself: names that all hosts of the fleet can
+// read, and a duration between one second and one day. Fails with
+// kMalformedRequest and names the field.
+Result<void> CheckOrderFields(const StartRollout& order);
+
 // Whether a valid order starts a rollout.
 enum class RolloutOrderKind { kNew, kRepeated };
 
@@ -95,14 +100,14 @@
   // the record has them, at most once a second.
   std::vector<RolloutStep> Decide(Instant now, const ConditionsOf& conditions);
 
-  // Checks an order against the record and the plan, which may be null, and the
-  // versions of the service's servers that accept requests. Fails with
-  // kNoConfiguration without a plan, kNotFound for an unknown service,
-  // kRevisionConflict beside another rollout, and kInvalidDeclaration for the
-  // version that is current.
+  // Checks an order against the record, the plan, which may be null, and the
+  // versions whose servers get all requests of the service at present. Fails
+  // with kNoConfiguration without a plan, kNotFound for an unknown service,
+  // kRevisionConflict beside another rollout, and kInvalidDeclaration for a
+  // version in use.
   Result<RolloutOrderKind> CheckOrder(
       Instant now, const StartRollout& order, const FleetRecord& record,
-      const TrafficPlan* plan, const std::set<std::string>& versions) const;
+      const TrafficPlan* plan, const std::set<std::string>& in_use) const;
 
  private:
   struct Track {
--- a/sapphirebank/telemetry/fleet_metrics.cc
+++ b/sapphirebank/telemetry/fleet_metrics.cc
@@ -99,6 +99,15 @@
       detection_(
           Register<Histogram>("sapphirebank_detection_seconds",
                               "Time between a failure and its detection.")),
+      rollout_phase_(Register<Gauge>(
+          "sapphirebank_rollout_phase",
+          "1 for the phase of the last rollout of a service, else 0.")),
+      rollout_decisions_(Register<Counter>(
+          "sapphirebank_rollout_decisions_total",
+          "Phases of rollouts that this host decided on as the leader.")),
+      rollout_refusals_(
+          Register<Counter>("sapphirebank_rollout_orders_refused_total",
+                            "Refused orders of rollouts, by error kind.")),
       configuration_revision_(
           Register<Gauge>("sapphirebank_configuration_revision",
                           "Revision of the configuration in force.")),
@@ -212,6 +221,29 @@
       .Observe(ToSeconds(time));
 }
 
+void FleetMetrics::SetRolloutPhase(const ServiceId& service,
+                                   RolloutPhase phase) {
+  const std::string label = ServiceLabel(service);
+  for (const RolloutPhase each : kRolloutPhases) {
+    rollout_phase_
+        .Add({{"service", label}, {"phase", std::string(ToString(each))}})
+        .Set(each == phase ? 1 : 0);
+  }
+}
+
+void FleetMetrics::CountRolloutDecision(const ServiceId& service,
+                                        RolloutPhase phase) {
+  rollout_decisions_
+      .Add({{"service", ServiceLabel(service)},
+            {"phase", std::string(ToString(phase))}})
+      .Increment();
+}
+
+void FleetMetrics::CountRolloutRefusal(ErrorKind kind) {
+  rollout_refusals_.Add({{"kind", std::string(AnswerFor(kind).name)}})
+      .Increment();
+}
+
 void FleetMetrics::SetConfigurationRevision(Revision revision) {
   configuration_revision_.Add({}).Set(static_cast<double>(revision));
 }
--- a/sapphirebank/telemetry/fleet_metrics.h
+++ b/sapphirebank/telemetry/fleet_metrics.h
@@ -18,6 +18,7 @@
 #include "sapphirebank/core/error.h"
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/time.h"
+#include "sapphirebank/fleet/rollout.h"
 
 namespace sapphirebank {
 
@@ -92,6 +93,15 @@
   // Records the delay between a failure and its detection.
   void ObserveDetection(DetectionSubject subject, Duration time);
 
+  // Sets the phase of the last rollout of `service`.
+  void SetRolloutPhase(const ServiceId& service, RolloutPhase phase);
+
+  // Counts a decision of this host on a rollout of `service`.
+  void CountRolloutDecision(const ServiceId& service, RolloutPhase phase);
+
+  // Counts a refused order of a rollout.
+  void CountRolloutRefusal(ErrorKind kind);
+
   // Sets the revision of the configuration in force on this host.
   void SetConfigurationRevision(Revision revision);
 
@@ -145,6 +155,9 @@
   Family<prometheus::Counter>& rollout_requests_;
   Family<prometheus::Gauge>& backend_servers_;
   Family<prometheus::Histogram>& detection_;
+  Family<prometheus::Gauge>& rollout_phase_;
+  Family<prometheus::Counter>& rollout_decisions_;
+  Family<prometheus::Counter>& rollout_refusals_;
   Family<prometheus::Gauge>& configuration_revision_;
   Family<prometheus::Gauge>& freshness_age_;
   Family<prometheus::Gauge>& control_group_member_;
--- a/unit_tests/fleet/fleet_settings_test.cc
+++ b/unit_tests/fleet/fleet_settings_test.cc
@@ -24,6 +24,9 @@
           {"server_departure", "2s"},
           {"zone_change", "5s"},
           {"acknowledgement", "4s"},
+          {"rollout_share", 0.1},
+          {"rollout_slack", 50},
+          {"rollback", "5000ms"},
           {"retry_slack", 62},
           {"memory_mb", 160},
           {"link_mbps", 2.8}};
@@ -44,6 +47,9 @@
   CHECK(settings->change_limits.departure == std::chrono::seconds(2));
   CHECK(settings->change_limits.zone == std::chrono::seconds(5));
   CHECK(settings->change_limits.acknowledgement == std::chrono::seconds(4));
+  CHECK(settings->rollout_share == Approx(0.1));
+  CHECK(settings->rollout_slack == Approx(50));
+  CHECK(settings->rollback == std::chrono::seconds(5));
   CHECK(settings->found_group);
   CHECK(settings->MaxAnswerBytes() == std::size_t{40} << 20U);
   CHECK(settings->LinkRate() == Approx(350'000));
@@ -68,6 +74,9 @@
       {[](json& s) { s["seeds"] = {"one"}; }, {"/seeds", "one"}},
       {[](json& s) { s["grace"] = "soon"; }, {"/grace"}},
       {[](json& s) { s["retry_slack"] = -1; }, {"/retry_slack"}},
+      {[](json& s) { s["rollout_share"] = 1.5; }, {"/rollout_share"}},
+      {[](json& s) { s["rollout_slack"] = -1; }, {"/rollout_slack"}},
+      {[](json& s) { s["rollback"] = "soon"; }, {"/rollback"}},
       {[](json& s) { s["log_level"] = "loud"; }, {"/log_level"}},
       {[](json& s) { s["colour"] = "red"; }, {"/colour"}},
       {[](json& s) { s["role"] = "control"; },
--- a/unit_tests/platform/call_codec_test.cc
+++ b/unit_tests/platform/call_codec_test.cc
@@ -8,6 +8,7 @@
 
 #include "platform/plan_codec.h"
 #include "sapphirebank/fleet/fleet_messages.h"
+#include "sapphirebank/fleet/rollout_codec.h"
 
 namespace sapphirebank {
 namespace {
@@ -88,12 +89,78 @@
         SetZoneOut{ZoneId("kochi"), true});
   CHECK(std::get<SetZoneCall>(read("evacuations.end&of=kochi")).zone ==
         SetZoneOut{ZoneId("kochi"), false});
+  const auto order = std::get<StartRolloutCall>(
+      read("rollouts.start",
+           R"({"service":"s1","targetVersion":"v2","duration":"12s"})"));
+  CHECK(order.order ==
+        StartRollout{ServiceId("s1"), "v2", std::chrono::seconds(12)});
+  CHECK(std::get<ReadRolloutCall>(read("rollouts.get&of=s1")).service ==
+        ServiceId("s1"));
   const auto lookup =
       kCodec.read_call(MakeCall("/api/resolve?name=a&region=b&zone=kochi"));
   REQUIRE(lookup);
   CHECK(std::get<LookupCall>(*lookup).caller_zone == ZoneId("kochi"));
 }
 
+TEST_CASE("malformed orders of rollouts are refused", "[platform]") {
+  const std::vector<std::function<void(json&)>> corruptions = {
+      [](json& b) { b.erase("service"); },
+      [](json& b) { b["service"] = ""; },
+      [](json& b) { b["service"] = 7; },
+      [](json& b) { b.erase("targetVersion"); },
+      [](json& b) { b["targetVersion"] = ""; },
+      [](json& b) { b["targetVersion"] = 2; },
+      [](json& b) { b["targetVersion"] = "v\n2"; },
+      [](json& b) { b["targetVersion"] = std::string(257, 'v'); },
+      [](json& b) { b.erase("duration"); },
+      [](json& b) { b["duration"] = 12; },
+      [](json& b) { b["duration"] = ""; },
+      [](json& b) { b["duration"] = "soon"; },
+      [](json& b) { b["duration"] = "0s"; },
+      [](json& b) { b["duration"] = "10ms"; },
+      [](json& b) { b["duration"] = "-12s"; },
+      [](json& b) { b["duration"] = "86401s"; },
+      [](json& b) { b["duration"] = "1e308s"; },
+      [](json& b) { b = json::array(); }};
+  for (const auto& corrupt : corruptions) {
+    json order = {
+        {"service", "s1"}, {"targetVersion", "v2"}, {"duration", "12s"}};
+    corrupt(order);
+    CAPTURE(order.dump());
+    const auto call = kCodec.read_call(
+        MakeCall("/api/rpc?call=rollouts.start", order.dump()));
+    REQUIRE_FALSE(call);
+    CHECK(kCodec.refusal(call.error()).status == 400);
+  }
+  for (const std::string body : {"", "{", "\xff\xfe", "null"}) {
+    CHECK_FALSE(
+        kCodec.read_call(MakeCall("/api/rpc?call=rollouts.start", body)));
+  }
+  CHECK_FALSE(kCodec.read_call(MakeCall("/api/rpc?call=rollouts.get")));
+}
+
+TEST_CASE("the state of a rollout is told in the operator's words",
+          "[platform]") {
+  const std::pair<RolloutPhase, const char*> rows[] = {
+      {RolloutPhase::kTrial, "running"},
+      {RolloutPhase::kSwitch, "running"},
+      {RolloutPhase::kCompleted, "completed"},
+      {RolloutPhase::kRolledBack, "rolled_back"}};
+  for (const auto& [phase, state] : rows) {
+    Rollout rollout;
+    rollout.service = ServiceId("s1");
+    rollout.target_version = "v2";
+    rollout.phase = phase;
+    const HttpAnswer answer = kCodec.done(ReadRolloutCall{rollout.service},
+                                          RolloutToJson(rollout).dump());
+    CHECK(answer.status == 200);
+    CHECK(json::parse(answer.body) ==
+          json({{"state", state}, {"targetVersion", "v2"}}));
+  }
+  CHECK(json::parse(kCodec.done(StartRolloutCall(), "").body) ==
+        json::object());
+}
+
 TEST_CASE("malformed heartbeats are refused", "[platform]") {
   const std::vector<std::function<void(json&)>> corruptions = {
       [](json& b) { b.erase("service"); },
