--- a/programs/fleet_host/control_process_rollouts.cc
+++ b/programs/fleet_host/control_process_rollouts.cc
@@ -68,6 +68,10 @@
   for (const RolloutStep& step : steps) {
     const SetRolloutPhase& command = step.command;
     const RolloutEvidence& evidence = step.verdict.evidence;
+    json worst = json::array();
+    for (const BackendId& server : evidence.worst_servers) {
+      worst.push_back(server.value());
+    }
     log_.Write(LogLevel::kInfo, "rollout_decided",
                {{"service", command.service.value()},
                 {"order", command.order},
@@ -80,6 +84,7 @@
                 {"window_answers", evidence.answers},
                 {"window_bad", evidence.bad},
                 {"window_ms", ToSeconds(evidence.window) * 1e3},
+                {"worst_servers", std::move(worst)},
                 {"score", evidence.score},
                 {"limit", evidence.limit}});
     metrics_->metrics().CountRolloutDecision(command.service, command.phase);
--- a/sapphirebank/fleet/rollout_judge.cc
+++ b/sapphirebank/fleet/rollout_judge.cc
@@ -39,6 +39,8 @@
 constexpr double kAnswersOfSeenRoute = 8;
 constexpr double kEnoughOfExpected = 0.25;
 
+constexpr std::size_t kMaxWorstServers = 5;
+
 // Fraction of the limit from which evidence keeps a version from acceptance.
 constexpr double kDoubt = 0.5;
 
@@ -210,37 +212,55 @@
   return std::log(tests * kStartsPerMinute / settings_.false_alarm);
 }
 
-RolloutJudge::Score RolloutJudge::ScoreOf(std::vector<double> by_server,
+RolloutJudge::Score RolloutJudge::ScoreOf(const ScoreByServer& by_server,
                                           std::size_t target_servers) const {
+  std::vector<double> scores;
+  scores.reserve(by_server.size());
+  for (const auto& [server, score] : by_server) scores.push_back(score);
   std::size_t left_out = 0;
   if (std::max(target_servers, servers_.size()) > 1) {
     const double faulty =
-        settings_.faulty_servers * static_cast<double>(by_server.size());
+        settings_.faulty_servers * static_cast<double>(scores.size());
     left_out =
         std::min(std::max<std::size_t>(1, static_cast<std::size_t>(faulty)),
-                 by_server.size());
+                 scores.size());
   }
-  const auto first = by_server.begin() + static_cast<std::ptrdiff_t>(left_out);
-  std::partial_sort(by_server.begin(), first, by_server.end(),
-                    std::greater<>());
+  const auto first = scores.begin() + static_cast<std::ptrdiff_t>(left_out);
+  std::partial_sort(scores.begin(), first, scores.end(), std::greater<>());
   // At least two servers that are not left out must speak against the version,
   // if there are two.
-  const bool has_others = by_server.size() - left_out > 1;
+  const bool has_others = scores.size() - left_out > 1;
   const double most = has_others ? Limit() / 2 : Limit();
   Score score;
-  for (auto value = first; value != by_server.end(); ++value) {
+  for (auto value = first; value != scores.end(); ++value) {
     score.all += *value;
     score.limited += std::min(*value, most);
   }
   return score;
 }
 
+std::vector<BackendId> RolloutJudge::WorstOf(
+    const ScoreByServer& by_server) const {
+  std::vector<std::pair<double, BackendId>> worst;
+  for (const auto& [id, index] : servers_) {
+    const auto found = by_server.find(index);
+    if (found != by_server.end() && found->second > 0) {
+      worst.emplace_back(found->second, id);
+    }
+  }
+  std::sort(worst.begin(), worst.end(), std::greater<>());
+  if (worst.size() > kMaxWorstServers) worst.resize(kMaxWorstServers);
+  std::vector<BackendId> ids;
+  ids.reserve(worst.size());
+  for (auto& [score, id] : worst) ids.push_back(std::move(id));
+  return ids;
+}
+
 void RolloutJudge::Test(const RouteTallies& window, Duration length,
                         std::size_t target_servers,
                         RolloutEvidence& strongest) const {
   const auto consider = [&](const std::string& route, RolloutFault fault,
-                            const std::vector<double>& scores,
-                            const Tally& sum) {
+                            const ScoreByServer& scores, const Tally& sum) {
     const double score = ScoreOf(scores, target_servers).limited;
     if (score <= strongest.score) return;
     strongest.route = route;
@@ -249,30 +269,28 @@
     strongest.answers = sum.answers;
     strongest.bad = sum.bad;
     strongest.window = length;
+    strongest.worst_servers = WorstOf(scores);
     strongest.score = score;
   };
   for (const RolloutFault fault :
        {RolloutFault::kFailures, RolloutFault::kSlowness}) {
     for (std::size_t part = 0; part < kBadParts.size(); ++part) {
-      std::map<std::size_t, double> over_all;
+      ScoreByServer over_all;
       Tally total;
       for (const auto& [route, servers] : window) {
-        std::vector<double> scores;
+        ScoreByServer scores;
         Tally sum;
         for (const auto& [server, tallies] : servers) {
           const Tally& tally = tallies[IndexOf(fault)];
           if (tally.answers == 0) continue;
-          scores.push_back(tally.scores[part]);
+          scores[server] = tally.scores[part];
           over_all[server] += tally.scores[part];
           sum += tally;
         }
         consider(route, fault, scores, sum);
         total += sum;
       }
-      std::vector<double> scores;
-      scores.reserve(over_all.size());
-      for (const auto& [server, score] : over_all) scores.push_back(score);
-      consider("", fault, scores, total);
+      consider("", fault, over_all, total);
     }
   }
 }
@@ -280,17 +298,14 @@
 double RolloutJudge::HalfBadScore(const RouteTallies& window,
                                   RolloutFault fault,
                                   std::size_t target_servers) const {
-  std::map<std::size_t, double> over_all;
+  ScoreByServer over_all;
   for (const auto& [route, servers] : window) {
     for (const auto& [server, tallies] : servers) {
       const Tally& tally = tallies[IndexOf(fault)];
       if (tally.answers > 0) over_all[server] += tally.scores[kHalfBad];
     }
   }
-  std::vector<double> scores;
-  scores.reserve(over_all.size());
-  for (const auto& [server, score] : over_all) scores.push_back(score);
-  return ScoreOf(std::move(scores), target_servers).all;
+  return ScoreOf(over_all, target_servers).all;
 }
 
 std::string RolloutJudge::LackingOnRoute(const RouteTallies& all,
@@ -302,13 +317,13 @@
   const auto& servers = found == all.end() ? kNoServers : found->second;
   for (const RolloutFault fault :
        {RolloutFault::kFailures, RolloutFault::kSlowness}) {
-    std::vector<double> scores;
+    ScoreByServer scores;
     std::uint32_t answers = 0;
     for (const auto& [server, tallies] : servers) {
       const Tally& tally = tallies[IndexOf(fault)];
       if (tally.answers == 0) continue;
       answers += tally.answers;
-      scores.push_back(tally.scores[kHalfBad]);
+      scores[server] = tally.scores[kHalfBad];
     }
     const double wanted =
         std::min(kAnswersOfSeenRoute, kEnoughOfExpected * expected_answers);
@@ -318,7 +333,7 @@
     const double enough = answers >= kAnswersOfTestedRoute
                               ? std::log(settings_.false_acceptance)
                               : 0;
-    if (ScoreOf(std::move(scores), target_servers).all > enough) {
+    if (ScoreOf(scores, target_servers).all > enough) {
       return fmt::format("too few good answers on route {} ({})", route,
                          ToString(fault));
     }
--- a/sapphirebank/fleet/rollout_judge.h
+++ b/sapphirebank/fleet/rollout_judge.h
@@ -60,7 +60,8 @@
   std::uint32_t answers = 0;
   std::uint32_t bad = 0;
   Duration window{};
-  double tolerated_share = 0;
+  // Those of the servers with the most evidence.
+  std::vector<BackendId> worst_servers;
   // Evidence against the version in nats, and the limit that condemns it.
   double score = 0;
   double limit = 0;
@@ -165,8 +166,11 @@
   std::optional<double> ToleratedFailures(const std::string& route) const;
   // Returns the evidence that condemns.
   double Limit() const;
-  Score ScoreOf(std::vector<double> by_server,
+  // Evidence by the server's index in servers_.
+  using ScoreByServer = std::map<std::size_t, double>;
+  Score ScoreOf(const ScoreByServer& by_server,
                 std::size_t target_servers) const;
+  std::vector<BackendId> WorstOf(const ScoreByServer& by_server) const;
   // Raises `strongest` to what the answers in `window` say.
   void Test(const RouteTallies& window, Duration length,
             std::size_t target_servers, RolloutEvidence& strongest) const;
--- a/system_tests/platform/platform_fleet.h
+++ b/system_tests/platform/platform_fleet.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "system_tests/fleet.h"
@@ -31,7 +32,9 @@
 // removes unless it is to be kept.
 class PlatformFleet {
  public:
-  PlatformFleet() {
+  // `settings` are added to those of each host.
+  explicit PlatformFleet(nlohmann::json settings = nlohmann::json::object())
+      : more_settings_(std::move(settings)) {
     folder_ = std::filesystem::temp_directory_path() /
               fmt::format("sapphirebank-platform-{}", ::getpid());
     std::filesystem::create_directories(folder_);
@@ -221,14 +224,16 @@
     for (int index = 0; index < kControlHosts; ++index) {
       seeds.push_back(fmt::format("{}:{}", ControlHostIp(index), kControlPort));
     }
-    return {{"role", role},
-            {"host", host_name},
-            {"ip", ip},
-            {"zone", "kochi"},
-            {"listeners", {{"fleet_port", kFleetPort}}},
-            {"seeds", std::move(seeds)},
-            {"key_withdrawal", "5s"},
-            {"grace", "3s"}};
+    nlohmann::json settings = {{"role", role},
+                               {"host", host_name},
+                               {"ip", ip},
+                               {"zone", "kochi"},
+                               {"listeners", {{"fleet_port", kFleetPort}}},
+                               {"seeds", std::move(seeds)},
+                               {"key_withdrawal", "5s"},
+                               {"grace", "3s"}};
+    settings.update(more_settings_);
+    return settings;
   }
 
   std::unique_ptr<Process> StartProcess(const std::string& name,
@@ -241,6 +246,7 @@
                                      (folder_ / (name + ".log")).string());
   }
 
+  nlohmann::json more_settings_;
   std::filesystem::path folder_;
   bool keeps_folder_ = false;
   std::map<int, std::unique_ptr<Process>> control_hosts_;
--- a/system_tests/platform/stand_in_server.h
+++ b/system_tests/platform/stand_in_server.h
@@ -24,6 +24,7 @@
   std::string id;
   std::string ip;
   std::string service = "desk";
+  std::string version = "v1";
   std::string state = "ready";
   int slots = 4;
   int sequence = 1;
@@ -37,7 +38,7 @@
       {"service", server.service},
       {"address", fmt::format("{}:{}", server.ip, kServerPort)},
       {"zone", "kochi"},
-      {"version", "v1"},
+      {"version", server.version},
       {"slots", server.slots},
       {"state", server.state},
       {"warmupLeft", "0ms"},
@@ -57,9 +58,11 @@
 class StandInServer {
  public:
   StandInServer(std::string id, std::string ip,
-                std::vector<std::string> control_host_ips)
+                std::vector<std::string> control_host_ips,
+                std::string version = "v1")
       : id_(std::move(id)),
         ip_(std::move(ip)),
+        version_(std::move(version)),
         control_host_ips_(std::move(control_host_ips)) {
     const auto handler = [this](const httplib::Request& request,
                                 httplib::Response& response) {
@@ -122,6 +125,7 @@
       StandInHeartbeat heartbeat;
       heartbeat.id = id_;
       heartbeat.ip = ip_;
+      heartbeat.version = version_;
       heartbeat.state = leaving_ ? "draining" : "ready";
       heartbeat.sequence = sequence;
       const std::string& control_ip =
@@ -137,6 +141,7 @@
 
   std::string id_;
   std::string ip_;
+  std::string version_;
   std::vector<std::string> control_host_ips_;
   httplib::Server http_server_;
   std::atomic<bool> stopping_{false};
