--- a/sapphirebank/fleet/server_dispatcher_trial.cc
+++ b/sapphirebank/fleet/server_dispatcher_trial.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -42,6 +43,14 @@
   Candidates candidates;
   Classify(now, query, servers, candidates);
   if (has_own) {
+    // Those that have been idle longest first, so that all are tried.
+    const auto idle_time = [&](const ServerState* server) {
+      return liveness_.StatusOf(now, server->announcement.id).idle_time;
+    };
+    std::stable_sort(candidates.cold.begin(), candidates.cold.end(),
+                     [&](const ServerState* a, const ServerState* b) {
+                       return idle_time(a) > idle_time(b);
+                     });
     const ServerState* cold = ChooseCold(now, candidates.cold, query, *service);
     if (cold != nullptr) return RecordChoice(now, id, query, *cold);
   }
@@ -49,7 +58,6 @@
   // decides about the rollout.
   for (const auto* group :
        {&candidates.healthy, &candidates.overdue, &candidates.unhealthy}) {
-    // The one that has been idle longest, so that all are tried.
     const Candidate* best = BestByLiveness(true, *group);
     if (best != nullptr) return RecordChoice(now, id, query, *best->server);
   }
--- a/unit_tests/fleet/server_dispatcher_test.cc
+++ b/unit_tests/fleet/server_dispatcher_test.cc
@@ -390,7 +390,17 @@
   // 0.8 of 6 a second, and one at once.
   CHECK(assigned >= 8);
   CHECK(assigned <= 11);
-  // Another hub, which does not know what it gets, leaves it out.
+  // All cold servers are tried, not only the first ones.
+  fixture.Add("cold2", "v2", "kochi", seconds(3));
+  fixture.Add("cold3", "v2", "kochi", seconds(3));
+  std::set<std::string> tried;
+  for (int i = 0; i < 3; ++i) {
+    tried.insert(fixture.AssignTrial(kStart + seconds(2) + milliseconds(i)));
+    fixture.dispatcher.EndAssignmentsOf(HostId("entry"));
+  }
+  CHECK(tried.contains("cold2"));
+  CHECK(tried.contains("cold3"));
+  // Another hub, which does not know what they get, leaves them out.
   fixture.dispatcher.SetZoneHubs({"other"}, "hub");
   CHECK(fixture.AssignTrial(kStart + seconds(2)).empty());
 }
--- a/unit_tests/telemetry/fleet_metrics_test.cc
+++ b/unit_tests/telemetry/fleet_metrics_test.cc
@@ -29,6 +29,9 @@
   metrics->ObserveDetection(DetectionSubject::kHost, std::chrono::seconds(2));
   metrics->SetConfigurationRevision(41);
   metrics->SetMembers({.alive = 44, .suspect = 1});
+  metrics->CountRolloutRequest(desk, true);
+  metrics->CountRolloutRequest(desk, false);
+  metrics->CountRolloutRequest(desk, false);
   metrics->SetRolloutPhase(desk, RolloutPhase::kSwitch);
   metrics->CountRolloutDecision(desk, RolloutPhase::kSwitch);
   metrics->CountRolloutRefusal(ErrorKind::kNotFound);
@@ -48,6 +51,8 @@
       R"(sapphirebank_configuration_revision{host="e1",zone="kochi"} 41)",
       R"(sapphirebank_members{host="e1",zone="kochi",state="alive"} 44)",
       R"(availability_zone="fann"} 0)",
+      R"(service="desk",version="new"} 1)",
+      R"(service="desk",version="other"} 2)",
       R"(phase="trial",service="desk"} 0)",
       R"(phase="switch",service="desk"} 1)",
       R"(sapphirebank_rollout_decisions_total{host="e1",zone="kochi",)",
