Requests are placed by the work that servers have to do

Cause: requests of one service differ by a factor of thirty in the time for which they hold a slot, and servers by a factor of twelve; the dispatcher counted requests only. Change: WorkEstimator learns the work of a request by service, route and size of the body; ServerWorkTracker what each server still has to do at its learned speed, and which part it rejects. ServerDispatcher chooses by the delay that a server adds, beside liveness; an own zone is left once waiting there costs more than crossing. Hosts report rejections by a field that earlier hubs skip. AttemptDurationEstimator is gone: what is overdue follows from the estimate of the route. Forecast reads the same state.

--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -266,9 +266,9 @@
       if (!TurnAway(link, peer)) OnServerRequest(link, from, message);
       return;
     } else if (type == "end") {
-      hub_.EndAssignment(
-          peer.heard_at, {from, message.at("n").get<std::uint64_t>()},
-          ReadEnum(message.at("end"), AssignmentOutcome::kInconclusive));
+      hub_.EndAssignment(peer.heard_at,
+                         {from, message.at("n").get<std::uint64_t>()},
+                         ReadOutcome(message));
       return;
     } else if (type == "report") {
       if (TurnAway(link, peer)) return;
--- a/programs/fleet_host/entry_link.cc
+++ b/programs/fleet_host/entry_link.cc
@@ -266,7 +266,9 @@
 
 void EntryLink::EndAssignment(std::uint64_t number, AssignmentOutcome outcome) {
   if (!hub_answered_) return;
-  links_.Send(*link_, {{"t", "end"}, {"n", number}, {"end", outcome}});
+  json message = {{"t", "end"}, {"n", number}};
+  WriteOutcome(outcome, message);
+  links_.Send(*link_, message);
 }
 
 void EntryLink::OnMessage(LinkId link, const json& message) {
--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -292,6 +292,7 @@
   if (attempt.evidence == NotRunEvidence::kServerRejected) {
     attempt.failure = ErrorKind::kQueueFull;
     attempt.may_retry = true;
+    attempt.assignment_outcome = AssignmentOutcome::kRejected;
     // Refusing requests with free slots is an error; being full is not.
     const bool has_room = info.load && info.load->waiting == 0 &&
                           info.load->running < info.load->slots;
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -1,6 +1,7 @@
 #include "sapphirebank/fleet/server_dispatcher.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "sapphirebank/fleet/hub_assignment.h"
@@ -14,6 +15,13 @@
   return query.repeatable && !query.is_retry;
 }
 
+// Hosts of earlier builds name no route. Routes of one latency objective then
+// count as one.
+std::string RouteOf(const DispatchQuery& query) {
+  return query.route.empty() ? std::to_string(query.latency_objective.count())
+                             : query.route;
+}
+
 }  // namespace
 
 ServerDispatcher::Candidates& ServerDispatcher::Candidates::operator+=(
@@ -71,7 +79,9 @@
       if (is_healthy) candidates.cold.push_back(server);
       continue;
     }
-    const Candidate candidate = {server, liveness_.StatusOf(now, id)};
+    const Candidate candidate = {
+        server, liveness_.StatusOf(now, id),
+        work_tracker_.StatusOf(now, id, server->announcement.slots)};
     (!is_healthy                   ? candidates.unhealthy
      : candidate.status.is_overdue ? candidates.overdue
                                    : candidates.healthy)
@@ -119,29 +129,96 @@
   return candidates;
 }
 
-bool ServerDispatcher::IsFull(const Candidate& candidate) const {
-  return candidate.status.in_flight >=
-         candidate.server->announcement.slots + settings_.max_queued;
+// Returns what crossing zones costs the request, in seconds.
+double ServerDispatcher::CrossingSeconds(const DispatchQuery& query) const {
+  return ToSeconds(settings_.cross_zone_delay) +
+         static_cast<double>(query.body_bytes) / settings_.cross_zone_rate;
+}
+
+// Returns the longest delay that is accepted for the sake of a server's other
+// merits.
+double ServerDispatcher::MaxDelaySeconds(const DispatchQuery& query) const {
+  return settings_.max_delay_fraction * ToSeconds(query.latency_objective);
+}
+
+// Returns whether a request may queue at a server of its zone before another
+// zone is used.
+bool ServerDispatcher::HasRoom(const DispatchQuery& query,
+                               const WorkEstimate& work,
+                               const Candidate& candidate) const {
+  const bool is_short =
+      candidate.status.in_flight <
+      candidate.server->announcement.slots + settings_.max_queued;
+  if (!settings_.place_by_work) return is_short;
+  const double delay = candidate.DelaySeconds(work);
+  return delay <= CrossingSeconds(query) ||
+         (is_short && delay <= MaxDelaySeconds(query));
+}
+
+// Returns the server where a request ends first when none has room. Zones other
+// than its own cost the crossing more.
+const ServerDispatcher::Candidate* ServerDispatcher::LeastDelay(
+    const DispatchQuery& query, const WorkEstimate& work,
+    const std::vector<Candidate>& same_zone,
+    const std::vector<Candidate>& other_zones) {
+  const Candidate* near = LeastDelayed(query, work, same_zone);
+  const Candidate* far = LeastDelayed(query, work, other_zones);
+  if (near == nullptr || far == nullptr) return near != nullptr ? near : far;
+  if (!settings_.place_by_work) return far;
+  return near->DelaySeconds(work) <=
+                 far->DelaySeconds(work) + CrossingSeconds(query)
+             ? near
+             : far;
 }
 
 // Returns the best server that is not cold when none of the zone's healthy ones
 // has a free slot, or null without any. Where every server is overdue, the
 // cause is load, and the zone's own are as good as others.
-const ServerDispatcher::Candidate* ServerDispatcher::ChooseWarm(
-    const DispatchQuery& query, const Candidates& same_zone,
-    const Candidates& other_zones) {
-  const Candidate* best = LeastLoaded(same_zone.healthy);
-  if (best != nullptr && !IsFull(*best)) return best;
-  const Candidate* other = BestByLiveness(MayProbe(query), other_zones.healthy);
-  if (other != nullptr) return other;
-  const Candidate* overdue = LeastLoaded(same_zone.overdue);
-  if (overdue != nullptr && !IsFull(*overdue)) return overdue;
-  for (const auto* servers :
-       {&other_zones.healthy, &same_zone.healthy, &same_zone.overdue,
-        &other_zones.overdue, &same_zone.unhealthy, &other_zones.unhealthy}) {
-    if (best = LeastLoaded(*servers); best != nullptr) return best;
+ServerDispatcher::Choice ServerDispatcher::ChooseWarm(
+    const DispatchQuery& query, const WorkEstimate& work,
+    const Candidates& same_zone, const Candidates& other_zones) {
+  const Candidate* best = LeastDelayed(query, work, same_zone.healthy);
+  if (best != nullptr && HasRoom(query, work, *best)) {
+    return {best->server, PlacementRule::kZoneQueue};
   }
-  return nullptr;
+  const Candidate* other = BestByLiveness(query, work, other_zones.healthy);
+  if (other != nullptr) return {other->server, PlacementRule::kOtherZone};
+  const Candidate* overdue = LeastDelayed(query, work, same_zone.overdue);
+  if (overdue != nullptr && HasRoom(query, work, *overdue)) {
+    return {overdue->server, PlacementRule::kOverdue};
+  }
+  for (const auto servers :
+       {&Candidates::healthy, &Candidates::overdue, &Candidates::unhealthy}) {
+    best = LeastDelay(query, work, same_zone.*servers, other_zones.*servers);
+    if (best != nullptr) return {best->server, PlacementRule::kLeastDelay};
+  }
+  return {};
+}
+
+// Returns the server for a request and the rule that chose it, or null.
+ServerDispatcher::Choice ServerDispatcher::Choose(
+    Instant now, const DispatchQuery& query, const WorkEstimate& work,
+    const std::set<ZoneId>& zones_out, const PlannedService& service) {
+  const bool zone_is_out = zones_out.contains(query.zone);
+  Candidates same_zone;
+  if (!zone_is_out) same_zone = ClassifyOwn(now, query);
+  const ServerState* cold = ChooseCold(now, same_zone.cold, query, service);
+  if (cold != nullptr) return {cold, PlacementRule::kWarmUp};
+  const Candidate* best = BestByLiveness(query, work, same_zone.healthy);
+  if (best != nullptr) return {best->server, PlacementRule::kFreeSlot};
+  if (!zone_is_out && query.zone == zone_) {
+    same_zone += ClassifyRestOfZone(now, query);
+    best = BestByLiveness(query, work, same_zone.healthy);
+    if (best != nullptr) return {best->server, PlacementRule::kZoneFreeSlot};
+  }
+  const Candidates other_zones = ClassifyOtherZones(now, query, zones_out);
+  return ChooseWarm(query, work, same_zone, other_zones);
+}
+
+WorkEstimate ServerDispatcher::EstimateWork(const DispatchQuery& query) const {
+  const std::string route = RouteOf(query);
+  return work_estimator_.Estimate({query.service, route, query.body_bytes},
+                                  query.latency_objective);
 }
 
 std::optional<DispatchChoice> ServerDispatcher::Assign(
@@ -153,42 +230,56 @@
   const PlannedService* service = plan.FindService(query.service);
   if (service == nullptr) return std::nullopt;
   RefreshIndex(now, registry);
-  const bool zone_is_out = zones_out.contains(query.zone);
-  Candidates same_zone;
-  if (!zone_is_out) same_zone = ClassifyOwn(now, query);
-  const ServerState* chosen = ChooseCold(now, same_zone.cold, query, *service);
-  if (chosen == nullptr) {
-    const Candidate* best = BestByLiveness(MayProbe(query), same_zone.healthy);
-    if (best != nullptr) chosen = best->server;
-  }
-  if (chosen == nullptr && !zone_is_out && query.zone == zone_) {
-    same_zone += ClassifyRestOfZone(now, query);
-    const Candidate* best = BestByLiveness(MayProbe(query), same_zone.healthy);
-    if (best != nullptr) chosen = best->server;
-  }
-  if (chosen == nullptr) {
-    const Candidates other_zones = ClassifyOtherZones(now, query, zones_out);
-    const Candidate* best = ChooseWarm(query, same_zone, other_zones);
-    if (best != nullptr) chosen = best->server;
+  const WorkEstimate work = EstimateWork(query);
+  const Choice choice = Choose(now, query, work, zones_out, *service);
+  if (choice.server == nullptr) return std::nullopt;
+  const ServerAnnouncement& announcement = choice.server->announcement;
+  const BackendId server = announcement.id;
+  if (choice.server->rate_limit) {
+    rate_limits_.TryTake(now, server, NamedLimit(*choice.server));
   }
-  if (chosen == nullptr) return std::nullopt;
-  const BackendId server = chosen->announcement.id;
-  if (chosen->rate_limit) {
-    rate_limits_.TryTake(now, server, NamedLimit(*chosen));
+  const Candidate chosen = {
+      choice.server, liveness_.StatusOf(now, server),
+      work_tracker_.StatusOf(now, server, announcement.slots)};
+  ++placement_counts_[static_cast<std::size_t>(choice.rule)];
+  if (placement_observer_) {
+    placement_observer_(query, {server, choice.rule, work, chosen.work,
+                                chosen.status.in_flight});
   }
   // Requests that other hubs send to their servers are not counted here.
-  const bool load_is_partial = !IsOwn(chosen->announcement);
-  const int in_flight = liveness_.StatusOf(now, server).in_flight;
+  const bool load_is_partial = !IsOwn(announcement);
   const bool is_busy =
-      static_cast<std::uint32_t>(in_flight) >= chosen->announcement.slots;
-  const PendingAssignment pending = {
-      now, now + OverdueAge(query, *chosen, in_flight)};
-  assignments_[id] = {server,
-                      pending,
-                      now + query.time_left + settings_.end_report_slack,
-                      {query.service, query.latency_objective}};
+      static_cast<std::uint32_t>(chosen.status.in_flight) >= announcement.slots;
+  const bool may_be_late =
+      settings_.place_by_work && work.confidence >= 0.5 &&
+      work.mean_seconds >
+          settings_.late_work_fraction * ToSeconds(query.latency_objective);
+  const PendingAssignment pending = {now, now + OverdueAge(work, chosen)};
+  assignments_[id] = {
+      server,
+      pending,
+      now + query.time_left + settings_.end_report_slack,
+      query.service,
+      RouteOf(query),
+      query.body_bytes,
+      work_tracker_.RecordAssignment(now, server, announcement.slots, work)};
   liveness_.RecordAssignment(server, pending);
-  return DispatchChoice{server, load_is_partial || is_busy};
+  return DispatchChoice{server, load_is_partial || is_busy || may_be_late};
+}
+
+// Returns the age from which a request to the server is overdue. The wait for a
+// slot is as uncertain as the work.
+Duration ServerDispatcher::OverdueAge(const WorkEstimate& work,
+                                      const Candidate& candidate) const {
+  const Duration age = work.UpperBound();
+  if (settings_.place_by_work) {
+    const double factor =
+        work.mean_seconds > 0 ? ToSeconds(age) / work.mean_seconds : 1;
+    return age + FromSeconds(candidate.work.wait_seconds * factor);
+  }
+  const int slots =
+      std::max(static_cast<int>(candidate.server->announcement.slots), 1);
+  return age * (1 + candidate.status.in_flight / slots);
 }
 
 DispatchForecast ServerDispatcher::Forecast(Instant now,
@@ -196,55 +287,56 @@
                                             const ServerRegistry& registry,
                                             const std::set<ZoneId>& zones_out) {
   RefreshIndex(now, registry);
+  const WorkEstimate work = EstimateWork(query);
   DispatchForecast forecast;
-  forecast.work = FromSeconds(ToSeconds(query.latency_objective) *
-                              settings_.initial_overdue_fraction);
   forecast.shortest_wait = Duration::max();
+  forecast.work = FromSeconds(work.mean_seconds);
+  forecast.work_deviation = FromSeconds(work.deviation_seconds);
   const auto service = index_.find(query.service);
   if (service == index_.end()) return forecast;
   if (!zones_out.contains(zone_)) {
-    AddToForecast(now, query, service->second.own, forecast);
+    AddToForecast(now, query, work, service->second.own, forecast);
   }
   for (const auto& [zone, servers] : service->second.others) {
     if (zones_out.contains(zone)) continue;
-    AddToForecast(now, query, servers, forecast);
+    AddToForecast(now, query, work, servers, forecast);
   }
   return forecast;
 }
 
 void ServerDispatcher::AddToForecast(Instant now, const DispatchQuery& query,
+                                     const WorkEstimate& work,
                                      const Servers& servers,
-                                     DispatchForecast& forecast) {
+                                     DispatchForecast& forecast) const {
   for (const ServerState* server : servers) {
     const BackendId& id = server->announcement.id;
     if (server->health == ServerHealth::kDown || server->rate_limit ||
-        now < server->cold_until || query.excluded.contains(id)) {
+        now < server->cold_until || query.excluded.contains(id) ||
+        suspected_until_.contains(id)) {
       continue;
     }
     const std::uint32_t slots = std::max(server->announcement.slots, 1U);
+    const ServerWorkTracker::Status status =
+        work_tracker_.StatusOf(now, id, slots);
+    const auto used_slots =
+        static_cast<std::uint32_t>(std::lround(slots * (1 - status.rejected)));
     const auto in_flight =
         static_cast<std::uint32_t>(liveness_.StatusOf(now, id).in_flight);
-    forecast.slots += slots;
-    forecast.busy += std::min(in_flight, slots);
-    forecast.shortest_wait =
-        std::min(forecast.shortest_wait, forecast.work * (in_flight / slots));
+    forecast.slots += used_slots;
+    forecast.busy += std::min(in_flight, used_slots);
+    const bool is_first = forecast.shortest_wait == Duration::max();
+    const double completion = status.CompletionSeconds(work);
+    if (!is_first &&
+        completion >= ToSeconds(forecast.shortest_wait + forecast.work)) {
+      continue;
+    }
+    forecast.shortest_wait = FromSeconds(status.wait_seconds);
+    forecast.work = FromSeconds(status.slowness * work.mean_seconds);
+    forecast.work_deviation =
+        FromSeconds(status.slowness * work.deviation_seconds);
   }
 }
 
-// Returns the age from which a request to the server is overdue. Each full set
-// of slots ahead of it takes as long again.
-Duration ServerDispatcher::OverdueAge(const DispatchQuery& query,
-                                      const ServerState& server,
-                                      int in_flight) const {
-  const auto known = durations_.find({query.service, query.latency_objective});
-  const std::optional<Duration> learned =
-      known == durations_.end() ? std::nullopt : known->second.OverdueAge();
-  const Duration age = learned.value_or(FromSeconds(
-      ToSeconds(query.latency_objective) * settings_.initial_overdue_fraction));
-  const int slots = std::max(static_cast<int>(server.announcement.slots), 1);
-  return age * (1 + in_flight / slots);
-}
-
 // Prefers cold servers while their warm-up rate allows it.
 const ServerState* ServerDispatcher::ChooseCold(Instant now,
                                                 const Servers& servers,
@@ -303,29 +395,80 @@
   return best;
 }
 
-// Returns the server with a free slot that suits the request best by liveness
-// and load, or null when all are full.
+// Returns whether a server must get the request so that it does not idle for
+// too long. A slow one gets only what is likely to end in time.
+bool ServerDispatcher::MustGetNext(const DispatchQuery& query,
+                                   const WorkEstimate& work,
+                                   const Candidate& candidate) const {
+  if (candidate.status.idle_time < settings_.max_idle_time) return false;
+  return !settings_.place_by_work ||
+         candidate.work.slowness < settings_.server_work.corrected_slowness ||
+         candidate.work.CompletionSeconds(work) <=
+             ToSeconds(query.latency_objective);
+}
+
+// Returns the server with a free slot that suits the request best by liveness,
+// load and the time for which it will take there, or null when all are full or
+// would delay it for long.
 const ServerDispatcher::Candidate* ServerDispatcher::BestByLiveness(
-    bool may_probe, const std::vector<Candidate>& servers) {
+    const DispatchQuery& query, const WorkEstimate& work,
+    const std::vector<Candidate>& servers) {
+  const bool may_probe = MayProbe(query);
   return LowestCost(
       servers, [&](const Candidate& server) -> std::optional<double> {
         const double load = server.load();
         if (load >= 1) return std::nullopt;
-        const bool is_idle = server.status.idle_time >= settings_.max_idle_time;
+        const bool is_idle = MustGetNext(query, work, server);
         const Duration age = may_probe || is_idle
                                  ? -server.status.idle_time
                                  : server.status.confirmation_age;
-        return ToSeconds(age) + load * ToSeconds(settings_.full_server_penalty);
+        const double cost =
+            ToSeconds(age) + load * ToSeconds(settings_.full_server_penalty);
+        if (!settings_.place_by_work || is_idle) return cost;
+        const double delay = server.DelaySeconds(work);
+        if (delay > MaxDelaySeconds(query)) return std::nullopt;
+        return cost + delay;
       });
 }
 
-const ServerDispatcher::Candidate* ServerDispatcher::LeastLoaded(
+// Returns the server that delays the request least; among those that are equal
+// to the caller, the one with the fewest requests.
+const ServerDispatcher::Candidate* ServerDispatcher::LeastDelayed(
+    const DispatchQuery& query, const WorkEstimate& work,
     const std::vector<Candidate>& servers) {
+  if (!settings_.place_by_work) {
+    return LowestCost(servers, [](const Candidate& server) {
+      return std::optional(server.load());
+    });
+  }
+  // Queues at a server are far shorter than this many requests for each slot.
+  constexpr double kMaxLoad = 1000;
+  const double step = std::max(
+      settings_.equal_delay_fraction * ToSeconds(query.latency_objective),
+      1e-3);
   return LowestCost(servers, [&](const Candidate& server) {
-    return std::optional(server.load());
+    return std::optional(std::floor(server.DelaySeconds(work) / step) +
+                         server.load() / kMaxLoad);
   });
 }
 
+std::map<ServiceId, ServiceWork> ServerDispatcher::Work(Instant now) const {
+  std::map<ServiceId, ServiceWork> work;
+  for (const auto& [service, servers] : index_) {
+    ServiceWork& sum = work[service];
+    sum.mean = work_estimator_.MeanOf(service).value_or(Duration::zero());
+    for (const ServerState* server : servers.own) {
+      const ServerWorkTracker::Status status = work_tracker_.StatusOf(
+          now, server->announcement.id, server->announcement.slots);
+      sum.left_seconds += status.left_seconds;
+      if (status.slowness >= settings_.server_work.corrected_slowness) {
+        ++sum.slow_servers;
+      }
+    }
+  }
+  return work;
+}
+
 void ServerDispatcher::RecordHardFailure(Instant now, const BackendId& server) {
   suspected_until_[server] = now + settings_.suspicion_time;
   liveness_.RecordFailure(now, server);
@@ -337,9 +480,11 @@
   if (found == assignments_.end()) return;
   const Assignment& assignment = found->second;
   liveness_.RecordEnd(now, assignment.server, assignment.pending, outcome);
-  if (outcome == AssignmentOutcome::kServed) {
-    durations_[assignment.request_class].Record(now -
-                                                assignment.pending.assigned_at);
+  const std::optional<Duration> work = work_tracker_.RecordEnd(
+      now, assignment.server, assignment.work_number, outcome);
+  if (work) {
+    work_estimator_.Record(
+        {assignment.service, assignment.route, assignment.body_bytes}, *work);
   }
   assignments_.erase(found);
 }
@@ -357,6 +502,7 @@
 void ServerDispatcher::DiscardAssignment(const AssignmentId& id) {
   const auto found = assignments_.find(id);
   liveness_.Discard(found->second.server, found->second.pending);
+  work_tracker_.Discard(found->second.server, found->second.work_number);
   assignments_.erase(found);
 }
 
@@ -367,6 +513,7 @@
   }
   for (const AssignmentId& id : expired) DiscardAssignment(id);
   liveness_.Tick(now);
+  work_tracker_.Tick(now);
   warm_ups_.Tick(now);
   rate_limits_.Tick(now);
 }
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -11,13 +11,15 @@
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/random.h"
 #include "sapphirebank/core/time.h"
-#include "sapphirebank/fleet/attempt_duration_estimator.h"
 #include "sapphirebank/fleet/dispatch_forecast.h"
 #include "sapphirebank/fleet/dispatch_query.h"
+#include "sapphirebank/fleet/placement.h"
 #include "sapphirebank/fleet/server_liveness_tracker.h"
 #include "sapphirebank/fleet/server_registry.h"
 #include "sapphirebank/fleet/server_token_buckets.h"
+#include "sapphirebank/fleet/server_work_tracker.h"
 #include "sapphirebank/fleet/traffic_plan.h"
+#include "sapphirebank/fleet/work_estimator.h"
 
 namespace sapphirebank {
 
@@ -25,12 +27,27 @@
   // Assignments whose end is not reported expire this long after the request's
   // deadline.
   Duration end_report_slack = std::chrono::milliseconds(500);
-  // Age, as a fraction of the latency objective, from which an attempt is
-  // overdue before the first one has been served.
-  double initial_overdue_fraction = 0.6;
+  // Places requests by the work that servers have to do; otherwise by their
+  // number only.
+  bool place_by_work = true;
+  // Requests whose mean work is a larger fraction of the latency objective may
+  // be late at a healthy server without a queue.
+  double late_work_fraction = 0.6;
   // Requests that may queue at a server of the same zone before another zone is
   // used: a short wait costs less than sending a body across zones.
   double max_queued = 2;
+  // A request is kept in its zone, whatever the number of queued ones, while
+  // that delays it by less than crossing zones costs: a fixed delay, and the
+  // time that its body takes at a rate in bytes per second.
+  Duration cross_zone_delay = std::chrono::milliseconds(100);
+  double cross_zone_rate = 2e6;
+  // A longer delay, as a fraction of the latency objective, is not accepted for
+  // a server's being near, or confirmed.
+  double max_delay_fraction = 0.4;
+  // Delays that differ by less, as a fraction of the latency objective, are
+  // equal to the caller. What is in no hurry then leaves the shortest queues to
+  // what is.
+  double equal_delay_fraction = 0.2;
   // Fraction of a cold server's warm-up rate that its own hub sends.
   double warm_up_rate_fraction = 0.8;
   // A server with a hard failure gets no requests for this time; the leader's
@@ -47,6 +64,8 @@
   // several other hubs cover, and for a hub that has just started.
   double stand_in_rate_fraction = 0.2;
   ServerLivenessSettings liveness;
+  WorkEstimatorSettings work;
+  ServerWorkSettings server_work;
   // A healthy server without a request for this time gets the next one,
   // whatever its kind: no more of the servers may idle than the floor of
   // healthy capacity in use allows, which is judged over 2 s.
@@ -59,12 +78,13 @@
 // Identifies an assignment by the entry host and the host's number for it.
 using AssignmentId = std::pair<HostId, std::uint64_t>;
 
-// Assigns requests to the servers of the entry host's zone by join the shortest
-// queue (Winston, "Optimality of the Shortest Line Discipline", 1977). The hubs
-// of a zone divide its servers among them; a hub has exact counts of the
-// requests in flight at its own and prefers these while one has a free slot. It
-// also covers zones that have lost their hub, whose servers would otherwise be
-// unused.
+// Assigns requests to the servers of the entry host's zone by least work left
+// (Harchol-Balter, "Performance Modeling and Design of Computer Systems", 2013,
+// chapter 24), where work is measured in the time that a server needs for it,
+// as Prequal does by latency (Wydrowski et al., NSDI 2024). The hubs of a zone
+// divide its servers among them; a hub has exact counts of the requests in
+// flight at its own and prefers these while one has a free slot. It also covers
+// zones that have lost their hub, whose servers would otherwise be unused.
 //
 // Repeatable requests go first to the servers that have been idle longest and
 // thereby confirm their liveness; requests that must run once go to the most
@@ -80,7 +100,9 @@
       : settings_(settings),
         zone_(std::move(zone)),
         random_(random),
-        liveness_(settings.liveness) {}
+        liveness_(settings.liveness),
+        work_estimator_(settings.work),
+        work_tracker_(settings.server_work) {}
 
   // Returns the server for a request, or nothing when the host must choose one
   // itself.
@@ -101,6 +123,17 @@
   // zone.
   void SetZoneHubs(std::vector<std::string> hubs, std::string self);
 
+  // Sets an observer of the choices, or none.
+  void set_placement_observer(PlacementObserver observer) {
+    placement_observer_ = std::move(observer);
+  }
+
+  // Returns how many requests each rule has placed.
+  const PlacementCounts& placement_counts() const { return placement_counts_; }
+
+  // Returns the work of the requests for each service with servers in use.
+  std::map<ServiceId, ServiceWork> Work(Instant now) const;
+
   // Reports a hard failure of the server.
   void RecordHardFailure(Instant now, const BackendId& server);
 
@@ -120,23 +153,33 @@
   void Tick(Instant now);
 
  private:
-  // Requests that take about the same time: service and latency objective.
-  using RequestClass = std::pair<ServiceId, Duration>;
   using Servers = std::vector<const ServerState*>;
 
   struct Assignment {
     BackendId server;
     PendingAssignment pending;
     Instant expires_at;
-    RequestClass request_class;
+    // What tells the request's work, and its number at the work tracker.
+    ServiceId service;
+    std::string route;
+    std::uint64_t body_bytes = 0;
+    std::uint64_t work_number = 0;
   };
   struct Candidate {
     const ServerState* server = nullptr;
     ServerLivenessTracker::Status status;
+    ServerWorkTracker::Status work;
 
+    // Returns the requests in flight for each slot of the server's, of which
+    // those count that it does not reject requests for.
     double load() const {
-      return static_cast<double>(status.in_flight) /
-             std::max<std::uint32_t>(server->announcement.slots, 1);
+      const double slots = server->announcement.slots * (1 - work.rejected);
+      return status.in_flight / std::max(slots, 1.0);
+    }
+    // Returns how much later a request would end here than at an idle server of
+    // usual speed.
+    double DelaySeconds(const WorkEstimate& estimate) const {
+      return work.CompletionSeconds(estimate) - estimate.mean_seconds;
     }
   };
   // Servers of one set of zones by what is known of them.
@@ -149,9 +192,20 @@
     Candidates& operator+=(const Candidates& more);
   };
 
+  // A server and the rule that chose it.
+  struct Choice {
+    const ServerState* server = nullptr;
+    PlacementRule rule = PlacementRule::kFreeSlot;
+  };
+
   void RefreshIndex(Instant now, const ServerRegistry& registry);
+  WorkEstimate EstimateWork(const DispatchQuery& query) const;
+  Choice Choose(Instant now, const DispatchQuery& query,
+                const WorkEstimate& work, const std::set<ZoneId>& zones_out,
+                const PlannedService& service);
   void AddToForecast(Instant now, const DispatchQuery& query,
-                     const Servers& servers, DispatchForecast& forecast);
+                     const WorkEstimate& work, const Servers& servers,
+                     DispatchForecast& forecast) const;
   void Classify(Instant now, const DispatchQuery& query, const Servers& servers,
                 Candidates& candidates);
   Candidates ClassifyOwn(Instant now, const DispatchQuery& query);
@@ -161,22 +215,33 @@
   Candidates ClassifyRestOfZone(Instant now, const DispatchQuery& query);
   ServerRateLimit NamedLimit(const ServerState& server) const;
   bool HasReachedLimit(Instant now, const ServerState& server);
-  const Candidate* ChooseWarm(const DispatchQuery& query,
-                              const Candidates& same_zone,
-                              const Candidates& other_zones);
+  Choice ChooseWarm(const DispatchQuery& query, const WorkEstimate& work,
+                    const Candidates& same_zone, const Candidates& other_zones);
+  const Candidate* LeastDelay(const DispatchQuery& query,
+                              const WorkEstimate& work,
+                              const std::vector<Candidate>& same_zone,
+                              const std::vector<Candidate>& other_zones);
   const ServerState* ChooseCold(Instant now, const Servers& servers,
                                 const DispatchQuery& query,
                                 const PlannedService& service);
   template <typename Cost>
   const Candidate* LowestCost(const std::vector<Candidate>& servers,
                               const Cost& cost_of);
-  const Candidate* LeastLoaded(const std::vector<Candidate>& servers);
-  const Candidate* BestByLiveness(bool may_probe,
+  const Candidate* LeastDelayed(const DispatchQuery& query,
+                                const WorkEstimate& work,
+                                const std::vector<Candidate>& servers);
+  const Candidate* BestByLiveness(const DispatchQuery& query,
+                                  const WorkEstimate& work,
                                   const std::vector<Candidate>& servers);
+  bool MustGetNext(const DispatchQuery& query, const WorkEstimate& work,
+                   const Candidate& candidate) const;
+  double MaxDelaySeconds(const DispatchQuery& query) const;
   void DiscardAssignment(const AssignmentId& id);
-  bool IsFull(const Candidate& candidate) const;
-  Duration OverdueAge(const DispatchQuery& query, const ServerState& server,
-                      int in_flight) const;
+  double CrossingSeconds(const DispatchQuery& query) const;
+  bool HasRoom(const DispatchQuery& query, const WorkEstimate& work,
+               const Candidate& candidate) const;
+  Duration OverdueAge(const WorkEstimate& work,
+                      const Candidate& candidate) const;
 
   ServerDispatcherSettings settings_;
   ZoneId zone_;
@@ -186,7 +251,10 @@
   ServerTokenBuckets rate_limits_;
   std::map<BackendId, Instant> suspected_until_;
   ServerLivenessTracker liveness_;
-  std::map<RequestClass, AttemptDurationEstimator> durations_;
+  WorkEstimator work_estimator_;
+  ServerWorkTracker work_tracker_;
+  PlacementCounts placement_counts_{};
+  PlacementObserver placement_observer_;
   std::vector<std::string> zone_hubs_;
   std::string self_;
   // Servers in use by service, as of a change of the registry: those of this
--- a/sapphirebank/fleet/server_liveness_tracker.cc
+++ b/sapphirebank/fleet/server_liveness_tracker.cc
@@ -68,6 +68,7 @@
     RecordServed(server, assignment.assigned_at);
     return;
   }
+  if (outcome == AssignmentOutcome::kRejected) return;
   // A caller that gives up on an overdue request has shown that it hung.
   const bool hung = now >= assignment.overdue_at;
   if (!hung && outcome == AssignmentOutcome::kInconclusive) return;
--- a/sapphirebank/fleet/server_liveness_tracker.h
+++ b/sapphirebank/fleet/server_liveness_tracker.h
@@ -6,6 +6,7 @@
 
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/time.h"
+#include "sapphirebank/fleet/assignment_outcome.h"
 
 namespace sapphirebank {
 
@@ -39,15 +40,6 @@
                          const PendingAssignment&) = default;
 };
 
-// How an assignment ended, as far as it concerns the server.
-enum class AssignmentOutcome {
-  kServed,
-  // The server failed the request or could not be reached.
-  kFailed,
-  // The result says nothing about the server's health.
-  kInconclusive,
-};
-
 // Tracks the requests in flight at each backend server and when the server was
 // last confirmed to work. A request that must run once is lost at a server with
 // an undetected failure, which is more likely the older the last confirmation
--- a/unit_tests/fleet/failing_servers_simulation.h
+++ b/unit_tests/fleet/failing_servers_simulation.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include <algorithm>
 #include <cmath>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <set>
 #include <string>
@@ -22,8 +25,21 @@
   kMixed,  // Each server has one of the two.
 };
 
+// Requests of one route. Their work grows with the size of the body.
+struct SimulatedRoute {
+  std::string name;
+  double fraction = 1;  // Of the requests, while the route is in use.
+  Duration mean_work{};
+  Duration latency_objective{};
+  std::uint64_t max_body_bytes = 0;
+  Duration work_per_megabyte{};
+  // Since when there are requests, after the start.
+  Duration from{};
+};
+
 // Plays requests of one zone against servers that fail in episodes, of which
-// their health checks show nothing. Simulated time, no network.
+// their health checks show nothing, or that differ in speed. Simulated time, no
+// network.
 class FailingServersSimulation {
  public:
   struct Settings {
@@ -43,11 +59,31 @@
     double failed_fraction = 0.75;
     Duration length = std::chrono::seconds(120);
     std::uint64_t seed = 1;
+    // Routes in place of the one that mean_service_time and latency_objective
+    // describe. Requests wait then for a slot of their server.
+    std::vector<SimulatedRoute> routes;
+    // Fraction of the servers that take slow_factor of the usual time, and
+    // when.
+    double slow_fraction = 0;
+    double slow_factor = 12;
+    Duration slow_from{};
+    Duration slow_until = std::chrono::hours(1);
+    // Servers that are added to those of the start, and when.
+    int added_servers = 0;
+    Duration added_at{};
+    // The hub loses what it knows.
+    std::optional<Duration> hub_restart_at;
+    ServerDispatcherSettings dispatcher;
   };
 
   struct Result {
     int lost = 0;     // Requests that must run once and were not answered.
     int retries = 0;  // Of repeatable requests.
+    int sent = 0;
+    // Answers after the latency objective, or none before the deadline.
+    int late = 0;
+    double wait_seconds = 0;  // For a slot, over all requests.
+    std::map<std::string, int> sent_by_server;
   };
 
   // Chooses the server of a request; the dispatcher or a baseline.
@@ -57,14 +93,11 @@
   explicit FailingServersSimulation(const Settings& settings)
       : settings_(settings),
         random_(settings.seed),
-        dispatcher_(ServerDispatcherSettings(), ZoneId("kochi"),
+        dispatcher_(settings.dispatcher, ZoneId("kochi"),
                     Random(settings.seed + 1)),
         plan_(MakePlan(MakePlanParts())) {
+    for (int i = 0; i < settings.servers; ++i) AddServer(kStart);
     for (int i = 0; i < settings.servers; ++i) {
-      ServerAnnouncement server = MakeServer("s" + std::to_string(i));
-      server.endpoint.port = static_cast<std::uint16_t>(1000 + i);
-      server.slots = static_cast<std::uint32_t>(settings.slots);
-      registry_.ApplyHeartbeat(kStart, server, record_);
       phase_.push_back(random_.Unit());
     }
   }
@@ -106,6 +139,16 @@
   Result Run(const Chooser& choose) {
     choose_ = choose;
     At(kStart, [this] { Arrive(kStart); });
+    const Instant added_at = kStart + settings_.added_at;
+    for (int i = 0; i < settings_.added_servers; ++i) {
+      At(added_at, [this, added_at] { AddServer(added_at); });
+    }
+    if (settings_.hub_restart_at) {
+      At(kStart + *settings_.hub_restart_at, [this] {
+        dispatcher_ = ServerDispatcher(settings_.dispatcher, ZoneId("kochi"),
+                                       Random(settings_.seed + 2));
+      });
+    }
     while (!events_.empty()) {
       const Event event = events_.top();
       events_.pop();
@@ -114,10 +157,28 @@
     return result_;
   }
 
+  void AddServer(Instant now) {
+    const std::size_t number = free_at_.size();
+    ServerAnnouncement server = MakeServer("s" + std::to_string(number));
+    server.endpoint.port = static_cast<std::uint16_t>(1000 + number);
+    server.slots = static_cast<std::uint32_t>(settings_.slots);
+    registry_.ApplyHeartbeat(now, server, record_);
+    free_at_.emplace_back(server.slots, now);
+  }
+
   void Arrive(Instant now) {
     if (now - kStart > settings_.length) return;
+    if (!settings_.routes.empty()) {
+      SendByRoute(now);
+      ArriveNext(now);
+      return;
+    }
     const bool repeatable = random_.Unit() < settings_.repeatable_fraction;
     Send(now, now + settings_.deadline, repeatable, {});
+    ArriveNext(now);
+  }
+
+  void ArriveNext(Instant now) {
     const double gap =
         -std::log(1 - random_.Unit()) / settings_.requests_per_second;
     const Instant next = now + FromSeconds(gap);
@@ -166,6 +227,64 @@
     });
   }
 
+  const SimulatedRoute& DrawRoute(Instant now) {
+    double sum = 0;
+    for (const SimulatedRoute& route : settings_.routes) {
+      if (now - kStart >= route.from) sum += route.fraction;
+    }
+    double drawn = random_.Unit() * sum;
+    for (const SimulatedRoute& route : settings_.routes) {
+      if (now - kStart < route.from) continue;
+      drawn -= route.fraction;
+      if (drawn <= 0) return route;
+    }
+    return settings_.routes.front();
+  }
+
+  // Sends a request of a drawn route, which waits for a slot and is answered,
+  // or given up at its deadline.
+  void SendByRoute(Instant now) {
+    dispatcher_.Tick(now);
+    const SimulatedRoute& route = DrawRoute(now);
+    const AssignmentId id = {HostId("entry"), next_++};
+    DispatchQuery query;
+    query.service = ServiceId("desk");
+    query.zone = ZoneId("kochi");
+    query.repeatable = random_.Unit() < settings_.repeatable_fraction;
+    query.latency_objective = route.latency_objective;
+    query.time_left = settings_.deadline;
+    query.route = route.name;
+    query.body_bytes = static_cast<std::uint64_t>(
+        random_.Unit() * static_cast<double>(route.max_body_bytes));
+    const std::string name = choose_(now, id, query);
+    const int server = std::stoi(name.substr(1));
+    const double megabytes = static_cast<double>(query.body_bytes) / 1e6;
+    const Duration work = FromSeconds(
+        (ToSeconds(route.mean_work) +
+         megabytes * ToSeconds(route.work_per_megabyte)) *
+        (0.4 + 0.4 * (random_.Unit() + random_.Unit() + random_.Unit())));
+    auto& slots = free_at_[static_cast<std::size_t>(server)];
+    Instant& slot = *std::min_element(slots.begin(), slots.end());
+    const Instant begin = std::max(now, slot);
+    const bool is_slow = server < settings_.slow_fraction * settings_.servers &&
+                         begin - kStart >= settings_.slow_from &&
+                         begin - kStart < settings_.slow_until;
+    slot =
+        begin +
+        (is_slow ? FromSeconds(ToSeconds(work) * settings_.slow_factor) : work);
+    ++result_.sent;
+    ++result_.sent_by_server[name];
+    if (slot - now > route.latency_objective) ++result_.late;
+    result_.wait_seconds += ToSeconds(begin - now);
+    const Instant end = std::min(slot, now + settings_.deadline);
+    const AssignmentOutcome outcome = end == slot
+                                          ? AssignmentOutcome::kServed
+                                          : AssignmentOutcome::kInconclusive;
+    At(end, [this, end, id, outcome] {
+      dispatcher_.EndAssignment(end, id, outcome);
+    });
+  }
+
   // Returns whether the server fails a request that arrives now.
   bool Fails(Instant now, int server) {
     if (server >= settings_.failing_fraction * settings_.servers) return false;
@@ -191,6 +310,7 @@
   ServerDispatcher dispatcher_;
   std::shared_ptr<const TrafficPlan> plan_;
   std::vector<double> phase_;  // Of each server's episodes, 0 to 1.
+  std::vector<std::vector<Instant>> free_at_;  // Each server's slots.
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::uint64_t next_ = 1;
   Chooser choose_;
