--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -71,6 +71,7 @@
 FleetHubSettings HubSettings(const FleetSettings& settings) {
   FleetHubSettings hub;
   hub.retry_slack = settings.retry_slack;
+  hub.dispatcher.place_by_work = settings.place_by_work;
   return hub;
 }
 
@@ -125,7 +126,13 @@
       published_addresses_(std::make_shared<const AddressesByZone>()),
       random_(RandomSeed()),
       thread_(system),
-      links_(self_, FleetSecret(settings.fleet_secret), LinkHooks()) {}
+      links_(self_, FleetSecret(settings.fleet_secret), LinkHooks()) {
+  if (!log_.Enabled(LogLevel::kDebug)) return;
+  hub_.set_placement_observer(
+      [this](const DispatchQuery& query, const Placement& placement) {
+        LogPlacement(query, placement);
+      });
+}
 
 ControlProcess::~ControlProcess() {
   thread_.Post([this] {
@@ -266,6 +273,37 @@
     metrics.SetBackendServers(service, service_counts.in_use,
                               service_counts.ejected);
   }
+  UpdateWorkMetrics(now);
+}
+
+void ControlProcess::UpdateWorkMetrics(Instant now) {
+  FleetMetrics& metrics = metrics_->metrics();
+  for (const auto& [service, work] : hub_.dispatcher().Work(now)) {
+    metrics.SetServiceWork(service, work.mean, work.left_seconds,
+                           work.slow_servers);
+  }
+  const PlacementCounts& counts = hub_.dispatcher().placement_counts();
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    metrics.CountPlacements(ToString(static_cast<PlacementRule>(i)),
+                            counts[i] - placement_counts_[i]);
+  }
+  placement_counts_ = counts;
+}
+
+void ControlProcess::LogPlacement(const DispatchQuery& query,
+                                  const Placement& placement) {
+  log_.Write(LogLevel::kDebug, "request_placed",
+             {{"service", query.service.value()},
+              {"route", query.route},
+              {"body_bytes", query.body_bytes},
+              {"server", placement.server.value()},
+              {"rule", ToString(placement.rule)},
+              {"work_ms", placement.work.mean_seconds * 1e3},
+              {"work_confidence", placement.work.confidence},
+              {"wait_ms", placement.status.wait_seconds * 1e3},
+              {"slowness", placement.status.slowness},
+              {"rejected", placement.status.rejected},
+              {"in_flight", placement.in_flight}});
 }
 
 void ControlProcess::ApplyRecord(Instant now) {
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -125,6 +125,8 @@
   void LogHostsBehind(Instant now);
   void LogLateHandling(const HostId& from, Instant arrived_at);
   void UpdateMetrics(Instant now);
+  void UpdateWorkMetrics(Instant now);
+  void LogPlacement(const DispatchQuery& query, const Placement& placement);
 
   // control_process_links.cc
   FleetLink::Hooks LinkHooks();
@@ -231,6 +233,8 @@
   Instant next_ready_check_;
   Instant next_publish_;
   Instant next_metrics_;
+  // As last added to the metrics.
+  PlacementCounts placement_counts_{};
 
   // Send times of the unanswered reports to the leader, by number.
   std::map<std::uint64_t, Instant> unanswered_reports_;
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -122,6 +122,14 @@
   // assigns no server without one.
   std::optional<DispatchChoice> Assign(Instant now, const AssignmentId& id,
                                        const DispatchQuery& query);
+  // Returns the part that chooses servers.
+  const ServerDispatcher& dispatcher() const { return dispatcher_; }
+
+  // Sets an observer of the choices of servers, or none.
+  void set_placement_observer(PlacementObserver observer) {
+    dispatcher_.set_placement_observer(std::move(observer));
+  }
+
   void EndAssignment(Instant now, const AssignmentId& id,
                      AssignmentOutcome end) {
     dispatcher_.EndAssignment(now, id, end);
--- a/sapphirebank/fleet/fleet_settings.cc
+++ b/sapphirebank/fleet/fleet_settings.cc
@@ -121,6 +121,7 @@
   reader.Length("longest_lookup_life", settings.longest_lookup_life,
                 kDurationRange);
   reader.Number("retry_slack", settings.retry_slack, Range<double>{0, 1e6});
+  reader.Flag("place_by_work", settings.place_by_work);
   reader.Count("memory_mb", settings.memory_mb,
                Range<std::uint32_t>{kMinMemoryMb, kMaxMemoryMb});
   reader.Number("link_mbps", settings.link_mbps, Range<double>{0, 1e6});
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -79,9 +79,8 @@
       if (is_healthy) candidates.cold.push_back(server);
       continue;
     }
-    const Candidate candidate = {
-        server, liveness_.StatusOf(now, id),
-        work_tracker_.StatusOf(now, id, server->announcement.slots)};
+    const Candidate candidate = {server, liveness_.StatusOf(now, id),
+                                 WorkStatus(now, *server)};
     (!is_healthy                   ? candidates.unhealthy
      : candidate.status.is_overdue ? candidates.overdue
                                    : candidates.healthy)
@@ -129,6 +128,14 @@
   return candidates;
 }
 
+// Returns the server's work, or that of an idle one if it is not asked for.
+ServerWorkTracker::Status ServerDispatcher::WorkStatus(
+    Instant now, const ServerState& server) const {
+  if (!settings_.place_by_work) return {};
+  return work_tracker_.StatusOf(now, server.announcement.id,
+                                server.announcement.slots);
+}
+
 // Returns what crossing zones costs the request, in seconds.
 double ServerDispatcher::CrossingSeconds(const DispatchQuery& query) const {
   return ToSeconds(settings_.cross_zone_delay) +
@@ -238,9 +245,8 @@
   if (choice.server->rate_limit) {
     rate_limits_.TryTake(now, server, NamedLimit(*choice.server));
   }
-  const Candidate chosen = {
-      choice.server, liveness_.StatusOf(now, server),
-      work_tracker_.StatusOf(now, server, announcement.slots)};
+  const Candidate chosen = {choice.server, liveness_.StatusOf(now, server),
+                            WorkStatus(now, *choice.server)};
   ++placement_counts_[static_cast<std::size_t>(choice.rule)];
   if (placement_observer_) {
     placement_observer_(query, {server, choice.rule, work, chosen.work,
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -200,6 +200,8 @@
 
   void RefreshIndex(Instant now, const ServerRegistry& registry);
   WorkEstimate EstimateWork(const DispatchQuery& query) const;
+  ServerWorkTracker::Status WorkStatus(Instant now,
+                                       const ServerState& server) const;
   Choice Choose(Instant now, const DispatchQuery& query,
                 const WorkEstimate& work, const std::set<ZoneId>& zones_out,
                 const PlannedService& service);
--- a/sapphirebank/fleet/server_work_tracker.cc
+++ b/sapphirebank/fleet/server_work_tracker.cc
@@ -50,10 +50,12 @@
   if (found == servers_.end()) return status;
   const Server& server = found->second;
   status.slowness = SlownessOf(now, server);
-  const double decay = DecayFactor(now, server.rejections_decayed_at,
-                                   settings_.rejection_half_life);
-  status.rejected = decay * server.rejections /
-                    (decay * (server.rejections + server.answers) + 1);
+  if (server.rejections > 0) {
+    const double decay = DecayFactor(now, server.rejections_decayed_at,
+                                     settings_.rejection_half_life);
+    status.rejected = decay * server.rejections /
+                      (decay * (server.rejections + server.answers) + 1);
+  }
   double shortest = std::numeric_limits<double>::max();
   double longest = 0;
   double waiting = 0;
--- a/sapphirebank/telemetry/fleet_metrics.cc
+++ b/sapphirebank/telemetry/fleet_metrics.cc
@@ -92,6 +92,18 @@
                             "Ejections left out because of the floor.")),
       backend_servers_(Register<Gauge>("sapphirebank_backend_servers",
                                        "Backend servers by state.")),
+      request_work_(
+          Register<Gauge>("sapphirebank_request_work_seconds",
+                          "Mean time for which a request occupies a slot.")),
+      work_left_(Register<Gauge>(
+          "sapphirebank_work_left_seconds",
+          "Time until the backend servers of this hub have no work, summed.")),
+      slow_servers_(Register<Gauge>(
+          "sapphirebank_slow_backend_servers",
+          "Backend servers of this hub that take over twice the usual time.")),
+      placements_(Register<Counter>(
+          "sapphirebank_placements_total",
+          "Requests by the rule that chose their backend server.")),
       detection_(
           Register<Histogram>("sapphirebank_detection_seconds",
                               "Time between a failure and its detection.")),
@@ -194,6 +206,22 @@
       .Set(static_cast<double>(ejected));
 }
 
+void FleetMetrics::SetServiceWork(const ServiceId& service, Duration mean,
+                                  double left_seconds,
+                                  std::size_t slow_servers) {
+  const std::string label = ServiceLabel(service);
+  request_work_.Add({{"service", label}}).Set(ToSeconds(mean));
+  work_left_.Add({{"service", label}}).Set(left_seconds);
+  slow_servers_.Add({{"service", label}})
+      .Set(static_cast<double>(slow_servers));
+}
+
+void FleetMetrics::CountPlacements(std::string_view rule,
+                                   std::uint64_t requests) {
+  placements_.Add({{"rule", std::string(rule)}})
+      .Increment(static_cast<double>(requests));
+}
+
 void FleetMetrics::ObserveDetection(DetectionSubject subject, Duration time) {
   detection_
       .Add({{"subject", std::string(SubjectName(subject))}}, kDetectionBuckets)
--- a/sapphirebank/telemetry/fleet_metrics.h
+++ b/sapphirebank/telemetry/fleet_metrics.h
@@ -85,6 +85,15 @@
   void SetBackendServers(const ServiceId& service, std::size_t in_use,
                          std::size_t ejected);
 
+  // Sets what a hub knows of the work of a service's requests: the mean for
+  // each, the work left at the hub's own backend servers, and how many of these
+  // are slow.
+  void SetServiceWork(const ServiceId& service, Duration mean,
+                      double left_seconds, std::size_t slow_servers);
+
+  // Counts requests that a hub has placed by the rule of that name.
+  void CountPlacements(std::string_view rule, std::uint64_t requests);
+
   // Records the delay between a failure and its detection.
   void ObserveDetection(DetectionSubject subject, Duration time);
 
@@ -139,6 +148,10 @@
   Family<prometheus::Counter>& ejections_;
   Family<prometheus::Counter>& ejections_prevented_;
   Family<prometheus::Gauge>& backend_servers_;
+  Family<prometheus::Gauge>& request_work_;
+  Family<prometheus::Gauge>& work_left_;
+  Family<prometheus::Gauge>& slow_servers_;
+  Family<prometheus::Counter>& placements_;
   Family<prometheus::Histogram>& detection_;
   Family<prometheus::Gauge>& configuration_revision_;
   Family<prometheus::Gauge>& freshness_age_;
