Merge placement by work

Cause: placement by work and trials of versions both change the dispatcher. Change: trials record their choice as all others do.

--- a/sapphirebank/fleet/server_dispatcher_trial.cc
+++ b/sapphirebank/fleet/server_dispatcher_trial.cc
@@ -40,6 +40,11 @@
     if (!zones_out.contains(server->announcement.zone))
       servers.push_back(server);
   }
+  const WorkEstimate work = EstimateWork(query);
+  // Every request of a trial confirms that its server works.
+  DispatchQuery probe = query;
+  probe.repeatable = true;
+  probe.is_retry = false;
   Candidates candidates;
   Classify(now, query, servers, candidates);
   if (has_own) {
@@ -52,14 +57,18 @@
                        return idle_time(a) > idle_time(b);
                      });
     const ServerState* cold = ChooseCold(now, candidates.cold, query, *service);
-    if (cold != nullptr) return RecordChoice(now, id, query, *cold);
+    if (cold != nullptr) {
+      return RecordChoice(now, id, query, work, {cold, PlacementRule::kWarmUp});
+    }
   }
   // A version whose servers all fail or hang goes on being tried: what it does
   // decides about the rollout.
   for (const auto* group :
        {&candidates.healthy, &candidates.overdue, &candidates.unhealthy}) {
-    const Candidate* best = BestByLiveness(true, *group);
-    if (best != nullptr) return RecordChoice(now, id, query, *best->server);
+    const Candidate* best = BestByLiveness(probe, work, *group);
+    if (best == nullptr) continue;
+    return RecordChoice(now, id, query, work,
+                        {best->server, PlacementRule::kFreeSlot});
   }
   return std::nullopt;
 }
