An answer that the close ends is whole only after an orderly end

Nothing asked whether the request had left, or how the connection ended; a write that fails takes the error of a reset, and the read behind it sees an orderly end. Any three digits were a status. The read after a failed write never happened, as it began with the write's error still set; this alone kept the reported case from callers, and lost early answers that were whole.

Change: such a body is whole only if the request was written and acknowledged and the connection was not reset (EndedInOrder), buffered or streamed. Statuses outside 100 to 599 and 101 are a doubt. Early answers with a length are read after a failed write. A stored answer needs a final status, and one that cannot be used leaves the request unknown.

--- a/sapphirebank/request/answer_sequence.cc
+++ b/sapphirebank/request/answer_sequence.cc
@@ -15,7 +15,8 @@
 // Informational answers (1xx) that may precede an answer.
 constexpr int kMaxInformationalAnswers = 8;
 
-constexpr int kFirstFinalStatus = 200;
+constexpr int kFirstStatus = 100;
+constexpr int kSwitchingProtocols = 101;
 
 // A status line up to its status code; 'd' stands for any digit.
 constexpr std::string_view kStatusLinePattern = "HTTP/d.d ddd";
@@ -76,6 +77,8 @@
       return "spliced_answers";
     case AnswerDoubt::kNoRequestId:
       return "no_request_id";
+    case AnswerDoubt::kInvalidStatus:
+      return "invalid_status";
     case AnswerDoubt::kTooManyAnswers:
       return "too_many_answers";
     case AnswerDoubt::kNone:
@@ -105,6 +108,10 @@
   if (is_spliced || (carried_requests_ && RepeatsField(head.fields))) {
     return Reject(AnswerDoubt::kSplicedAnswers);
   }
+  if (head.status < kFirstStatus || head.status > kLastStatus ||
+      head.status == kSwitchingProtocols) {
+    return Reject(AnswerDoubt::kInvalidStatus);
+  }
   if (head.status < kFirstFinalStatus) {
     if (++informational_ > kMaxInformationalAnswers) {
       return Reject(AnswerDoubt::kTooManyAnswers);
--- a/sapphirebank/request/answer_sequence.h
+++ b/sapphirebank/request/answer_sequence.h
@@ -32,9 +32,16 @@
   kSplicedAnswers,
   // The answer names no request, and the connection has carried others.
   kNoRequestId,
+  // The status is none of HTTP (RFC 9110, section 15), or 101, which changes
+  // the protocol and was not asked for.
+  kInvalidStatus,
   kTooManyAnswers,
 };
 
+// The statuses that end a request (RFC 9110, section 15).
+inline constexpr int kFirstFinalStatus = 200;
+inline constexpr int kLastStatus = 599;
+
 // Returns the text that stands for `doubt` in logs.
 std::string_view DoubtName(AnswerDoubt doubt);
 
--- a/sapphirebank/transport/answer_reader.h
+++ b/sapphirebank/transport/answer_reader.h
@@ -7,6 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
+#include <cassert>
 #include <cctype>
 #include <cstddef>
 #include <cstdint>
@@ -50,15 +51,19 @@
   return answer;
 }
 
+// Returns, of a connection whose end was read, whether that end may be the end
+// of a body without a length: it was orderly, and the whole request was sent.
+using EndCheck = std::function<bool()>;
+
 // Reads and parses at most `count` bytes. Returns false, and reads nothing,
-// when the answer may not take that much more memory.
+// when the answer may not take that much more memory. A body that is ended by
+// the connection's end is complete only if `is_orderly` says so, else the error
+// is that of a reset.
 template <typename Stream>
-boost::asio::awaitable<bool> ReadSome(Stream& stream,
-                                      boost::beast::flat_buffer& buffer,
-                                      AnswerParser& parser,
-                                      ByteReservation& memory,
-                                      std::size_t count,
-                                      boost::system::error_code& error) {
+boost::asio::awaitable<bool> ReadSome(
+    Stream& stream, boost::beast::flat_buffer& buffer, AnswerParser& parser,
+    ByteReservation& memory, std::size_t count, const EndCheck& is_orderly,
+    boost::system::error_code& error) {
   const auto bytes_held = [&] {
     return buffer.capacity() + parser.get().body().capacity();
   };
@@ -67,6 +72,9 @@
   co_await boost::beast::http::async_read_some(
       stream, buffer, parser,
       boost::asio::redirect_error(boost::asio::use_awaitable, error));
+  if (!error && parser.is_done() && parser.need_eof() && !is_orderly()) {
+    error = boost::asio::error::connection_reset;
+  }
   if (!error) memory.TryResize(bytes_held());
   co_return true;
 }
@@ -77,8 +85,13 @@
 class OwnAnswerReader {
  public:
   OwnAnswerReader(Stream& stream, boost::beast::flat_buffer& buffer,
-                  ByteReservation& memory)
-      : stream_(stream), buffer_(buffer), memory_(memory) {}
+                  ByteReservation& memory, EndCheck is_orderly)
+      : stream_(stream),
+        buffer_(buffer),
+        memory_(memory),
+        is_orderly_(std::move(is_orderly)) {
+    assert(is_orderly_);
+  }
 
   // Answers have no body, whatever their heads say.
   void set_head_only(bool head_only) { head_only_ = head_only; }
@@ -120,14 +133,18 @@
     while (!error && !parser_->is_done() && body.size() <= max_body_bytes_) {
       const std::size_t count =
           std::clamp(body.size(), kMinReadBytes, kMaxReadBytes);
-      const bool has_memory =
-          co_await ReadSome(stream_, buffer_, *parser_, memory_, count, error);
+      const bool has_memory = co_await ReadSome(
+          stream_, buffer_, *parser_, memory_, count, is_orderly_, error);
       if (has_memory) continue;
       if (body.empty()) error = boost::asio::error::no_memory;
       co_return;
     }
   }
 
+  // Returns whether only the end of the connection ends the body of the answer
+  // whose head was read last.
+  bool EndsWithConnection() const { return parser_->need_eof(); }
+
   // Returns the status and the fields of the last head, without those of a
   // trailer section, which the parser adds to its own.
   HttpAnswer TakeHead() { return std::move(head_); }
@@ -144,8 +161,9 @@
 
   boost::asio::awaitable<void> ReadOneHead(boost::system::error_code& error) {
     while (!error && !parser_->is_header_done()) {
-      const bool has_memory = co_await ReadSome(stream_, buffer_, *parser_,
-                                                memory_, kMinReadBytes, error);
+      const bool has_memory =
+          co_await ReadSome(stream_, buffer_, *parser_, memory_, kMinReadBytes,
+                            is_orderly_, error);
       if (!has_memory) error = boost::asio::error::no_memory;
     }
   }
@@ -153,6 +171,7 @@
   Stream& stream_;
   boost::beast::flat_buffer& buffer_;
   ByteReservation& memory_;
+  EndCheck is_orderly_;
   std::unique_ptr<AnswerParser> parser_;
   HttpAnswer head_;
   std::function<bool(int)> on_head_;
--- a/sapphirebank/transport/http_client.cc
+++ b/sapphirebank/transport/http_client.cc
@@ -17,6 +17,7 @@
 #include <vector>
 
 #include "sapphirebank/transport/answer_reader.h"
+#include "sapphirebank/transport/connection_end.h"
 #include "sapphirebank/transport/process_clock.h"
 
 namespace sapphirebank {
@@ -127,10 +128,12 @@
 class AnswerStream : public BodyStream {
  public:
   AnswerStream(ConnectionPtr connection, std::unique_ptr<AnswerParser> parser,
-               ByteReservation memory, std::shared_ptr<CallerWatch> watch)
+               ByteReservation memory, EndCheck is_orderly,
+               std::shared_ptr<CallerWatch> watch)
       : connection_(std::move(connection)),
         parser_(std::move(parser)),
         memory_(std::move(memory)),
+        is_orderly_(std::move(is_orderly)),
         watch_(std::move(watch)) {}
 
   ~AnswerStream() override {
@@ -141,28 +144,32 @@
     if (connection_->buffer.capacity() > 2 * kStreamReadBytes) {
       connection_->buffer.shrink_to_fit();
     }
-    while (!parser_->is_done()) {
-      error_code error;
+    error_code error = broken_by_;
+    while (!error && !parser_->is_done()) {
       const bool has_memory =
           co_await ReadSome(connection_->stream, connection_->buffer, *parser_,
-                            memory_, kStreamReadBytes, error);
+                            memory_, kStreamReadBytes, is_orderly_, error);
       if (!has_memory) error = asio::error::no_memory;
-      if (error) {
-        co_return Fail(ErrorKind::kBackendBroken,
-                       "connection failed before the answer was complete: " +
-                           error.message());
-      }
       auto& body = parser_->get().body();
-      if (!body.empty()) co_return std::exchange(body, std::string());
+      if (!error && !body.empty()) {
+        co_return std::exchange(body, std::string());
+      }
     }
-    co_return std::string();
+    broken_by_ = error;
+    if (!error) co_return std::string();
+    co_return Fail(
+        ErrorKind::kBackendBroken,
+        "connection failed before the answer was complete: " + error.message());
   }
 
  private:
   ConnectionPtr connection_;
   std::unique_ptr<AnswerParser> parser_;
   ByteReservation memory_;
+  EndCheck is_orderly_;
   std::shared_ptr<CallerWatch> watch_;
+  // The error after which the answer stays incomplete, if any.
+  error_code broken_by_;
 };
 
 // While in scope, closes a connection when the caller hangs up.
@@ -421,11 +428,20 @@
   }
   send_watch.RecordWritten();
   const bool request_truncated = static_cast<bool>(error);
-  if (request_truncated) connection->stream.expires_after(kEarlyAnswerTime);
+  if (request_truncated) {
+    // The server may have answered before it closed.
+    error = error_code();
+    connection->stream.expires_after(kEarlyAnswerTime);
+  }
 
   ByteReservation memory(memory_);
   AnswerSequence sequence(reused, exchange.match_request);
-  OwnAnswerReader reader(connection->stream, connection->buffer, memory);
+  // Fits into the function without an allocation.
+  const EndCheck is_orderly = [&open = *connection, request_truncated] {
+    return !request_truncated && EndedInOrder(open.stream.socket());
+  };
+  OwnAnswerReader reader(connection->stream, connection->buffer, memory,
+                         is_orderly);
   reader.set_head_only(exchange.method == "HEAD");
   reader.set_max_body_bytes(exchange.max_buffered_bytes);
   reader.set_on_head([&](int status) {
@@ -439,8 +455,12 @@
   if (send_watch.was_cut()) co_return CutOff(sent, reused);
   if (sequence.HasStrayBytes()) pool_->RecordStrayBytes(exchange.to);
   if (!is_own) co_return Failure(AttemptStage::kSent, error, reused);
-  co_await reader.ReadBody(error);
-  if (error) co_return Failure(AttemptStage::kSent, error, reused);
+  // It would not be complete, wherever it ended.
+  const bool never_whole = request_truncated && reader.EndsWithConnection();
+  if (!never_whole) co_await reader.ReadBody(error);
+  if (error || never_whole) {
+    co_return Failure(AttemptStage::kSent, error, reused);
+  }
   std::unique_ptr<AnswerParser> parser = reader.TakeParser();
   if (!sequence.RecordBody(parser->get().body())) {
     RecordAnswers(sequence, trace);
@@ -458,7 +478,7 @@
   answer.body = std::exchange(parser->get().body(), std::string());
   if (!parser->is_done()) {
     answer.stream = std::make_shared<AnswerStream>(
-        connection, std::move(parser), std::move(memory),
+        connection, std::move(parser), std::move(memory), is_orderly,
         close_on_hang_up.Release());
     result.outcome = std::move(answer);
     co_return result;
--- a/sapphirebank/transport/request_proxy.cc
+++ b/sapphirebank/transport/request_proxy.cc
@@ -240,7 +240,10 @@
                        {"workspace", proxied.workspace.value()},
                        {"state", ClaimStateName(found->state)}});
   if (found->state == ClaimState::kAnswered) {
-    co_return DecodeAnswer(found->answer);
+    Result<HttpAnswer> stored = DecodeAnswer(found->answer);
+    // The request has run, so its refusal must not say otherwise.
+    if (!stored) stored.error().kind = ErrorKind::kIdempotencyUnknown;
+    co_return stored;
   }
   if (const auto refusal = RefusalFor(found->state)) {
     co_return Fail(*refusal,
--- a/sapphirebank/transport/stored_answer.cc
+++ b/sapphirebank/transport/stored_answer.cc
@@ -1,9 +1,13 @@
 #include "sapphirebank/transport/stored_answer.h"
 
+#include <fmt/format.h>
+
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "sapphirebank/request/answer_sequence.h"
+
 namespace sapphirebank {
 
 using nlohmann::json;
@@ -25,6 +29,11 @@
     const json stored = json::from_cbor(bytes);
     HttpAnswer answer;
     answer.status = stored.at(0).get<int>();
+    if (answer.status < kFirstFinalStatus || answer.status > kLastStatus) {
+      return Fail(
+          ErrorKind::kMalformedRequest,
+          fmt::format("a stored answer has the status {}", answer.status));
+    }
     for (const json& field : stored.at(1)) {
       answer.fields.push_back(
           {field.at(0).get<std::string>(), field.at(1).get<std::string>()});
--- a/unit_tests/platform/odd_answers_test.cc
+++ b/unit_tests/platform/odd_answers_test.cc
@@ -222,6 +222,86 @@
   }
 }
 
+// Answers each request with a part of an answer without a length, before it has
+// read the body, and resets the connection.
+class ResettingServer {
+ public:
+  ResettingServer()
+      : server_([this](tcp::socket& socket, int) {
+          if (!ScriptedServer::ReadRequest(socket)) return;
+          ++requests_;
+          ScriptedServer::Write(
+              socket,
+              "HTTP/1.1 200 OK\r\nSapphirebank-Request-Id: q1\r\n"
+              "Sapphirebank-Server-Stamp: s\r\n\r\na part of it");
+          std::this_thread::sleep_for(std::chrono::milliseconds(50));
+          ScriptedServer::Reset(socket);
+        }) {}
+
+  Endpoint endpoint() const { return server_.endpoint(); }
+  int requests() const { return requests_; }
+
+ private:
+  std::atomic<int> requests_ = 0;
+  ScriptedServer server_;
+};
+
+// Guards against MIXED: a long upload whose server answers at once and resets
+// the connection while the upload is written.
+TEST_CASE("a part of an answer before a reset is no answer", "[platform]") {
+  const std::string body =
+      GENERATE(std::string("short"), std::string(std::size_t{32} << 20U, 'b'));
+  CAPTURE(body.size());
+  ResettingServer server;
+  LoopThread loop;
+  TestEntryHost host(loop, "127.0.0.1");
+  host.Update({server.endpoint()}, {});
+  const HttpAnswer answer = host.Send("/order/1", "q1", body);
+  CHECK(server.requests() == 1);
+  CHECK(answer.status == 502);
+  CHECK(FieldValue(answer.fields, "sapphirebank-server-stamp").empty());
+}
+
+// The same at another entry host that takes the detour.
+TEST_CASE("a part of another host's answer before a reset is no answer",
+          "[platform]") {
+  ResettingServer other_host;
+  LoopThread loop;
+  ClosedPort closed[2];
+  TestEntryHost host(loop, "127.0.0.2", other_host.endpoint().port);
+  host.Update({closed[0].endpoint(), closed[1].endpoint()}, {"127.0.0.1:80"});
+  const HttpAnswer answer =
+      host.Send("/order/1", "q1", std::string(std::size_t{32} << 20U, 'b'));
+  CHECK(other_host.requests() == 1);
+  CHECK(answer.status == 502);
+  CHECK(FieldValue(answer.fields, "sapphirebank-server-stamp").empty());
+}
+
+// Guards against MIXED: a server in trouble sends a status that is none.
+TEST_CASE("an answer with an invalid status is not passed on", "[platform]") {
+  const std::string status = GENERATE("000", "099", "101", "600");
+  const bool is_host = GENERATE(false, true);
+  CAPTURE(status, is_host);
+  ScriptedServer other([&](tcp::socket& socket, int) {
+    while (ScriptedServer::ReadRequest(socket)) {
+      ScriptedServer::Write(
+          socket, Response(status + " X", "q1",
+                           "Sapphirebank-Server-Stamp: s\r\n", "body"));
+    }
+  });
+  LoopThread loop;
+  ClosedPort closed[2];
+  TestEntryHost host(loop, "127.0.0.2", other.endpoint().port);
+  if (is_host) {
+    host.Update({closed[0].endpoint(), closed[1].endpoint()}, {"127.0.0.1:80"});
+  } else {
+    host.Update({other.endpoint()}, {});
+  }
+  const HttpAnswer answer = host.Send("/order/1");
+  CHECK(answer.status == 502);
+  CHECK(FieldValue(answer.fields, "sapphirebank-server-stamp").empty());
+}
+
 // Guards against an empty or short answer that looks complete because the
 // server stopped in the middle of its head.
 TEST_CASE("a head that ends in the middle is no answer", "[platform]") {
--- a/unit_tests/request/answer_sequence_test.cc
+++ b/unit_tests/request/answer_sequence_test.cc
@@ -30,6 +30,23 @@
   }
 }
 
+// Guards against MIXED by a server in trouble, also for answers to others.
+TEST_CASE("a status that is none of HTTP is rejected", "[request]") {
+  for (const int status : {0, 7, 99, 101, 600, 999}) {
+    for (const char* id : {"own", "other"}) {
+      CAPTURE(status, id);
+      AnswerSequence sequence(false, MatchOwn);
+      CHECK(Judge(sequence, {{"id", id}}, status) == Verdict::kReject);
+      CHECK(sequence.doubt() == AnswerDoubt::kInvalidStatus);
+      CHECK(sequence.HasStrayBytes());
+    }
+  }
+  for (const int status : {200, 599}) {
+    AnswerSequence sequence(false, MatchOwn);
+    CHECK(Judge(sequence, {{"id", "own"}}, status) == Verdict::kAccept);
+  }
+}
+
 // Guards against MIXED and REFUSED by an answer that took in another one's
 // status line.
 TEST_CASE("an answer with a status line inside is rejected", "[request]") {
--- a/unit_tests/transport/answer_order_simulation.h
+++ b/unit_tests/transport/answer_order_simulation.h
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
@@ -27,8 +28,9 @@
 // informational answers before its own. On a new connection it writes copies of
 // answers that name other requests, and of rejections that name none. Some
 // answers to requests that ran have the status of a rejection, or its
-// statement, but never both. What it did with each request is compared to what
-// the caller is told.
+// statement, but never both. Some answers have no length: the end of their
+// connection ends them, in order or by a reset. Some have a status that is
+// none. What it did with each request is compared to what the caller is told.
 class AnswerOrderSimulation {
  public:
   // What went wrong, as counts of requests.
@@ -36,6 +38,10 @@
     int refused_and_ran = 0;
     int status_of_another = 0;
     int ran_twice = 0;
+    int invalid_status = 0;
+    // Bodies without a length whose connection was reset, or ended with a part
+    // of the request unsent, or that are not the server's.
+    int part_as_whole = 0;
   };
 
   // What was drawn and how it ended, as counts of requests.
@@ -45,6 +51,10 @@
     int in_doubt = 0;
     int stray_copies = 0;
     int same_id_again = 0;
+    int invalid_statuses = 0;
+    // Answers without a length by how their connection ended.
+    int whole_without_length = 0;
+    int broken_without_length = 0;
   };
 
   explicit AnswerOrderSimulation(std::uint64_t seed) : random_(seed) {}
@@ -88,6 +98,8 @@
     std::vector<Written> written;
     // Bytes that the server writes once the next request has come.
     std::string late;
+    // The server ends the connection in order and took the whole request.
+    bool ends_in_order = false;
   };
 
   struct Request {
@@ -97,11 +109,16 @@
     // Status and stamp that the server that ran it gave.
     int status = 0;
     std::string stamp;
+    // Body of the last answer.
+    std::string body;
+    bool has_length = true;
   };
 
   // What the client makes of the bytes after one request.
   struct Received {
     std::optional<HttpAnswer> answer;
+    // How the server ended the connection, where it did.
+    bool ended_in_order = false;
     AnswerStatement statement;
   };
 
@@ -137,6 +154,14 @@
       return;
     }
     ++coverage_.passed_on;
+    const int status = received.answer->status;
+    if (status < 200 || status > 599) ++violations_.invalid_status;
+    if (!request.has_length) {
+      ++coverage_.whole_without_length;
+      const bool is_whole =
+          received.ended_in_order && received.answer->body == request.body;
+      if (!is_whole) ++violations_.part_as_whole;
+    }
     const auto stamp =
         FieldValue(received.answer->fields, "sapphirebank-server-stamp");
     const bool is_of_another =
@@ -154,6 +179,10 @@
     connection->carried.push_back(request.id);
     const bool is_closed = Answer(request, *connection);
     Received received;
+    received.ended_in_order = connection->ends_in_order;
+    if (!request.has_length && !received.ended_in_order) {
+      ++coverage_.broken_without_length;
+    }
     AnswerSequence sequence(is_used, [&](const HeaderFields& fields) {
       return Match(fields, request.id);
     });
@@ -185,7 +214,11 @@
                                     Received& received, std::size_t& bytes_left,
                                     bool& is_reusable) {
     ByteReservation memory(memory_);
-    OwnAnswerReader reader(connection.stream, connection.buffer, memory);
+    const EndCheck is_orderly = [&connection] {
+      return connection.ends_in_order;
+    };
+    OwnAnswerReader reader(connection.stream, connection.buffer, memory,
+                           is_orderly);
     boost::system::error_code error;
     if (!co_await reader.ReadHead(sequence, error)) co_return;
     co_await reader.ReadBody(error);
@@ -193,6 +226,7 @@
     const std::unique_ptr<AnswerParser> parser = reader.TakeParser();
     if (!sequence.RecordBody(parser->get().body())) co_return;
     received.answer = reader.TakeHead();
+    received.answer->body = parser->get().body();
     const HeaderFields& fields = received.answer->fields;
     received.statement.status = received.answer->status;
     received.statement.not_run =
@@ -247,9 +281,16 @@
     if (Chance(0.05)) bytes += CopyOfOther(request.id);
     if (Chance(0.05)) bytes += "HTTP/1.1 102 Processing\r\n\r\n";
     std::string answer = own;
-    if (Chance(0.1)) {
+    if (request.has_length && Chance(0.1)) {
       answer.insert(Below(answer.size() + 1), Copy(connection));
     }
+    if (!request.has_length) {
+      // A cut answer is followed by a reset; else it could not be told.
+      connection.ends_in_order = Chance(0.5);
+      if (!connection.ends_in_order) answer.resize(Below(answer.size() + 1));
+      connection.stream.append(bytes + answer);
+      return true;
+    }
     const bool breaks_off = Chance(0.05);
     if (breaks_off) answer.resize(Below(answer.size() + 1));
     bytes += answer;
@@ -283,6 +324,13 @@
     return Chance(0.3) ? answer : answer.substr(0, Below(answer.size()));
   }
 
+  // A status that HTTP does not have, or that was not asked for.
+  int InvalidStatus() {
+    constexpr auto kStatuses = std::to_array({0, 7, 99, 101, 600, 999});
+    ++coverage_.invalid_statuses;
+    return kStatuses.at(Below(kStatuses.size()));
+  }
+
   // Runs the request or rejects it, and returns the answer. The order of the
   // fields varies from server to server.
   std::string Decide(Request& request) {
@@ -304,16 +352,21 @@
       request.status = drawn < 0.7    ? 200
                        : drawn < 0.9  ? 500
                        : drawn < 0.97 ? 504
-                                      : 503;
+                       : drawn < 0.99 ? 503
+                                      : InvalidStatus();
       request.stamp = fmt::format("s{:x}.{}", random_(), request.status);
       stamps_.push_back(request.stamp);
-      line = fmt::format("{} Some Reason", request.status);
+      line = fmt::format("{:03} Some Reason", request.status);
       fields.push_back({"Sapphirebank-Server-Stamp", request.stamp});
       if (request.status != 503 && Chance(0.02)) {
         fields.push_back({"Sapphirebank-Not-Executed", "1"});
       }
     }
-    fields.push_back({"Content-Length", std::to_string(body.size())});
+    request.body = body;
+    request.has_length = !Chance(0.1);
+    if (request.has_length) {
+      fields.push_back({"Content-Length", std::to_string(body.size())});
+    }
     std::shuffle(fields.begin(), fields.end(), random_);
     std::string answer = "HTTP/1.1 " + line + "\r\n";
     for (const HeaderField& field : fields) {
--- a/unit_tests/transport/answer_order_test.cc
+++ b/unit_tests/transport/answer_order_test.cc
@@ -15,7 +15,7 @@
   boost::beast::flat_buffer buffer;
   ByteReservation memory(
       std::make_shared<ByteBudget>(std::size_t{1} << 20U, 1.0));
-  OwnAnswerReader reader(stream, buffer, memory);
+  OwnAnswerReader reader(stream, buffer, memory, [] { return true; });
   AnswerSequence sequence(true, [](const HeaderFields& fields) {
     const auto id = FieldValue(fields, "sapphirebank-request-id");
     if (id.empty()) return AnswerMatch::kUnknown;
@@ -85,17 +85,25 @@
     CHECK(simulation.violations().refused_and_ran == 0);
     CHECK(simulation.violations().status_of_another == 0);
     CHECK(simulation.violations().ran_twice == 0);
+    CHECK(simulation.violations().invalid_status == 0);
+    CHECK(simulation.violations().part_as_whole == 0);
     all.promises += simulation.coverage().promises;
     all.passed_on += simulation.coverage().passed_on;
     all.in_doubt += simulation.coverage().in_doubt;
     all.stray_copies += simulation.coverage().stray_copies;
     all.same_id_again += simulation.coverage().same_id_again;
+    all.invalid_statuses += simulation.coverage().invalid_statuses;
+    all.whole_without_length += simulation.coverage().whole_without_length;
+    all.broken_without_length += simulation.coverage().broken_without_length;
   }
   CAPTURE(all.promises, all.passed_on, all.in_doubt, all.stray_copies,
-          all.same_id_again);
+          all.same_id_again, all.invalid_statuses, all.whole_without_length,
+          all.broken_without_length);
   // Every kind of end is drawn often.
-  for (const int count : {all.promises, all.passed_on, all.in_doubt,
-                          all.stray_copies, all.same_id_again}) {
+  for (const int count :
+       {all.promises, all.passed_on, all.in_doubt, all.stray_copies,
+        all.same_id_again, all.invalid_statuses, all.whole_without_length,
+        all.broken_without_length}) {
     CHECK(count > kSeeds / 10);
   }
 }
--- a/unit_tests/transport/http_server_test.cc
+++ b/unit_tests/transport/http_server_test.cc
@@ -192,6 +192,46 @@
   CHECK(server.handled() == 0);
 }
 
+// Guards against MIXED: the caller of an answer that is cut off must not take
+// the part for the whole.
+TEST_CASE("an answer that is cut off does not end in order", "[transport]") {
+  struct Cut : BodyStream {
+    asio::awaitable<Result<std::string>> Next() override {
+      if (pieces++ == 0) co_return std::string("second");
+      co_return Fail(ErrorKind::kBackendBroken, "cut");
+    }
+    int pieces = 0;
+  };
+  const bool has_length = GENERATE(false, true);
+  CAPTURE(has_length);
+  HttpServer::Hooks hooks;
+  hooks.accept_head = [](const HttpRequestHead&) -> Result<std::uint64_t> {
+    return kBodyLimit;
+  };
+  hooks.handle = [&](const HttpRequest&) -> asio::awaitable<HttpAnswer> {
+    HttpAnswer answer;
+    answer.body = "first";
+    answer.stream = std::make_shared<Cut>();
+    answer.stream_length_known = has_length;
+    answer.stream_length = 100;
+    co_return answer;
+  };
+  LoopThread loop;
+  const HttpServer server =
+      *HttpServer::Listen(loop.loop(), HttpServerSettings(), hooks);
+  RawConnection caller(server.port());
+  caller.Send("GET /x HTTP/1.1\r\nHost: a\r\n\r\n");
+  const std::string answer = caller.ReadAll();
+  CHECK(answer.find("second") != std::string::npos);
+  if (has_length) {
+    CHECK(answer.find("Content-Length: 100\r\n") != std::string::npos);
+  } else {
+    CHECK(answer.find("Transfer-Encoding: chunked\r\n") != std::string::npos);
+    CHECK(answer.find("\r\n0\r\n") == std::string::npos);
+  }
+  loop.Stop();
+}
+
 // A server whose requests run until their caller leaves.
 class WaitingServer {
  public:
--- a/unit_tests/transport/operator_server_test.cc
+++ b/unit_tests/transport/operator_server_test.cc
@@ -14,6 +14,7 @@
 #include "sapphirebank/consensus/declaration_store.h"
 #include "sapphirebank/request/route_table.h"
 #include "sapphirebank/transport/operator_client.h"
+#include "unit_tests/transport/scripted_server.h"
 
 namespace sapphirebank {
 namespace {
@@ -310,5 +311,22 @@
   CHECK_FALSE(OperatorServer::Start({}, hooks));
 }
 
+TEST_CASE("an operator's answer that is not whole is none", "[transport]") {
+  const std::string head = GENERATE(
+      "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 000 X\r\nContent-Length: 15\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n");
+  // With a change that is longer than the buffers of a connection, too.
+  const std::size_t name_size = GENERATE(1U, 32U << 20U);
+  CAPTURE(head, name_size);
+  ScriptedServer server([&](boost::asio::ip::tcp::socket& socket, int) {
+    if (!ScriptedServer::ReadRequest(socket)) return;
+    ScriptedServer::Write(socket, head + R"({"revision": 1})");
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    ScriptedServer::Reset(socket);
+  });
+  OperatorClient client = MakeClient({server.endpoint()});
+  CHECK_FALSE(client.Apply(AddZone(0, std::string(name_size, 'z'), "z")));
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/transport/request_proxy_test.cc
+++ b/unit_tests/transport/request_proxy_test.cc
@@ -10,6 +10,7 @@
 #include "sapphirebank/transport/forward_fields.h"
 #include "sapphirebank/transport/process_clock.h"
 #include "sapphirebank/transport/signed_field.h"
+#include "sapphirebank/transport/stored_answer.h"
 #include "unit_tests/transport/loop_thread.h"
 #include "unit_tests/transport/scripted_server.h"
 
@@ -27,9 +28,14 @@
   route.access = RouteAccess::kOpen;
   route.idempotent = true;
   route.deadline = std::chrono::seconds(2);
+  RouteDeclaration order = route;
+  order.id = "order";
+  order.methods = {"POST"};
+  order.idempotent = false;
+  order.body_limit = std::size_t{64} << 20U;
   Declarations declarations;
   declarations.services = {service};
-  declarations.routes = {route};
+  declarations.routes = {route, order};
   return RouteTable::Create(1, std::move(declarations));
 }
 
@@ -53,6 +59,10 @@
     hooks.acquire_retry_token = [](const ServiceId&, const auto& callback) {
       callback(true);
     };
+    hooks.claim = [this](const Claim&, const auto& callback) {
+      callback(ClaimResult{ClaimState::kAnswered, stored_});
+    };
+    hooks.complete_claim = [](const CompleteClaim&) {};
     hooks.log = [](std::string_view, const nlohmann::json&) {};
     hooks.count_request = [](const ServiceId&, const WorkspaceId&,
                              const ErrorKind*, Duration, std::size_t) {};
@@ -66,6 +76,18 @@
 
   HttpAnswer Send() { return loop_.Run(proxy_->HandleCaller(MakeRequest())); }
 
+  // Sends a request that must run once.
+  HttpAnswer SendOrder(std::string body, HeaderFields fields = {}) {
+    HttpRequest request = MakeRequest();
+    request.head.method = "POST";
+    request.head.fields = std::move(fields);
+    request.body = std::move(body);
+    return loop_.Run(proxy_->HandleCaller(std::move(request)));
+  }
+
+  // Finds this answer stored for each idempotency key.
+  void set_stored_answer(std::string bytes) { stored_ = std::move(bytes); }
+
   // Passes on a request as another entry host does.
   HttpAnswer Forward(const RequestId& id) {
     ForwardedRequest forwarded;
@@ -91,6 +113,7 @@
   LoopThread& loop_;
   std::vector<DispatchDecision> decisions_;
   std::vector<OutcomeKind> outcomes_;
+  std::string stored_;
   std::size_t next_ = 0;
   std::optional<RequestProxy> proxy_;
 };
@@ -360,6 +383,67 @@
   CHECK(second.body == "served");
 }
 
+// Guards against MIXED: a server, or the owner of the service, that answers a
+// long upload at once, in part, and resets the connection.
+TEST_CASE("a part of an answer to an upload is not passed on", "[transport]") {
+  const bool is_owner = GENERATE(false, true);
+  CAPTURE(is_owner);
+  ScriptedServer server([](boost::asio::ip::tcp::socket& socket, int) {
+    const std::string id = RequestIdIn(ScriptedServer::ReadHead(socket));
+    ScriptedServer::Write(
+        socket, fmt::format("HTTP/1.1 200 OK\r\nx-sapphirebank-request-id: {}"
+                            "\r\n\r\na part of it",
+                            id));
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    ScriptedServer::Reset(socket);
+  });
+  LoopThread loop;
+  ScriptedProxy proxy(loop, {is_owner ? ToHost(server.endpoint())
+                                      : ToServer(server.endpoint())});
+  const HttpAnswer answer =
+      proxy.SendOrder(std::string(std::size_t{32} << 20U, 'b'));
+  CHECK(answer.status == 502);
+  CHECK(nlohmann::json::parse(answer.body)["execution"] == "unknown");
+}
+
+TEST_CASE("an answer with an invalid status is asked for again",
+          "[transport]") {
+  const std::string status = GENERATE("000", "101", "600");
+  const bool is_owner = GENERATE(false, true);
+  CAPTURE(status, is_owner);
+  ScriptedServer server([&](boost::asio::ip::tcp::socket& socket, int number) {
+    const std::string id = RequestIdIn(ScriptedServer::ReadHead(socket));
+    ScriptedServer::Write(
+        socket, AnswerText(number > 0 ? "200 OK" : status + " X", id, "body"));
+    ScriptedServer::ReadRequest(socket);
+  });
+  LoopThread loop;
+  const DispatchDecision decision =
+      is_owner ? ToHost(server.endpoint()) : ToServer(server.endpoint());
+  ScriptedProxy proxy(loop, {decision, decision});
+  CHECK(proxy.Send().status == 200);
+}
+
+// Guards against 'not run' for a request whose stored answer cannot be used.
+TEST_CASE("a stored answer with an invalid status leaves the request unknown",
+          "[transport]") {
+  LoopThread loop;
+  ScriptedProxy proxy(loop, {});
+  HttpAnswer stored;
+  stored.body = "stored";
+  const HeaderFields key = {{"idempotency-key", "k"}};
+  proxy.set_stored_answer(EncodeAnswer(stored));
+  CHECK(proxy.SendOrder("body", key).body == "stored");
+  for (const int status : {0, 101, 600}) {
+    CAPTURE(status);
+    stored.status = status;
+    proxy.set_stored_answer(EncodeAnswer(stored));
+    const HttpAnswer answer = proxy.SendOrder("body", key);
+    CHECK(answer.status == 409);
+    CHECK(nlohmann::json::parse(answer.body)["execution"] == "unknown");
+  }
+}
+
 TEST_CASE("a refusal names its request to the host that passed it on",
           "[transport]") {
   LoopThread loop;
--- a/unit_tests/transport/scripted_server.h
+++ b/unit_tests/transport/scripted_server.h
@@ -70,6 +70,13 @@
     return error ? std::string() : head;
   }
 
+  // Resets the connection. A socket that is only destroyed ends in order.
+  static void Reset(boost::asio::ip::tcp::socket& socket) {
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    socket.close(ignored);
+  }
+
   static void Write(boost::asio::ip::tcp::socket& socket,
                     const std::string& bytes) {
     boost::system::error_code ignored;
