--- a/sapphirebank/fleet/rollout_judge.cc
+++ b/sapphirebank/fleet/rollout_judge.cc
@@ -6,7 +6,6 @@
 #include <cassert>
 #include <cmath>
 #include <functional>
-#include <iterator>
 #include <numeric>
 #include <utility>
 
