--- a/unit_tests/platform/entry_hosts.h
+++ b/unit_tests/platform/entry_hosts.h
@@ -240,7 +240,8 @@
         {"version", fmt::format("r{}", version)},
         {"routes",
          {{"lookup", route("/lookup/", "safe")},
-          {"order", route("/order/", "unsafe")}}},
+          {"order", route("/order/", "unsafe")},
+          {"download", route("/download/", "download")}}},
         {"services", {{"desk", {{"warmup", "1s"}, {"warmupPerS", 5}}}}},
         {"limits", {{"idleTimeout", "15s"}}}};
     if (workspace_rate_) {
