Forecast of room by the dispatcher, first form

Cause: admission needs the hub's view of slots, waits and work. Change: ServerDispatcher::Forecast with the signature agreed in dispatch_forecast.h. It counts requests in flight; work comes from the latency objective until the estimator exists.

--- a/sapphirebank/fleet/dispatch_forecast.h
+++ b/sapphirebank/fleet/dispatch_forecast.h
@@ -13,7 +13,8 @@
   // have named a pause, and how many of them have a request assigned.
   std::uint32_t slots = 0;
   std::uint32_t busy = 0;
-  // Time until the best server would begin the request.
+  // Time until the best server would begin the request; Duration::max() without
+  // any.
   Duration shortest_wait{};
   // Time that the request is likely to take there once begun: mean and mean
   // deviation.
--- a/sapphirebank/fleet/server_dispatcher.cc
+++ b/sapphirebank/fleet/server_dispatcher.cc
@@ -191,6 +191,46 @@
   return DispatchChoice{server, load_is_partial || is_busy};
 }
 
+DispatchForecast ServerDispatcher::Forecast(Instant now,
+                                            const DispatchQuery& query,
+                                            const ServerRegistry& registry,
+                                            const std::set<ZoneId>& zones_out) {
+  RefreshIndex(now, registry);
+  DispatchForecast forecast;
+  forecast.work = FromSeconds(ToSeconds(query.latency_objective) *
+                              settings_.initial_overdue_fraction);
+  forecast.shortest_wait = Duration::max();
+  const auto service = index_.find(query.service);
+  if (service == index_.end()) return forecast;
+  if (!zones_out.contains(zone_)) {
+    AddToForecast(now, query, service->second.own, forecast);
+  }
+  for (const auto& [zone, servers] : service->second.others) {
+    if (zones_out.contains(zone)) continue;
+    AddToForecast(now, query, servers, forecast);
+  }
+  return forecast;
+}
+
+void ServerDispatcher::AddToForecast(Instant now, const DispatchQuery& query,
+                                     const Servers& servers,
+                                     DispatchForecast& forecast) {
+  for (const ServerState* server : servers) {
+    const BackendId& id = server->announcement.id;
+    if (server->health == ServerHealth::kDown || server->rate_limit ||
+        now < server->cold_until || query.excluded.contains(id)) {
+      continue;
+    }
+    const std::uint32_t slots = std::max(server->announcement.slots, 1U);
+    const auto in_flight =
+        static_cast<std::uint32_t>(liveness_.StatusOf(now, id).in_flight);
+    forecast.slots += slots;
+    forecast.busy += std::min(in_flight, slots);
+    forecast.shortest_wait =
+        std::min(forecast.shortest_wait, forecast.work * (in_flight / slots));
+  }
+}
+
 // Returns the age from which a request to the server is overdue. Each full set
 // of slots ahead of it takes as long again.
 Duration ServerDispatcher::OverdueAge(const DispatchQuery& query,
--- a/sapphirebank/fleet/server_dispatcher.h
+++ b/sapphirebank/fleet/server_dispatcher.h
@@ -12,6 +12,7 @@
 #include "sapphirebank/core/random.h"
 #include "sapphirebank/core/time.h"
 #include "sapphirebank/fleet/attempt_duration_estimator.h"
+#include "sapphirebank/fleet/dispatch_forecast.h"
 #include "sapphirebank/fleet/dispatch_query.h"
 #include "sapphirebank/fleet/server_liveness_tracker.h"
 #include "sapphirebank/fleet/server_registry.h"
@@ -89,6 +90,12 @@
                                        const std::set<ZoneId>& zones_out,
                                        const TrafficPlan& plan);
 
+  // Returns what is known of the room for the query at all servers that it may
+  // be sent to. Requests that other hubs send to their servers are not counted.
+  DispatchForecast Forecast(Instant now, const DispatchQuery& query,
+                            const ServerRegistry& registry,
+                            const std::set<ZoneId>& zones_out);
+
   // Sets the hubs that divide the zone's servers among them, and the address of
   // this one. Until then cold servers get the fraction of a hub of another
   // zone.
@@ -143,6 +150,8 @@
   };
 
   void RefreshIndex(Instant now, const ServerRegistry& registry);
+  void AddToForecast(Instant now, const DispatchQuery& query,
+                     const Servers& servers, DispatchForecast& forecast);
   void Classify(Instant now, const DispatchQuery& query, const Servers& servers,
                 Candidates& candidates);
   Candidates ClassifyOwn(Instant now, const DispatchQuery& query);
