--- a/sapphirebank/fleet/dispatch_query.cc
+++ b/sapphirebank/fleet/dispatch_query.cc
@@ -55,6 +55,7 @@
   if (choice.refusal) {
     out["refusal"] = AnswerFor(choice.refusal->kind).name;
     out["return"] = choice.refusal->retry_after.count();
+    if (choice.refusal->hold) out["hold"] = true;
   }
 }
 
@@ -66,7 +67,8 @@
     // By name, as the numbers of kinds may change between builds.
     const auto kind = ErrorKindFromName(refusal->get<std::string>());
     choice.refusal = DispatchRefusal{kind.value_or(ErrorKind::kNoBackendServer),
-                                     ReadDuration(in.at("return"))};
+                                     ReadDuration(in.at("return")),
+                                     in.value("hold", false)};
   }
 }
 
--- a/sapphirebank/fleet/dispatch_query.h
+++ b/sapphirebank/fleet/dispatch_query.h
@@ -59,6 +59,10 @@
   ErrorKind kind = ErrorKind::kQueueFull;
   // When the caller should return.
   Duration retry_after{};
+  // The host should hold the request until then and ask again: there is likely
+  // to be room in the time that the request has. Hosts of earlier builds refuse
+  // it.
+  bool hold = false;
 };
 
 // The server assigned to a request.
--- a/unit_tests/fleet/dispatch_query_test.cc
+++ b/unit_tests/fleet/dispatch_query_test.cc
@@ -47,6 +47,9 @@
   REQUIRE(read.refusal);
   CHECK(read.refusal->kind == ErrorKind::kQueueFull);
   CHECK(read.refusal->retry_after == std::chrono::milliseconds(700));
+  CHECK_FALSE(read.refusal->hold);
+  choice.refusal->hold = true;
+  CHECK(json(choice).get<DispatchChoice>().refusal->hold);
   const json earlier = {{"id", "s-1"}, {"busy", true}, {"token", false}};
   CHECK_FALSE(earlier.get<DispatchChoice>().refusal);
 }
