--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -35,6 +35,9 @@
 // Update period of gauge metrics: collectors scrape every few seconds.
 constexpr Duration kMetricsPeriod = std::chrono::seconds(2);
 
+// Refusals for lack of room are many at once, so they are summed up.
+constexpr Duration kAdmissionLogPeriod = std::chrono::seconds(1);
+
 // Maximum body of a call. A plan with thousands of routes takes a few
 // megabytes.
 constexpr std::uint64_t kMaxCallBytes = std::uint64_t{16} << 20U;
@@ -230,6 +233,7 @@
   PushUpdates(now);
   PublishReady(now);
   LogHealthChanges();
+  LogAdmission(Now());
 }
 
 void ControlProcess::LogHealthChanges() {
@@ -245,6 +249,34 @@
   }
 }
 
+// Logs the refusals for lack of room, summed up by rank and reason.
+void ControlProcess::LogAdmission(Instant now) {
+  if (now < next_admission_log_) return;
+  next_admission_log_ = now + kAdmissionLogPeriod;
+  const auto milliseconds = [](Duration time) { return ToSeconds(time) * 1e3; };
+  for (const AdmissionTally& tally : hub_.TakeAdmissionTallies()) {
+    metrics_->metrics().CountAdmissionRefusals(
+        tally.service, tally.rank.workspace, tally.rank.route,
+        ToString(tally.reason), tally.requests);
+    log_.Write(LogLevel::kInfo, "requests_refused",
+               {{"service", tally.service.value()},
+                {"workspace_rank", tally.rank.workspace},
+                {"route_rank", tally.rank.route},
+                {"reason", ToString(tally.reason)},
+                {"requests", tally.requests},
+                {"held", tally.held},
+                {"waiting", tally.waiting},
+                {"slots", tally.forecast.slots},
+                {"busy", tally.forecast.busy},
+                {"wait_ms", milliseconds(tally.forecast.shortest_wait)},
+                {"max_wait_ms", milliseconds(tally.max_wait)},
+                {"work_ms", milliseconds(tally.forecast.work)},
+                {"forecast_age_ms", milliseconds(tally.forecast_age)},
+                {"time_left_ms", milliseconds(tally.time_left)},
+                {"return_after_ms", milliseconds(tally.return_after)}});
+  }
+}
+
 void ControlProcess::UpdateMetrics(Instant now) {
   if (now < next_metrics_) return;
   next_metrics_ = now + kMetricsPeriod;
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -122,6 +122,7 @@
   void SendUpdate(LinkId link, FleetUpdate update, Instant now);
   void PublishReady(Instant now);
   void LogHealthChanges();
+  void LogAdmission(Instant now);
   void LogHostsBehind(Instant now);
   void LogLateHandling(const HostId& from, Instant arrived_at);
   void UpdateMetrics(Instant now);
@@ -231,6 +232,7 @@
   Instant next_ready_check_;
   Instant next_publish_;
   Instant next_metrics_;
+  Instant next_admission_log_;
 
   // Send times of the unanswered reports to the leader, by number.
   std::map<std::uint64_t, Instant> unanswered_reports_;
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -25,6 +25,7 @@
       self_(self),
       registry_(settings.registry),
       dispatcher_(settings.dispatcher, self.zone, random),
+      admission_(settings.admission),
       retries_(kHubRetryShare, settings.retry_slack),
       crash_detector_(settings.crash_detection),
       hubs_({self}) {}
@@ -247,10 +248,29 @@
   }
 }
 
+// Returns the refusal of a request for which there is too little room, or of a
+// retry that the budget does not permit now. Retries may wait for it.
+std::optional<DispatchRefusal> FleetHub::RefuseOrDefer(
+    Instant now, const DispatchQuery& query) {
+  const ForecastCache::Entry& known = forecasts_.Find(now, query, [&] {
+    return dispatcher_.Forecast(now, query, registry_, zones_out_);
+  });
+  if (query.is_retry && (!retries_.CanRetry(query.service) ||
+                         admission_.MustYieldRetry(now, query))) {
+    return admission_.DeferRetry(now, query, known.forecast, known.made_at);
+  }
+  return admission_.Decide(now, query, known.forecast, known.made_at);
+}
+
 std::optional<DispatchChoice> FleetHub::Assign(Instant now,
                                                const AssignmentId& id,
                                                const DispatchQuery& query) {
   if (!plan_) return std::nullopt;
+  if (const auto refusal = RefuseOrDefer(now, query)) {
+    DispatchChoice refused;
+    refused.refusal = *refusal;
+    return refused;
+  }
   const bool has_token =
       !query.workspace.empty() && TakeLocalTokens(now, query.workspace, 1) == 1;
   if (!query.workspace.empty() && !has_token) return DispatchChoice();
@@ -258,7 +278,10 @@
   if (query.is_retry && !retries_.CanRetry(query.service)) return std::nullopt;
   auto choice =
       dispatcher_.Assign(now, id, query, registry_, zones_out_, *plan_);
-  if (choice && query.is_retry) retries_.TryAcquire(query.service);
+  if (choice && query.is_retry) {
+    retries_.TryAcquire(query.service);
+    admission_.RecordRetry(now, query);
+  }
   if (!choice && !has_token) return std::nullopt;
   if (!choice) choice.emplace();
   choice->has_token = has_token;
@@ -294,6 +317,8 @@
 
 void FleetHub::Tick(Instant now) {
   dispatcher_.Tick(now);
+  forecasts_.Tick(now);
+  admission_.Tick(now);
   std::erase_if(inherited_ready_, [&](const auto& item) {
     return now - item.second.inherited_at >= settings_.entry_report_timeout;
   });
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -12,9 +12,11 @@
 
 #include "sapphirebank/core/ids.h"
 #include "sapphirebank/core/time.h"
+#include "sapphirebank/fleet/admission_control.h"
 #include "sapphirebank/fleet/crashing_request_detector.h"
 #include "sapphirebank/fleet/fleet_messages.h"
 #include "sapphirebank/fleet/fleet_record.h"
+#include "sapphirebank/fleet/forecast_cache.h"
 #include "sapphirebank/fleet/plan_history.h"
 #include "sapphirebank/fleet/retry_budget_share.h"
 #include "sapphirebank/fleet/server_dispatcher.h"
@@ -27,6 +29,7 @@
 struct FleetHubSettings {
   ServerRegistrySettings registry;
   ServerDispatcherSettings dispatcher;
+  AdmissionSettings admission;
   CrashingRequestSettings crash_detection;
   // Retries per window of the whole fleet beyond those added by requests.
   double retry_slack = 0;
@@ -119,7 +122,8 @@
 
   // Assigns a request of an entry host to a server; a retry only within the
   // retry budget. Takes a rate token first if the query names a workspace, and
-  // assigns no server without one.
+  // assigns no server without one. Where room or the budget is short, the
+  // choice may be a refusal; no token is taken then.
   std::optional<DispatchChoice> Assign(Instant now, const AssignmentId& id,
                                        const DispatchQuery& query);
   void EndAssignment(Instant now, const AssignmentId& id,
@@ -156,6 +160,11 @@
 
   const ServerRegistry& registry() const { return registry_; }
 
+  // Returns the refusals of requests since the last call.
+  std::vector<AdmissionTally> TakeAdmissionTallies() {
+    return admission_.TakeTallies();
+  }
+
   // Returns the health changes of servers since the last call.
   std::vector<ServerHealthChange> TakeHealthChanges() {
     return registry_.TakeHealthChanges();
@@ -208,6 +217,8 @@
                   TokenGrant grant);
   void DistributeGrant(const WorkspaceId& workspace, TokenGrant grant);
   void UpdateRequestRates(Instant now, const EntryReport& report);
+  std::optional<DispatchRefusal> RefuseOrDefer(Instant now,
+                                               const DispatchQuery& query);
   std::uint32_t TotalEntryHosts() const;
   std::uint32_t LocalEntryHosts() const;
   void UpdateShares(Instant now);
@@ -219,6 +230,8 @@
   bool is_leader_ = false;
   ServerRegistry registry_;
   ServerDispatcher dispatcher_;
+  ForecastCache forecasts_;
+  AdmissionControl admission_;
   // Tokens that this hub grants itself, and those that the leader grants to
   // hubs.
   WorkspaceTokenBuckets hub_buckets_;
--- a/sapphirebank/telemetry/fleet_metrics.cc
+++ b/sapphirebank/telemetry/fleet_metrics.cc
@@ -2,6 +2,7 @@
 
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
 #include <type_traits>
 #include <utility>
 
@@ -13,6 +14,10 @@
 using prometheus::Histogram;
 
 constexpr std::string_view kOther = "other";
+
+// Operators may set any rank; this bounds the number of time series.
+constexpr int kLeastUrgentLabel = 9;
+
 constexpr std::string_view kAnsweredOutcome = "answered";
 
 // Seconds. 0.0011 is the target for the 99th percentile of the added latency.
@@ -73,6 +78,9 @@
       refusals_inside_rate_(Register<Counter>(
           "sapphirebank_refusals_inside_rate_total",
           "Requests refused although their workspace was inside its rate.")),
+      admission_refusals_(Register<Counter>(
+          "sapphirebank_admission_refusals_total",
+          "Requests that a hub refused or made to wait, by rank and reason.")),
       added_latency_(
           Register<Histogram>("sapphirebank_added_latency_seconds",
                               "Time that the fleet added to a request.")),
@@ -158,6 +166,21 @@
       .Increment();
 }
 
+void FleetMetrics::CountAdmissionRefusals(const ServiceId& service,
+                                          int workspace_rank, int route_rank,
+                                          std::string_view reason,
+                                          std::uint32_t count) {
+  const auto label = [](int rank) {
+    return std::to_string(std::clamp(rank, 0, kLeastUrgentLabel));
+  };
+  admission_refusals_
+      .Add({{"service", ServiceLabel(service)},
+            {"workspace_rank", label(workspace_rank)},
+            {"route_rank", label(route_rank)},
+            {"reason", std::string(reason)}})
+      .Increment(count);
+}
+
 void FleetMetrics::ObserveAddedLatency(const ServiceId& service,
                                        Duration added) {
   added_latency_.Add({{"service", ServiceLabel(service)}}, kLatencyBuckets)
--- a/sapphirebank/telemetry/fleet_metrics.h
+++ b/sapphirebank/telemetry/fleet_metrics.h
@@ -61,6 +61,12 @@
   // within its rate limit.
   void CountRefusalInsideRate(const ServiceId& service, ErrorKind kind);
 
+  // Counts `count` requests to `service` that a hub refused or made to wait for
+  // `reason`, with the ranks of their workspace and route.
+  void CountAdmissionRefusals(const ServiceId& service, int workspace_rank,
+                              int route_rank, std::string_view reason,
+                              std::uint32_t count);
+
   // Records the latency that the fleet added to a request.
   void ObserveAddedLatency(const ServiceId& service, Duration added);
 
@@ -132,6 +138,7 @@
 
   Family<prometheus::Counter>& requests_;
   Family<prometheus::Counter>& refusals_inside_rate_;
+  Family<prometheus::Counter>& admission_refusals_;
   Family<prometheus::Histogram>& added_latency_;
   Family<prometheus::Histogram>& view_age_;
   Family<prometheus::Histogram>& queue_wait_;
