Entry hosts hold requests; rejections do not count as tries

Cause: a server that rejects a request has not run it, but the attempt counted towards the tries of the route; a retry without budget was refused at once. Change: tries count attempts that may have run; at most eight rejections a request. A request that the hub wants held waits at its host (at most 256, none while draining) and asks again. Callers that come too early are refused before the hub is asked; a hub that does not answer is stood in for by its last decisions for at most 1 s. The request line tells the time held and left.

--- a/programs/fleet_host/entry_request_attempt.cc
+++ b/programs/fleet_host/entry_request_attempt.cc
@@ -66,6 +66,8 @@
   ServerQuery query = MakeQuery(context);
   query.tried = tried;
   query.is_retry = true;
+  // It does not wait for a retry to be available.
+  query.fingerprint = 0;
   const EntryState::Choice choice = co_await state_.Choose(query);
   if (attempt.expired() || watch->hung_up()) {
     state_.EndAssignment(choice, AssignmentOutcome::kInconclusive);
@@ -281,6 +283,7 @@
   ++context.attempts_received;
   state_.RecordAnswer(now);
   if (info.load) server.load = *info.load;
+  if (attempt.evidence != NotRunEvidence::kNone) ++context.attempts_rejected;
   if (attempt.evidence == NotRunEvidence::kMisdirected) {
     attempt.failure = ErrorKind::kNoBackendServer;
     attempt.may_retry = true;
--- a/programs/fleet_host/entry_request_context.h
+++ b/programs/fleet_host/entry_request_context.h
@@ -41,6 +41,8 @@
   std::vector<AttemptRecord> attempts;
   // Attempts that reached a backend server.
   int attempts_received = 0;
+  // Those of them that a server says it did not run.
+  int attempts_rejected = 0;
   // Attempts to which no connection could be made.
   int unreachable_attempts = 0;
   // What the entry host that sent the request here told of it.
@@ -58,6 +60,10 @@
   std::optional<EntryState::Choice> next_choice;
   // The next attempt is charged to the retry budget.
   bool charge_retry_budget = false;
+  // Time for which the request was held until there would be room.
+  Duration held_time{};
+  // This host refused the request without its hub's answer.
+  bool is_refused_by_host = false;
   // When the hub wants the caller of a refused request to return.
   std::optional<Duration> return_after;
   // Time spent in exchanges with backend servers.
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -3,6 +3,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "programs/fleet_host/entry_request_context.h"
@@ -27,6 +29,13 @@
 // available again within a fraction of a second.
 constexpr Duration kMaxRetryAfter = std::chrono::milliseconds(300);
 
+// Attempts of a request that servers may reject unrun. Beyond that the service
+// rejects whatever it gets.
+constexpr int kMaxRejectedAttempts = 8;
+
+// Requests that one host holds at most, as their bodies are kept meanwhile.
+constexpr int kMaxHeldRequests = 256;
+
 // Returns how long a request of the route may wait for a rate token.
 Duration TokenWait(const PlannedRoute& route) {
   return route.latency_objective / kTokenWaitDivisor;
@@ -261,9 +270,14 @@
     }
     const Result<EntryState::Choice> choice = co_await ChooseServer(context);
     if (!choice) co_return Refuse(context, choice.error().kind);
+    if (choice->refusal && MayHold(context, *choice->refusal, MonotonicNow())) {
+      co_await Hold(context, choice->refusal->retry_after);
+      continue;
+    }
     if (choice->refusal) {
       last.failure = choice->refusal->kind;
       context.return_after = choice->refusal->retry_after;
+      context.is_refused_by_host = choice->is_own_refusal;
       break;
     }
     if (!choice->server) break;
@@ -313,7 +327,7 @@
     query.token_wait = TokenWait(*context.route);
   }
   EntryState::Choice choice = co_await state_.Choose(query);
-  if (!context.needs_token) co_return choice;
+  if (!context.needs_token || choice.refusal) co_return choice;
   context.needs_token = false;
   if (choice.has_token) co_return choice;
   Result<void> token;
@@ -329,11 +343,42 @@
   co_return choice;
 }
 
+int EntryRequestHandler::AttemptsRun(const RequestContext& context) {
+  return context.attempts_received - context.attempts_rejected;
+}
+
+bool EntryRequestHandler::MayHold(const RequestContext& context,
+                                  const DispatchRefusal& refusal,
+                                  Instant now) const {
+  return refusal.hold && !drain_ && held_requests_ < kMaxHeldRequests &&
+         now + refusal.retry_after + kMinTimeToRetry < context.deadline;
+}
+
+asio::awaitable<void> EntryRequestHandler::Hold(RequestContext& context,
+                                                Duration time) {
+  asio::steady_timer timer(loop_);
+  timer.expires_after(time);
+  const std::shared_ptr<CallerWatch> watch = AddAttemptWatch();
+  watch->set_on_hang_up([&timer] { timer.cancel(); });
+  context.request.watch->set_on_hang_up([&timer] { timer.cancel(); });
+  ++held_requests_;
+  const Instant begun_at = MonotonicNow();
+  boost::system::error_code ignored;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+  context.held_time += MonotonicNow() - begun_at;
+  --held_requests_;
+  context.request.watch->set_on_hang_up(nullptr);
+  watch->set_on_hang_up(nullptr);
+}
+
 bool EntryRequestHandler::MayRetry(RequestContext& context,
                                    const AttemptResult& last, Instant now) {
   if (!last.may_retry || AttemptsAreOver()) return false;
   if (context.deadline - now < kMinTimeToRetry) return false;
-  if (context.attempts_received >= context.route->max_tries) return false;
+  if (AttemptsRun(context) >= context.route->max_tries ||
+      context.attempts_rejected >= kMaxRejectedAttempts) {
+    return false;
+  }
   // A retry is not charged when the attempt before reached no server, nor when
   // that attempt was abandoned, which has charged the budget already.
   context.charge_retry_budget =
@@ -344,8 +389,7 @@
 // Returns whether a slow attempt may be abandoned for a retry on another
 // server.
 bool EntryRequestHandler::MayAbandon(const RequestContext& context) const {
-  const bool is_last =
-      context.attempts_received + 1 >= context.route->max_tries;
+  const bool is_last = AttemptsRun(context) + 1 >= context.route->max_tries;
   return context.route->idempotent && !is_last && !drain_;
 }
 
@@ -447,7 +491,10 @@
        {"refusal", context.refusal_kind
                        ? std::string(AnswerFor(*context.refusal_kind).name)
                        : std::string()},
+       {"refused_without_hub", context.is_refused_by_host},
        {"status", answer.status},
+       {"held_ms", ToSeconds(context.held_time) * 1e3},
+       {"time_left_ms", ToSeconds(context.deadline - now) * 1e3},
        {"ms", ToSeconds(now - context.arrival_time) * 1e3}});
 }
 
--- a/programs/fleet_host/entry_request_handler.h
+++ b/programs/fleet_host/entry_request_handler.h
@@ -156,6 +156,14 @@
   // still needs one. Fails when the workspace's rate is exceeded.
   boost::asio::awaitable<Result<EntryState::Choice>> ChooseServer(
       RequestContext& context);
+  // Returns the number of attempts that a server may have run.
+  static int AttemptsRun(const RequestContext& context);
+  // Returns whether a request that the hub refused for now is held and sent to
+  // it again.
+  bool MayHold(const RequestContext& context, const DispatchRefusal& refusal,
+               Instant now) const;
+  // Waits for `time`, or until the caller has left or attempts are over.
+  boost::asio::awaitable<void> Hold(RequestContext& context, Duration time);
   bool MayAbandon(const RequestContext& context) const;
   // Replaces the attempt when its server does not answer in time. The caller
   // keeps the returned object alive during the attempt.
@@ -197,6 +205,7 @@
   ServerPathProber path_prober_;
   std::optional<Drain> drain_;
   std::vector<std::weak_ptr<CallerWatch>> attempt_watches_;
+  int held_requests_ = 0;
 };
 
 }  // namespace sapphirebank
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -90,22 +90,24 @@
     }
   }
   Choice choice;
+  choice.refusal = refusals_.RefuseEarly(now, hub_query);
+  choice.is_own_refusal = choice.refusal.has_value();
+  if (choice.refusal) co_return choice;
   if (!query.workspace.empty() && hub_breaker_.IsOpen(now)) {
     choice.hub_is_silent = true;
+    choice.refusal = refusals_.RefuseWithoutHub(now, hub_query, random_.Unit());
+    choice.is_own_refusal = choice.refusal.has_value();
     co_return choice;
   }
+  bool is_answered = false;
   const std::uint64_t number = next_assignment_++;
   if (hooks_.request_server(number, hub_query)) {
-    auto waiter = std::make_shared<Waiter>(loop_);
-    waiter->timer.expires_after(query.workspace.empty() ? kAssignmentTimeout
-                                                        : query.token_wait);
-    pending_assignments_[number] = waiter;
-    boost::system::error_code ignored;
-    co_await waiter->timer.async_wait(
-        boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
-    pending_assignments_.erase(number);
+    const std::shared_ptr<Waiter> waiter = co_await AwaitAssignment(
+        number,
+        query.workspace.empty() ? kAssignmentTimeout : query.token_wait);
+    is_answered = waiter->answered;
     choice.has_token = waiter->choice.has_token;
-    choice.hub_is_silent = !waiter->answered;
+    choice.hub_is_silent = !is_answered;
     if (choice.hub_is_silent && !query.workspace.empty()) {
       hub_breaker_.RecordTimeout(MonotonicNow());
     }
@@ -113,14 +115,26 @@
     if (choice.server) {
       choice.assignment = number;
       choice.is_busy = waiter->choice.is_busy;
+      RecordDecision(hub_query, choice);
       co_return choice;
     }
-    if (waiter->choice.refusal) {
-      choice.refusal = waiter->choice.refusal;
-      co_return choice;
+    choice.refusal = waiter->choice.refusal;
+    RecordDecision(hub_query, choice);
+    // The hub has no retry left for a request that a server was offered; this
+    // host may have one.
+    const bool may_retry = choice.refusal && query.is_retry &&
+                           retries_.CanRetry(query.service->id);
+    if (choice.refusal && !may_retry) co_return choice;
+    if (!choice.refusal) {
+      hooks_.end_assignment(number, AssignmentOutcome::kInconclusive);
     }
-    hooks_.end_assignment(number, AssignmentOutcome::kInconclusive);
-    query.may_use_rate_limited = !waiter->answered;
+    choice.refusal.reset();
+    query.may_use_rate_limited = !is_answered;
+  }
+  if (!is_answered) {
+    choice.refusal = refusals_.RefuseWithoutHub(now, hub_query, random_.Unit());
+    choice.is_own_refusal = choice.refusal.has_value();
+    if (choice.refusal) co_return choice;
   }
   if (!query.workspace.empty() && !choice.has_token) co_return choice;
   if (query.is_retry && !retries_.TryAcquire(query.service->id))
@@ -129,6 +143,29 @@
   co_return choice;
 }
 
+boost::asio::awaitable<std::shared_ptr<EntryState::Waiter>>
+EntryState::AwaitAssignment(std::uint64_t number, Duration wait) {
+  auto waiter = std::make_shared<Waiter>(loop_);
+  waiter->timer.expires_after(wait);
+  pending_assignments_[number] = waiter;
+  boost::system::error_code ignored;
+  co_await waiter->timer.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+  pending_assignments_.erase(number);
+  co_return waiter;
+}
+
+void EntryState::RecordDecision(const DispatchQuery& query,
+                                const Choice& choice) {
+  if (query.is_retry) return;
+  const Instant now = MonotonicNow();
+  if (choice.refusal) {
+    refusals_.RecordRefusal(now, query, *choice.refusal);
+  } else if (choice.server) {
+    refusals_.RecordAdmission(now, query, !choice.is_busy);
+  }
+}
+
 void EntryState::OnServerAssigned(std::uint64_t assignment,
                                   const DispatchChoice& choice) {
   const auto found = pending_assignments_.find(assignment);
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -12,6 +12,7 @@
 #include "sapphirebank/fleet/detour_hosts.h"
 #include "sapphirebank/fleet/entry_view.h"
 #include "sapphirebank/fleet/hub_circuit_breaker.h"
+#include "sapphirebank/fleet/refusal_memory.h"
 #include "sapphirebank/fleet/retry_budget_share.h"
 #include "sapphirebank/fleet/server_chooser.h"
 #include "sapphirebank/fleet/server_dispatcher.h"
@@ -123,14 +124,17 @@
     bool has_token = false;
     // The hub did not answer in time, this question or one shortly before.
     bool hub_is_silent = false;
-    // The hub refused the request.
+    // The hub refused the request, or this host by what it knows from the hub.
     std::optional<DispatchRefusal> refusal;
+    // This host refused it without the hub's answer.
+    bool is_own_refusal = false;
   };
 
   // Returns the server that the hub assigns, or one that this host chooses when
   // the hub does not answer in time. A query for a rate token that the hub does
   // not grant returns no server. Returns no server for a retry that neither
-  // retry budget, the hub's nor this host's, permits.
+  // retry budget, the hub's nor this host's, permits. May refuse the request
+  // instead.
   boost::asio::awaitable<Choice> Choose(ServerQuery query);
 
   // Handles the hub's response to a request for a server.
@@ -159,6 +163,11 @@
 
   void ApplyGrants(Instant asked_at, const FleetUpdate& update);
   void Settle(const PathVerdict& verdict);
+  // Waits for the hub's answer to question `number` for at most `wait`.
+  boost::asio::awaitable<std::shared_ptr<Waiter>> AwaitAssignment(
+      std::uint64_t number, Duration wait);
+  // Records what the hub decided on a request that no server was offered.
+  void RecordDecision(const DispatchQuery& query, const Choice& choice);
 
   boost::asio::io_context& loop_;
   EntryView view_;
@@ -169,6 +178,7 @@
   ServerChooser chooser_;
   Hooks hooks_;
   HubCircuitBreaker hub_breaker_;  // For questions that need a token.
+  RefusalMemory refusals_{RefusalMemorySettings()};
   std::uint64_t next_assignment_ = 1;
   // Servers to report to a hub that has lost its own.
   std::vector<ServerAnnouncement> wanted_servers_;
