--- a/sapphirebank/fleet/dispatch_query.cc
+++ b/sapphirebank/fleet/dispatch_query.cc
@@ -66,9 +66,9 @@
   if (const auto refusal = in.find("refusal"); refusal != in.end()) {
     // By name, as the numbers of kinds may change between builds.
     const auto kind = ErrorKindFromName(refusal->get<std::string>());
-    choice.refusal = DispatchRefusal{kind.value_or(ErrorKind::kNoBackendServer),
-                                     ReadDuration(in.at("return")),
-                                     in.value("hold", false)};
+    choice.refusal =
+        DispatchRefusal{kind.value_or(ErrorKind::kNoBackendServer),
+                        ReadDuration(in.at("return")), in.value("hold", false)};
   }
 }
 
