--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -129,6 +129,7 @@
   void PublishReady(Instant now);
   void LogHealthChanges();
   void LogShareChanges();
+  void LogAdmission(Instant now);
   void LogHostsBehind(Instant now);
   void LogLateHandling(const HostId& from, Instant arrived_at);
   void UpdateMetrics(Instant now);
@@ -264,6 +265,7 @@
   Instant next_metrics_;
   // As last added to the metrics.
   PlacementCounts placement_counts_{};
+  Instant next_admission_log_;
 
   // Send times of the unanswered reports to the leader, by number.
   std::map<std::uint64_t, Instant> unanswered_reports_;
