--- a/unit_tests/transport/whole_answer_test.cc
+++ b/unit_tests/transport/whole_answer_test.cc
@@ -34,7 +34,7 @@
 // Answers each request once its head has come.
 class EarlyServer {
  public:
-  EarlyServer(std::string answer, End end, std::size_t body_size)
+  EarlyServer(const std::string& answer, End end, std::size_t body_size)
       : server_([=](tcp::socket& socket, int) {
           boost::system::error_code ignored;
           if (end != End::kReadOn) {
