--- a/sapphirebank/fleet/rollout_judge.cc
+++ b/sapphirebank/fleet/rollout_judge.cc
@@ -311,9 +311,9 @@
                                          const std::string& route,
                                          double expected_answers,
                                          std::size_t target_servers) const {
-  static const std::map<std::size_t, Tallies> kNoServers;
+  static const std::map<std::size_t, Tallies> no_servers;
   const auto found = all.find(route);
-  const auto& servers = found == all.end() ? kNoServers : found->second;
+  const auto& servers = found == all.end() ? no_servers : found->second;
   for (const RolloutFault fault :
        {RolloutFault::kFailures, RolloutFault::kSlowness}) {
     ScoreByServer scores;
