--- a/sapphirebank/fleet/fleet_settings.h
+++ b/sapphirebank/fleet/fleet_settings.h
@@ -66,7 +66,7 @@
   double retry_slack = 60;
   // Control host: places requests by the work that servers have to do,
   // otherwise by the number of their requests.
-  bool place_by_work = true;
+  bool place_by_work = false;
   // Memory that the process may use, in MiB.
   std::uint32_t memory_mb = 256;
   // Rate of the host's own link in megabits per second; 0 if it is not known.
--- a/unit_tests/fleet/fleet_settings_test.cc
+++ b/unit_tests/fleet/fleet_settings_test.cc
@@ -55,12 +55,12 @@
   CHECK(settings->LinkRate() == Approx(350'000));
 }
 
-TEST_CASE("requests are placed by work unless the settings say otherwise",
+TEST_CASE("requests are placed by work where the settings ask for it",
           "[fleet]") {
   nlohmann::json settings = EntrySettings();
-  CHECK(FleetSettings::Parse(settings.dump(), "s.json")->place_by_work);
-  settings["place_by_work"] = false;
   CHECK_FALSE(FleetSettings::Parse(settings.dump(), "s.json")->place_by_work);
+  settings["place_by_work"] = true;
+  CHECK(FleetSettings::Parse(settings.dump(), "s.json")->place_by_work);
 }
 
 TEST_CASE("errors in settings name file, place and cause", "[fleet]") {
