--- a/review/harness-2/fleet.h
+++ b/review/harness-2/fleet.h
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -72,6 +73,8 @@
     pid_ = ::fork();
     if (pid_ < 0) throw CannotRun("fork failed");
     if (pid_ > 0) return;
+    // Ends with the case, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (std::freopen(log_file.c_str(), "a", stdout) == nullptr) ::_exit(126);
     if (std::freopen(log_file.c_str(), "a", stderr) == nullptr) ::_exit(126);
     std::vector<char*> environment;
