--- a/review/harness-2/stand_ins.h
+++ b/review/harness-2/stand_ins.h
@@ -164,6 +164,7 @@
   struct Connection {
     Socket socket;
     std::thread thread;
+    bool has_ended = false;
   };
 
   void Begin() {
@@ -200,16 +201,26 @@
       ::setsockopt(socket.handle(), IPPROTO_TCP, TCP_NODELAY, &one,
                    sizeof(one));
       const std::lock_guard<std::mutex> lock(mutex_);
+      JoinEnded();
       Connection& connection = connections_.emplace_back();
       connection.socket = std::move(socket);
       connection.thread = std::thread([this, &connection] {
         Serve(connection.socket);
         const std::lock_guard<std::mutex> end_lock(mutex_);
         connection.socket.Close();
+        connection.has_ended = true;
       });
     }
   }
 
+  // Joins the threads of connections that have ended.
+  void JoinEnded() {
+    std::erase_if(connections_, [](Connection& connection) {
+      if (connection.has_ended) connection.thread.join();
+      return connection.has_ended;
+    });
+  }
+
   void Serve(const Socket& socket) {
     std::string received;
     while (is_up_) {
