Review 7: a plan without its last tenant opens all routes

Shows: CONFIG (failClosed) and ROUTE broken. After a plan whose table of tenants is empty the key that it took away, and keys that were never given, run.

The script is new.

Ruled out: a delay of the withdrawal: requests are sent six seconds after the acknowledgement, and with another tenant left in the plan all are refused.

--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -1,7 +1,7 @@
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -9,39 +9,23 @@
 #include "review/harness-2/record.h"
 #include "review/harness-2/stand_ins.h"
 
-// One server of three spoils a few of its answers: it writes bytes that are not
-// an answer of the protocol, as they bear neither the request's id nor the
-// server's stamp.
+// An operator takes the last tenant away, with its key.
 namespace review {
 namespace {
 
-constexpr int kRequests = 900;
-// Share of its answers that the faulty server spoils.
-constexpr double kSpoiledShare = 0.03;
+// Bound of the settings, from the acknowledgement.
+constexpr std::int64_t kRevokeMs = 5000;
 
-bool SuccessesBearStamps(Record& record) {
+bool WithdrawnKeyIsRefused(Record& record) {
   Fleet fleet(record, {"kochi", "kochi", "thrissur"}, {"kochi", "thrissur"});
   std::mutex mutex;
-  std::mt19937 random(7);
-  std::atomic<bool> spoils{false};
-  std::atomic<int> spoiled{0};
+  std::map<std::string, int> runs;  // By the first letter of the request's id.
   const auto run = [&](Server& /*server*/, const Arrival& arrival) {
-    bool is_spoiled = false;
-    if (spoils && arrival.server == "i-0") {
-      const std::lock_guard<std::mutex> lock(mutex);
-      is_spoiled = std::bernoulli_distribution(kSpoiledShare)(random);
-    }
-    record.Write(fmt::format("server {}: runs {}{}", arrival.server,
-                             arrival.request_id,
-                             is_spoiled ? ", spoils the answer" : ""));
-    SleepMs(2);
-    if (!is_spoiled) {
-      return Server::Reply{Server::SoundAnswer(arrival.request_id,
-                                               "posted " + arrival.request_id)};
-    }
-    ++spoiled;
-    return Server::Reply{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nxxxx",
-                         false};
+    record.Write(
+        fmt::format("server {}: runs {}", arrival.server, arrival.request_id));
+    const std::lock_guard<std::mutex> lock(mutex);
+    ++runs[arrival.request_id.substr(0, 1)];
+    return Server::Reply{Server::SoundAnswer(arrival.request_id, "ok")};
   };
   std::vector<std::unique_ptr<Server>> servers;
   for (std::size_t i = 0; i < 3; ++i) {
@@ -53,31 +37,42 @@
   }
   Operator operator_desk(fleet);
   BeginTraffic(fleet, operator_desk, MakeConfiguration(1));
-  spoils = HasTrouble();
 
-  int without_stamp = 0;
-  for (int i = 0; i < kRequests; ++i) {
-    const std::string id = "q" + std::to_string(i);
-    record.Write(fmt::format("caller: sends {}", id));
-    const auto answer = SendRequest(
-        fleet, i % 2,
-        {.method = "POST", .path = "/order/1", .id = id, .body = "fee " + id});
-    if (!answer) {
-      record.Write(fmt::format("caller: {} without an answer", id));
-      continue;
-    }
-    const std::string stamp = answer->Field("sapphirebank-server-stamp");
-    record.Write(
-        fmt::format("caller: {} answered {}, stamp \"{}\", body \"{}\"", id,
-                    answer->Status(), stamp, answer->body));
-    if (answer->Status() / 100 == 2 && stamp.empty()) ++without_stamp;
-    SleepMs(10);
+  nlohmann::json next = MakeConfiguration(2);
+  const nlohmann::json tenant = next["tenants"]["north"];
+  next["tenants"] = nlohmann::json::object();
+  if (!HasTrouble()) {
+    next["tenants"]["south"] = tenant;
+    next["tenants"]["south"]["apiKeys"] = {"key-2"};
+  }
+  operator_desk.MustOrder("config.put", next.dump(), 0);
+  record.Write("the configuration without the key \"key-1\" is acknowledged");
+  SleepMs(kRevokeMs + 1000);
+  {
+    const std::lock_guard<std::mutex> lock(mutex);
+    runs.clear();
+  }
+  for (int i = 0; i < 100; ++i) {
+    const bool is_withdrawn = i % 2 == 0;
+    const std::string id = fmt::format("{}{}", is_withdrawn ? 'w' : 'u', i);
+    const auto answer =
+        SendRequest(fleet, i / 2 % 2,
+                    {.method = "POST",
+                     .path = "/order/1",
+                     .key = is_withdrawn ? "key-1" : "never-given",
+                     .id = id,
+                     .body = "fee"});
+    record.Write(fmt::format("caller: {} ({}) answered {}", id,
+                             is_withdrawn ? "withdrawn key" : "unknown key",
+                             answer ? answer->Status() : 0));
+    SleepMs(20);
   }
-  record.Write(
-      fmt::format("{} answers were spoiled; {} of {} callers got a "
-                  "success without a stamp",
-                  spoiled.load(), without_stamp, kRequests));
-  return without_stamp == 0;
+  const std::lock_guard<std::mutex> lock(mutex);
+  record.Write(fmt::format(
+      "later than {} ms after the acknowledgement, {} of 50 requests ran with "
+      "the withdrawn key and {} of 50 with a key that was never given",
+      kRevokeMs, runs["w"], runs["u"]));
+  return runs["w"] == 0 && runs["u"] == 0;
 }
 
 }  // namespace
@@ -85,5 +80,5 @@
 
 int main(int /*count*/, char** arguments) {
   review::Record record(arguments[1]);
-  return review::RunCase(record, review::SuccessesBearStamps);
+  return review::RunCase(record, review::WithdrawnKeyIsRefused);
 }
