Review 6: bytes are spoiled for five seconds, scripts read TROUBLE themselves

The faulty server spoiled answers for all of the run, some 13 s; the site's garble lasts 5 s. It does so for 5 s now. TROUBLE was read in the shared header alone; each run.sh reads it and hands it to its program, and the record says which it was.

--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -44,7 +44,6 @@
 }  // namespace
 }  // namespace review
 
-int main(int /*count*/, char** arguments) {
-  review::Record record(arguments[1]);
-  return review::RunCase(record, review::RetriesAreLimited);
+int main(int count, char** arguments) {
+  return review::RunCase(count, arguments, review::RetriesAreLimited);
 }
--- a/review/6/case.cc
+++ b/review/6/case.cc
@@ -15,7 +15,8 @@
 namespace review {
 namespace {
 
-constexpr int kRequests = 900;
+// Length of the disruption.
+constexpr std::int64_t kSpoilingMs = 5000;
 // Share of its answers that the faulty server spoils.
 constexpr double kSpoiledShare = 0.03;
 
@@ -34,7 +35,7 @@
     record.Write(fmt::format("server {}: runs {}{}", arrival.server,
                              arrival.request_id,
                              is_spoiled ? ", spoils the answer" : ""));
-    SleepMs(2);
+    SleepMs(1);
     if (!is_spoiled) {
       return Server::Reply{Server::SoundAnswer(arrival.request_id,
                                                "posted " + arrival.request_id)};
@@ -56,7 +57,10 @@
   spoils = HasTrouble();
 
   int without_stamp = 0;
-  for (int i = 0; i < kRequests; ++i) {
+  int sent = 0;
+  const std::int64_t end = record.Now() + kSpoilingMs;
+  for (int i = 0; record.Now() < end; ++i) {
+    ++sent;
     const std::string id = "q" + std::to_string(i);
     record.Write(fmt::format("caller: sends {}", id));
     const auto answer = SendRequest(
@@ -71,19 +75,18 @@
         fmt::format("caller: {} answered {}, stamp \"{}\", body \"{}\"", id,
                     answer->Status(), stamp, answer->body));
     if (answer->Status() / 100 == 2 && stamp.empty()) ++without_stamp;
-    SleepMs(10);
+    SleepMs(2);
   }
   record.Write(
       fmt::format("{} answers were spoiled; {} of {} callers got a "
                   "success without a stamp",
-                  spoiled.load(), without_stamp, kRequests));
+                  spoiled.load(), without_stamp, sent));
   return without_stamp == 0;
 }
 
 }  // namespace
 }  // namespace review
 
-int main(int /*count*/, char** arguments) {
-  review::Record record(arguments[1]);
-  return review::RunCase(record, review::SuccessesBearStamps);
+int main(int count, char** arguments) {
+  return review::RunCase(count, arguments, review::SuccessesBearStamps);
 }
--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -78,7 +78,6 @@
 }  // namespace
 }  // namespace review
 
-int main(int /*count*/, char** arguments) {
-  review::Record record(arguments[1]);
-  return review::RunCase(record, review::WithdrawnKeyIsRefused);
+int main(int count, char** arguments) {
+  return review::RunCase(count, arguments, review::WithdrawnKeyIsRefused);
 }
--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -62,7 +62,7 @@
 }  // namespace
 }  // namespace review
 
-int main(int /*count*/, char** arguments) {
-  review::Record record(arguments[1]);
-  return review::RunCase(record, review::InvalidConfigurationIsRefused);
+int main(int count, char** arguments) {
+  return review::RunCase(count, arguments,
+                         review::InvalidConfigurationIsRefused);
 }
--- a/review/harness-2/fleet.h
+++ b/review/harness-2/fleet.h
@@ -54,11 +54,12 @@
   }
 }
 
-// Returns whether the case is to be run with its disruption.
-inline bool HasTrouble() {
-  const char* value = ::getenv("TROUBLE");
-  return value == nullptr || std::string(value) != "0";
+// Whether the case is run with its disruption, as its script says.
+inline bool& TroubleFlag() {
+  static bool has_trouble = true;
+  return has_trouble;
 }
+inline bool HasTrouble() { return TroubleFlag(); }
 
 // A process of the platform's program. The destructor kills it.
 class Process {
@@ -301,11 +302,17 @@
 };
 
 // Runs a case and returns the exit status of its script: 0 if the rule held, 1
-// if it was broken, 2 if the case could not run.
-inline int RunCase(Record& record, const std::function<bool(Record&)>& holds) {
-  ::signal(SIGPIPE, SIG_IGN);
+// if it was broken, 2 if the case could not run. The arguments are the record's
+// file and the value of TROUBLE, with which 0 leaves the disruption out.
+inline int RunCase(int count, char** arguments,
+                   const std::function<bool(Record&)>& holds) {
   constexpr int kBroken = 1;
   constexpr int kCannotRun = 2;
+  if (count != 3) return kCannotRun;
+  ::signal(SIGPIPE, SIG_IGN);
+  Record record(arguments[1]);
+  TroubleFlag() = std::string(arguments[2]) != "0";
+  record.Write(fmt::format("disruption: {}", HasTrouble() ? "yes" : "no"));
   try {
     const bool held = holds(record);
     record.Write(held ? "verdict: the rule held" : "verdict: the rule broke");
