An order on a zone begins only while it is new, for the state it was given for

Cause: orders on zones bear no version, and the deadline of a call was counted from when the process had read it, so a suspended host took what had waited in its sockets for new.

An order on a zone names the zone's last change that its host knew; the leader lets it pass, behind a round of a majority, only if that is still the last one and none is on its way (fleet/zone_order). A call past its deadline is not sent any more.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -174,6 +174,7 @@
     HttpServerSettings server;
     server.ip = at.ip;
     server.port = at.port;
+    server.tracks_arrival = true;
     HttpServer::Hooks hooks;
     hooks.accept_head = [](const HttpRequestHead&) -> Result<std::uint64_t> {
       return kMaxCallBytes;
@@ -201,6 +202,7 @@
                {{"ms", ToSeconds(late) * 1e3}, {"is_leader", is_leader_}});
   }
   last_tick_at_ = now;
+  suspension_.RecordTick(now);
   const WallTime wall = WallNow();
   latest_start_.Read(now, wall);
   host_.Tick(now, wall);
@@ -419,6 +421,7 @@
   }
   if (leads == is_leader_) return;
   is_leader_ = leads;
+  zone_orders_.Clear();
   if (!leads) {
     hub_.BecomeRelay();
     gate_.EndLeadership(ControlPeers());
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -16,13 +16,16 @@
 #include "sapphirebank/consensus/control_host.h"
 #include "sapphirebank/consensus/file_system.h"
 #include "sapphirebank/core/random.h"
+#include "sapphirebank/fleet/call_origin.h"
 #include "sapphirebank/fleet/change_gate.h"
+#include "sapphirebank/fleet/control_timing.h"
 #include "sapphirebank/fleet/departure_start.h"
 #include "sapphirebank/fleet/fleet_call.h"
 #include "sapphirebank/fleet/fleet_hub.h"
 #include "sapphirebank/fleet/fleet_settings.h"
 #include "sapphirebank/fleet/rollout_controller.h"
 #include "sapphirebank/fleet/update_age.h"
+#include "sapphirebank/fleet/zone_order.h"
 #include "sapphirebank/telemetry/log_writer.h"
 #include "sapphirebank/transport/decision_thread.h"
 #include "sapphirebank/transport/fleet_link.h"
@@ -80,6 +83,7 @@
     std::optional<ServiceId> rollout_of;
     // Of a departure.
     DepartureKnowledge knowledge;
+    CallOrigin origin;
     Callback callback;
     Instant deadline;
     Instant not_before;   // Earliest time of the next attempt.
@@ -179,11 +183,14 @@
 
   // control_process_calls.cc
   boost::asio::awaitable<HttpAnswer> Serve(HttpRequest request);
-  void Execute(FleetCall call, Callback callback);
-  void EnqueueCall(std::optional<ControlCommand> command, Callback callback);
+  void Execute(FleetCall call, const CallOrigin& origin, Callback callback);
+  void EnqueueCall(std::optional<ControlCommand> command,
+                   const CallOrigin& origin, Callback callback);
   void EnqueueRolloutRead(const ServiceId& service, Callback callback);
   Callback LogAcknowledgement(const ControlCommand& command, Callback callback);
   void ProcessPendingCalls(Instant now);
+  // Returns why a call must not be sent to the leader any more, or null.
+  const char* ReasonNotToSend(Instant now, const PendingCall& call) const;
   void RetryLater(PendingCall& call);
   // Answers a call with the result of an attempt, or sends it again later.
   void EndAttempt(std::uint64_t number, Result<std::string> result);
@@ -192,6 +199,10 @@
   void ExecuteAsLeader(std::optional<ControlCommand> command,
                        const DepartureKnowledge& knowledge,
                        const Callback& callback);
+  void Propose(Instant now, const ControlCommand& command,
+               const Callback& callback);
+  void OrderZone(const ZoneOrder& order, const Callback& callback);
+  void DecideZoneOrder(const ZoneOrder& order, const Callback& callback);
   // Returns the number of the change with which the record contains the effect
   // of `command`, or nothing if it does not.
   std::optional<std::uint64_t> AppliedChange(
@@ -229,6 +240,8 @@
   Instant next_rollout_check_;
   std::vector<HeldAcknowledgement> held_acknowledgements_;
   LatestStartClock latest_start_;
+  SuspensionWatch suspension_{kControlCallTimeout};
+  ZoneOrderGate zone_orders_;  // Of the leader.
   // What the leader said of itself and the other control hosts.
   bool leader_gates_changes_ = false;
   std::uint64_t reported_applied_ = 0;
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -62,13 +62,18 @@
                                std::min<Duration>(settings_.longest_lookup_life,
                                                   std::chrono::seconds(3)));
   }
-  const std::function<void(Callback)> start = [this, &call](Callback callback) {
+  const auto has_left =
+      std::make_shared<std::atomic<bool>>(request.watch->hung_up());
+  request.watch->set_on_hang_up([has_left] { *has_left = true; });
+  const CallOrigin origin{request.arrived_at, has_left};
+  const std::function<void(Callback)> start = [this, &call,
+                                               &origin](Callback callback) {
     // Servers announce themselves by the hundred; operators wait for an answer.
     const auto* heartbeat = std::get_if<HeartbeatCall>(&*call);
     const bool is_urgent = heartbeat == nullptr || heartbeat->server.leaving;
-    auto execute = [this, is_urgent, moved = *call,
+    auto execute = [this, is_urgent, moved = *call, origin,
                     callback = std::move(callback)] {
-      Execute(moved, callback);
+      Execute(moved, origin, callback);
       FlushSoon(is_urgent);
     };
     if (is_urgent) {
@@ -79,6 +84,7 @@
   };
   const Result<std::string> result =
       co_await AwaitCallback<Result<std::string>>(loop_, start);
+  request.watch->set_on_hang_up(nullptr);
   if (result) co_return codec_.done(*call, *result);
   co_return codec_.refusal(result.error());
 }
@@ -106,11 +112,12 @@
   return {addresses.begin(), addresses.end()};
 }
 
-void ControlProcess::Execute(FleetCall call, Callback callback) {
+void ControlProcess::Execute(FleetCall call, const CallOrigin& origin,
+                             Callback callback) {
   if (const auto* heartbeat = std::get_if<HeartbeatCall>(&call)) {
     const ServerAnnouncement& server = heartbeat->server;
     if (server.leaving) {
-      EnqueueCall(RetireBackend{server.id, server.incarnation},
+      EnqueueCall(RetireBackend{server.id, server.incarnation}, origin,
                   std::move(callback));
       return;
     }
@@ -122,17 +129,17 @@
     callback(std::string());
   } else if (const auto* leave = std::get_if<LeaveCall>(&call)) {
     EnqueueCall(RetireBackend{leave->server, leave->incarnation.value_or(0)},
-                std::move(callback));
+                origin, std::move(callback));
   } else if (const auto* plan = std::get_if<StorePlanCall>(&call)) {
-    EnqueueCall(plan->plan, std::move(callback));
+    EnqueueCall(plan->plan, origin, std::move(callback));
   } else if (const auto* zone = std::get_if<SetZoneCall>(&call)) {
-    EnqueueCall(zone->zone, std::move(callback));
+    EnqueueCall(zone->zone, origin, std::move(callback));
   } else if (const auto* rollout = std::get_if<StartRolloutCall>(&call)) {
-    EnqueueCall(rollout->order, std::move(callback));
+    EnqueueCall(rollout->order, origin, std::move(callback));
   } else if (const auto* read = std::get_if<ReadRolloutCall>(&call)) {
     EnqueueRolloutRead(read->service, std::move(callback));
   } else {
-    EnqueueCall(std::nullopt, std::move(callback));
+    EnqueueCall(std::nullopt, origin, std::move(callback));
   }
 }
 
@@ -141,7 +148,7 @@
 }
 
 void ControlProcess::EnqueueCall(std::optional<ControlCommand> command,
-                                 Callback callback) {
+                                 const CallOrigin& origin, Callback callback) {
   if (command) callback = LogAcknowledgement(*command, std::move(callback));
   PendingCall pending;
   if (command) {
@@ -149,6 +156,7 @@
     if (retire != nullptr) pending.knowledge = KnowledgeOf(retire->backend);
   }
   pending.command = std::move(command);
+  pending.origin = origin;
   pending.callback = std::move(callback);
   pending.deadline = Now() + kControlCallTimeout;
   pending_.emplace(next_call_++, std::move(pending));
@@ -186,6 +194,12 @@
   };
 }
 
+const char* ControlProcess::ReasonNotToSend(Instant now,
+                                            const PendingCall& call) const {
+  if (!call.command || IsOrderedByVersion(*call.command)) return nullptr;
+  return ReasonNotToBegin(now, call.origin, kControlCallTimeout, suspension_);
+}
+
 // Sends pending calls to the current leader and fails those past their
 // deadline, or all while there is no leader to wait for.
 void ControlProcess::ProcessPendingCalls(Instant now) {
@@ -195,6 +209,12 @@
     if (now >= call.deadline || !may_find_leader) expired.push_back(number);
     const bool is_sent = call.sent_to && call.sent_to == known_leader_;
     if (!known_leader_ || is_sent || now < call.not_before) continue;
+    if (now >= call.deadline) continue;
+    if (const char* reason = ReasonNotToSend(now, call); reason != nullptr) {
+      call.failure = reason;
+      expired.push_back(number);
+      continue;
+    }
     if (ConcernsRollouts(call) && !LeaderKnowsRollouts()) {
       call.failure = "the leading control host has a build without rollouts";
       continue;
@@ -204,8 +224,13 @@
       const Callback end = [this, id = number](Result<std::string> result) {
         EndAttempt(id, std::move(result));
       };
+      const auto* zone =
+          call.command ? std::get_if<SetZoneOut>(&*call.command) : nullptr;
       if (call.rollout_of) {
         ReadRollout(*call.rollout_of, end);
+      } else if (zone != nullptr) {
+        const FleetRecord& record = host_.state().fleet();
+        OrderZone({*zone, record.KnownZoneChange(zone->zone)}, end);
       } else {
         ExecuteAsLeader(call.command, call.knowledge, end);
       }
@@ -220,6 +245,10 @@
       message["command"] = CborBinary(EncodeCommand(*call.command));
       message["known_start"] = call.knowledge.known_start;
       message["latest_start"] = call.knowledge.latest_start;
+      if (const auto* zone = std::get_if<SetZoneOut>(&*call.command)) {
+        message["zone_change"] =
+            host_.state().fleet().KnownZoneChange(zone->zone);
+      }
     }
     if (call.rollout_of) message["rollout"] = call.rollout_of->value();
     links_.Send(*link, message);
@@ -403,24 +432,86 @@
     line["known_start"] = all.known_start;
   }
   log_.Write(LogLevel::kInfo, "change_at_leader", std::move(line));
-  if (!std::holds_alternative<SetZoneOut>(complete) &&
-      AppliedChange(complete)) {
+  if (AppliedChange(complete)) {
     AcknowledgeWhenSafe(complete, callback);
     return;
   }
+  Propose(now, complete, callback);
+}
+
+// Replicates a command and acknowledges it when it is committed and safe.
+void ControlProcess::Propose(Instant now, const ControlCommand& command,
+                             const Callback& callback) {
+  const RequestToken token = next_token_++;
+  if (const auto* order = std::get_if<SetZoneOut>(&command)) {
+    zone_orders_.RecordProposal(order->zone);
+  }
   completions_[token] = [this, callback, now,
-                         complete](const Completion& completion) {
-    if (completion.result) {
+                         command](const Completion& completion) {
+    const bool is_committed = completion.result.has_value();
+    if (const auto* order = std::get_if<SetZoneOut>(&command)) {
+      const bool may_be_committed =
+          !is_committed &&
+          completion.result.error().kind == ErrorKind::kNoQuorum;
+      zone_orders_.RecordEnd(Now(), order->zone, may_be_committed);
+    }
+    if (is_committed) {
       log_.Write(LogLevel::kInfo, "change_committed",
-                 {{"change", ChangeName(complete)},
+                 {{"change", ChangeName(command)},
                   {"changes", host_.state().fleet().changes()},
                   {"ms", ToSeconds(Now() - now) * 1e3}});
-      AcknowledgeWhenSafe(complete, callback);
+      AcknowledgeWhenSafe(command, callback);
     } else {
       callback(tl::unexpected(completion.result.error()));
     }
   };
-  host_.Propose(now, complete, token);
+  host_.Propose(now, command, token);
+}
+
+// Decides on an order behind a round of a majority: by an outdated record a
+// late one could pass for new.
+void ControlProcess::OrderZone(const ZoneOrder& order,
+                               const Callback& callback) {
+  if (!is_leader_) {
+    callback(
+        Fail(ErrorKind::kNotLeader, "this control host is not the leader"));
+    return;
+  }
+  const RequestToken token = next_token_++;
+  completions_[token] = [this, order, callback](const Completion& completion) {
+    if (completion.result) {
+      DecideZoneOrder(order, callback);
+    } else {
+      callback(tl::unexpected(completion.result.error()));
+    }
+  };
+  host_.Read(Now(), token);
+}
+
+void ControlProcess::DecideZoneOrder(const ZoneOrder& order,
+                                     const Callback& callback) {
+  const Instant now = Now();
+  const FleetRecord& record = host_.state().fleet();
+  const std::uint64_t zone_change = record.KnownZoneChange(order.change.zone);
+  const ZoneOrderStep step = zone_orders_.Decide(now, order, record);
+  json line = {{"change", ChangeName(order.change)},
+               {"zone_change", zone_change},
+               {"passes", step != ZoneOrderStep::kReject}};
+  if (order.known_change) line["known_change"] = *order.known_change;
+  log_.Write(LogLevel::kInfo, "change_at_leader", std::move(line));
+  switch (step) {
+    case ZoneOrderStep::kAcknowledge:
+      AcknowledgeWhenSafe(order.change, callback);
+      return;
+    case ZoneOrderStep::kReject:
+      callback(Fail(ErrorKind::kNoQuorum,
+                    "the zone may have changed since the order was given"));
+      return;
+    case ZoneOrderStep::kPropose:
+      break;
+  }
+  Propose(now, order.change, callback);
+  FlushSoon(true);
 }
 
 }  // namespace sapphirebank
--- a/programs/fleet_host/control_process_links.cc
+++ b/programs/fleet_host/control_process_links.cc
@@ -441,6 +441,17 @@
     ReadRollout(ServiceId(service->get<std::string>()), answer);
     return;
   }
+  if (const auto* zone = command ? std::get_if<SetZoneOut>(&*command) : nullptr;
+      zone != nullptr) {
+    ZoneOrder order = {*zone, std::nullopt};
+    // Earlier builds do not tell.
+    if (const auto change = message.find("zone_change");
+        change != message.end()) {
+      order.known_change = change->get<std::uint64_t>();
+    }
+    OrderZone(order, answer);
+    return;
+  }
   ExecuteAsLeader(std::move(command), knowledge, answer);
 }
 
--- a/sapphirebank/fleet/fleet_record.cc
+++ b/sapphirebank/fleet/fleet_record.cc
@@ -72,6 +72,11 @@
   return found == zone_changes_.end() ? changes_ : found->second;
 }
 
+std::uint64_t FleetRecord::KnownZoneChange(const ZoneId& zone) const {
+  const auto found = zone_changes_.find(zone);
+  return found == zone_changes_.end() ? 0 : found->second;
+}
+
 void FleetRecord::Apply(const RetireBackend& backend) {
   if (IsRetired(backend.backend, backend.incarnation)) return;
   retired_[backend.backend] = {backend.incarnation, ++changes_};
--- a/sapphirebank/fleet/fleet_record.h
+++ b/sapphirebank/fleet/fleet_record.h
@@ -127,6 +127,9 @@
   // returned it last; the last change of all if that is not known.
   std::uint64_t ZoneChange(const ZoneId& zone) const;
 
+  // Returns the same; 0 if it is not known.
+  std::uint64_t KnownZoneChange(const ZoneId& zone) const;
+
   // Returns the number of the change that retired this or a later incarnation
   // of the backend server, or nothing if it is not retired.
   std::optional<std::uint64_t> RetirementChange(const BackendId& backend,
--- a/sapphirebank/transport/connection_end.h
+++ b/sapphirebank/transport/connection_end.h
@@ -2,6 +2,8 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include "sapphirebank/core/time.h"
+
 namespace sapphirebank {
 
 // Returns, of a connection on which a read found the end, whether the peer
@@ -11,4 +13,8 @@
 // tell counts as in order.
 bool EndedInOrder(boost::asio::ip::tcp::socket& socket);
 
+// Returns the time since the last byte of data arrived on a connection, read or
+// not, or zero where the system does not tell.
+Duration TimeSinceLastData(boost::asio::ip::tcp::socket& socket);
+
 }  // namespace sapphirebank
--- a/sapphirebank/transport/http_guards.h
+++ b/sapphirebank/transport/http_guards.h
@@ -25,15 +25,16 @@
 // While in scope, watches a caller's socket and reports to `watch` when the
 // caller closes the connection. Bytes that arrive before that are the caller's
 // next, pipelined requests and are appended to `read_ahead`. Without one, as
-// under TLS, the watch ends with the first of them.
+// under TLS, the watch ends with the first of them. `looks_at_once` reports a
+// caller that has left before, too.
 class HangUpWatch {
  public:
   HangUpWatch(boost::asio::ip::tcp::socket& socket,
               std::shared_ptr<CallerWatch> watch,
-              boost::beast::flat_buffer* read_ahead)
+              boost::beast::flat_buffer* read_ahead, bool looks_at_once = false)
       : state_(std::make_shared<State>(
             State{&socket, std::move(watch), read_ahead})) {
-    Wait(state_);
+    if (!looks_at_once || ReadAvailable(*state_)) Wait(state_);
   }
   ~HangUpWatch() {
     boost::asio::ip::tcp::socket& socket =
--- a/sapphirebank/transport/http_message.h
+++ b/sapphirebank/transport/http_message.h
@@ -8,6 +8,7 @@
 
 #include "sapphirebank/core/byte_budget.h"
 #include "sapphirebank/core/error.h"
+#include "sapphirebank/core/time.h"
 #include "sapphirebank/request/http_head.h"
 
 namespace sapphirebank {
@@ -44,6 +45,9 @@
   std::string body;
   std::string peer_address;
   std::shared_ptr<CallerWatch> watch;
+  // When the last byte arrived at this machine, as far as the system tells; set
+  // where HttpServerSettings::tracks_arrival asks for it.
+  Instant arrived_at;
 };
 
 // Remaining part of a body that is too large to be buffered.
--- a/sapphirebank/transport/http_server.cc
+++ b/sapphirebank/transport/http_server.cc
@@ -17,7 +17,9 @@
 #include <set>
 
 #include "sapphirebank/request/refusal.h"
+#include "sapphirebank/transport/connection_end.h"
 #include "sapphirebank/transport/http_guards.h"
+#include "sapphirebank/transport/process_clock.h"
 #include "sapphirebank/transport/signed_field.h"
 
 namespace sapphirebank {
@@ -290,6 +292,10 @@
     if (!read) co_return co_await Refuse(stream, read.error());
     request.body = std::move(parser.get().body());
 
+    if (settings_.tracks_arrival) {
+      request.arrived_at =
+          MonotonicNow() - TimeSinceLastData(TcpLayer(stream).socket());
+    }
     request.watch = std::make_shared<CallerWatch>();
     const std::shared_ptr<CallerWatch> watch = request.watch;
     HttpAnswer answer = co_await Handle(stream, buffer, std::move(request));
@@ -361,7 +367,8 @@
     tcp_layer.expires_never();
     constexpr bool kIsPlain = std::is_same_v<Stream, PlainStream>;
     const HangUpWatch hang_up(tcp_layer.socket(), request.watch,
-                              kIsPlain ? &buffer : nullptr);
+                              kIsPlain ? &buffer : nullptr,
+                              settings_.tracks_arrival);
     std::string failure;
     try {
       co_return co_await hooks_.handle(std::move(request));
--- /dev/null
+++ b/system_tests/platform/late_order_test.cc
@@ -0,0 +1,76 @@
+#include <signal.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <list>
+#include <string>
+#include <thread>
+
+#include "system_tests/platform/platform_fleet.h"
+
+namespace sapphirebank::system_tests {
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+// Calls to a control host whose answers nobody reads.
+class UnansweredCalls {
+ public:
+  UnansweredCalls(const std::string& ip, const std::string& call, int copies) {
+    const std::string request = fmt::format(
+        "POST /api/rpc?call={} HTTP/1.1\r\nHost: {}\r\nContent-Length: 0\r\n"
+        "\r\n",
+        call, ip);
+    const tcp::endpoint to(boost::asio::ip::make_address(ip), kControlPort);
+    for (int i = 0; i < copies; ++i) {
+      connections_.emplace_back(loop_);
+      connections_.back().connect(to);
+      boost::asio::write(connections_.back(), boost::asio::buffer(request));
+    }
+  }
+
+ private:
+  boost::asio::io_context loop_;
+  std::list<tcp::socket> connections_;
+};
+
+// Guards against an evacuation that ends by an older order: a suspended control
+// host takes it for new when it goes on, also while its caller still waits.
+TEST_CASE("an order that a suspended control host had is not carried out late",
+          "[platform]") {
+  constexpr int kCopies = 40;
+  const std::string zone = "&of=kochi";
+  const bool caller_waits = GENERATE(false, true);
+  CAPTURE(caller_waits);
+  PlatformFleet fleet;
+  REQUIRE(fleet.CallRpc("config.put", fleet.MakePlan(5).dump()) == 200);
+  fleet.WaitUntilServing();
+  REQUIRE(fleet.CallRpc("evacuations.start" + zone) == 200);
+  for (int host = 0; host < PlatformFleet::kControlHosts; ++host) {
+    CAPTURE(host);
+    fleet.control_host(host).SendSignal(SIGSTOP);
+    std::list<UnansweredCalls> calls;
+    calls.emplace_back(PlatformFleet::ControlHostIp(host),
+                       "evacuations.end" + zone, kCopies);
+    // The operator turns to the other hosts, then evacuates the zone again.
+    std::this_thread::sleep_for(milliseconds(1000));
+    if (!caller_waits) calls.clear();
+    CHECK(fleet.CallRpc("evacuations.end" + zone) == 200);
+    CHECK(fleet.CallRpc("evacuations.start" + zone) == 200);
+    fleet.control_host(host).SendSignal(SIGCONT);
+    // Longer than any of its calls waits for the leader.
+    std::this_thread::sleep_for(milliseconds(2000));
+    for (int i = 0; i < 10; ++i) {
+      const auto answer = fleet.SendRequest(i % 2, "GET", "/lookup/1");
+      REQUIRE(answer);
+      CHECK(answer->status == 503);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace sapphirebank::system_tests
