Crashes and quarantines of requests outlive the leader

Cause: the list of such requests and the crashes below its threshold lived in the leader's memory. A new leader's first tick sent its empty list to all hubs, and entry hosts replaced theirs by it.

Change: each host keeps what it saw or was told and tells it, with ages and the time left, in its first report to a hub or leader. A list that lacks an entry removes nothing; entries end by their time. Hosts of the build before get and send the list as they did.

--- a/programs/fleet_host/entry_process.cc
+++ b/programs/fleet_host/entry_process.cc
@@ -153,7 +153,7 @@
     report.ready_hosts->push_back(
         {ToString(settings_.callers), settings_.zone, !state_.path().IsLost()});
   }
-  state_.FillReport(report, first);
+  state_.FillReport(MonotonicNow(), report, first);
   return report;
 }
 
--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -154,7 +154,7 @@
       head.method + ' ' + head.target + ' ' + context.info.key;
   context.fingerprint =
       StableHash(context.request.body, StableHash(fingerprint_input));
-  if (view.IsQuarantined(context.fingerprint)) {
+  if (view.IsQuarantined(MonotonicNow(), context.fingerprint)) {
     return Fail(ErrorKind::kRequestQuarantined,
                 "the request crashed backend servers");
   }
--- a/programs/fleet_host/entry_state.cc
+++ b/programs/fleet_host/entry_state.cc
@@ -228,7 +228,7 @@
 }
 
 // Ends and reports attempts that are no longer held.
-void EntryState::Settle(const PathVerdict& verdict) {
+void EntryState::Settle(Instant now, const PathVerdict& verdict) {
   const AssignmentOutcome outcome = verdict.blames_servers
                                         ? AssignmentOutcome::kFailed
                                         : AssignmentOutcome::kInconclusive;
@@ -244,6 +244,7 @@
     ++outcomes_[attempt.server].hard_failures;
     if (attempt.may_have_crashed) {
       crashes_.push_back({attempt.request, attempt.server});
+      view_.RecordCrash(now, attempt.request, attempt.server);
     }
     hooks_.report_now();
   }
@@ -254,11 +255,13 @@
   sampler_.Record(view_.versions(), server.state.announcement, end);
 }
 
-void EntryState::RecordAnswer(Instant now) { Settle(path_.RecordAnswer(now)); }
+void EntryState::RecordAnswer(Instant now) {
+  Settle(now, path_.RecordAnswer(now));
+}
 
 void EntryState::RecordProbes(Instant now, bool connected) {
   const bool was_lost = path_.IsLost();
-  Settle(path_.RecordProbes(now, connected));
+  Settle(now, path_.RecordProbes(now, connected));
   if (path_.IsLost() == was_lost) return;
   if (was_lost) view_.EndAvoidance();
   hooks_.report_now();
@@ -285,13 +288,13 @@
   if (attempt.is_fault) {
     server.avoid_until = std::max(server.avoid_until, now + kBrokenBackoff);
   }
-  Settle(path_.RecordUnanswered(std::move(attempt)));
+  Settle(now, path_.RecordUnanswered(std::move(attempt)));
 }
 
 void EntryState::RecordUnreachable(Instant now, KnownServer& server,
                                    UnansweredAttempt attempt) {
   server.avoid_until = std::max(server.avoid_until, now + kUnreachableBackoff);
-  Settle(path_.RecordUnanswered(std::move(attempt)));
+  Settle(now, path_.RecordUnanswered(std::move(attempt)));
 }
 
 bool EntryState::RecordLeaving(Instant now, const KnownServer& server) {
@@ -316,7 +319,7 @@
   return true;
 }
 
-void EntryState::FillReport(EntryReport& report, bool first) {
+void EntryState::FillReport(Instant now, EntryReport& report, bool first) {
   report.registry_id = view_.registry_id();
   report.known_registry_changes = view_.registry_changes();
   report.known_plan_version = view_.plan() ? view_.plan()->version() : 0;
@@ -325,6 +328,7 @@
   report.outcomes = std::exchange(outcomes_, {});
   report.requests = std::exchange(requests_, {});
   report.crashes = std::exchange(crashes_, {});
+  if (first) view_.FillCrashes(now, report);
   report.rate_limits = std::exchange(rate_limits_, {});
   report.rollout_samples = sampler_.Take();
   report.known_servers = std::exchange(wanted_servers_, {});
--- a/programs/fleet_host/entry_state.h
+++ b/programs/fleet_host/entry_state.h
@@ -114,7 +114,7 @@
   // Moves the outcomes since the last report into `report`. The `first` report
   // to a hub also repeats the token requests; the known servers are listed when
   // the hub asked for them.
-  void FillReport(EntryReport& report, bool first);
+  void FillReport(Instant now, EntryReport& report, bool first);
 
   const EntryView& view() const { return view_; }
   RetryBudgetShare& retries() { return retries_; }
@@ -168,7 +168,7 @@
   };
 
   void ApplyGrants(Instant asked_at, const FleetUpdate& update);
-  void Settle(const PathVerdict& verdict);
+  void Settle(Instant now, const PathVerdict& verdict);
   // Waits for the hub's answer to question `number` for at most `wait`.
   boost::asio::awaitable<std::shared_ptr<Waiter>> AwaitAssignment(
       std::uint64_t number, Duration wait);
@@ -192,7 +192,7 @@
   std::map<WorkspaceId, RateAccount> accounts_;
   std::map<BackendId, ServerOutcomes> outcomes_;
   std::map<ServiceId, std::uint32_t> requests_;
-  std::vector<EntryReport::Crash> crashes_;
+  std::vector<RequestCrash> crashes_;
   std::map<BackendId, std::optional<double>> rate_limits_;
   RolloutSampler sampler_;
 };
--- a/sapphirebank/fleet/crashing_request_detector.h
+++ b/sapphirebank/fleet/crashing_request_detector.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <vector>
 
 #include "sapphirebank/core/ids.h"
@@ -14,6 +13,20 @@
 // one.
 using RequestFingerprint = std::uint64_t;
 
+// A backend server broke off a request.
+struct RequestCrash {
+  RequestFingerprint request = 0;
+  BackendId server;
+  // Time since then.
+  Duration age{};
+};
+
+// A request that is refused, and for how long.
+struct RequestQuarantine {
+  RequestFingerprint request = 0;
+  Duration left{};
+};
+
 struct CrashingRequestSettings {
   // Distinct backend servers that must crash on a request before it is
   // quarantined.
@@ -26,25 +39,44 @@
 
 // Detects requests that crash every backend server which runs them, from the
 // reports of all hosts, as clients resend the request to any of them.
+//
+// Each host keeps what it saw or was told and passes it on to a hub that it has
+// not reported to before, so that none of it depends on one process. Crashes
+// and quarantines may arrive more than once and in any order; they end by the
+// time that they were given, which no restart begins anew.
 class CrashingRequestDetector {
  public:
   explicit CrashingRequestDetector(CrashingRequestSettings settings)
       : settings_(settings) {}
 
-  // Records that `server` broke off the request. Returns whether this
+  // Records that `server` broke off the request `age` ago. Returns whether this
   // quarantined the request.
   bool RecordCrash(Instant now, RequestFingerprint request,
-                   const BackendId& server);
+                   const BackendId& server, Duration age = Duration::zero());
+
+  // Records a quarantine that another host knows. Returns whether the request
+  // was not in quarantine here.
+  bool RecordQuarantine(Instant now, const RequestQuarantine& quarantine);
+
+  bool IsQuarantined(Instant now, RequestFingerprint request) const;
 
   // Returns the requests in quarantine.
   std::vector<RequestFingerprint> Quarantined(Instant now);
 
+  // Returns the same with the times that are left.
+  std::vector<RequestQuarantine> Quarantines(Instant now);
+
+  // Returns the crashes that count towards a quarantine.
+  std::vector<RequestCrash> Crashes(Instant now);
+
  private:
   struct CrashHistory {
-    std::set<BackendId> servers;
+    std::map<BackendId, Instant> servers;
     Instant last_crash_at;
   };
 
+  void RemoveEnded(Instant now);
+
   CrashingRequestSettings settings_;
   std::map<RequestFingerprint, CrashHistory> histories_;
   std::map<RequestFingerprint, Instant> quarantined_until_;
--- a/sapphirebank/fleet/entry_view.cc
+++ b/sapphirebank/fleet/entry_view.cc
@@ -38,7 +38,9 @@
   if (has_registry) ApplyServers(now, update);
   if (update.shared_state) {
     ApplyZones(now, update.zones_out);
-    quarantined_ = {update.quarantined.begin(), update.quarantined.end()};
+    for (const RequestQuarantine& quarantine : update.quarantines) {
+      crash_detector_.RecordQuarantine(now, quarantine);
+    }
     request_rates_ = update.request_rates;
     entry_hosts_ = update.entry_hosts;
     // A hub of an earlier build knows none, and what was known holds.
--- a/sapphirebank/fleet/entry_view.h
+++ b/sapphirebank/fleet/entry_view.h
@@ -7,7 +7,6 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
-#include <unordered_set>
 #include <vector>
 
 #include "sapphirebank/core/error.h"
@@ -98,8 +97,21 @@
   const std::vector<KnownServerPtr>& ServersOf(const ServiceId& service) const;
 
   bool IsZoneOut(const ZoneId& zone) const { return zones_out_.contains(zone); }
-  bool IsQuarantined(RequestFingerprint request) const {
-    return quarantined_.contains(request);
+  bool IsQuarantined(Instant now, RequestFingerprint request) const {
+    return crash_detector_.IsQuarantined(now, request);
+  }
+
+  // Records that a server broke off a request of this host.
+  void RecordCrash(Instant now, RequestFingerprint request,
+                   const BackendId& server) {
+    crash_detector_.RecordCrash(now, request, server);
+  }
+
+  // Adds to the first report to a hub all crashes of requests that count, in
+  // place of the new ones, and the quarantines.
+  void FillCrashes(Instant now, EntryReport& report) {
+    report.crashes = crash_detector_.Crashes(now);
+    report.quarantines = crash_detector_.Quarantines(now);
   }
 
   // Returns the requests per second for a service over all hosts.
@@ -162,7 +174,7 @@
   std::map<ServiceId, std::vector<KnownServerPtr>> servers_by_service_;
   std::set<ZoneId> zones_out_;
   VersionPolicy versions_;
-  std::unordered_set<RequestFingerprint> quarantined_;
+  CrashingRequestDetector crash_detector_{CrashingRequestSettings()};
   ServerSignals signals_;
   std::map<ServiceId, double> request_rates_;
   std::uint32_t entry_hosts_ = 1;
--- a/sapphirebank/fleet/fleet_hub.cc
+++ b/sapphirebank/fleet/fleet_hub.cc
@@ -140,6 +140,7 @@
 // Applies the reported outcomes, or adds them to the report for the leader.
 void FleetHub::AggregateReport(Instant now, const EntryReport& report) {
   AggregateSamples(report);
+  AggregateCrashes(now, report);
   for (const auto& [server, outcomes] : report.outcomes) {
     if (outcomes.hard_failures > 0) {
       dispatcher_.RecordHardFailure(now, server);
@@ -156,12 +157,6 @@
     for (const auto& [server, outcomes] : report.outcomes) {
       registry_.AddOutcomes(now, server, outcomes);
     }
-    for (const EntryReport::Crash& crash : report.crashes) {
-      if (!crash_detector_.RecordCrash(now, crash.request, crash.server))
-        continue;
-      quarantined_ = crash_detector_.Quarantined(now);
-      ++shared_state_version_;
-    }
     UpdateRequestRates(now, report);
     return;
   }
@@ -180,8 +175,25 @@
   for (const auto& [service, count] : report.requests) {
     pending_report_.requests[service] += count;
   }
+}
+
+// Each hub keeps what it is told, as it may be the next leader.
+void FleetHub::AggregateCrashes(Instant now, const EntryReport& report) {
+  bool has_new_quarantine = false;
+  for (const RequestCrash& crash : report.crashes) {
+    has_new_quarantine |= crash_detector_.RecordCrash(now, crash.request,
+                                                      crash.server, crash.age);
+  }
+  for (const RequestQuarantine& quarantine : report.quarantines) {
+    has_new_quarantine |= crash_detector_.RecordQuarantine(now, quarantine);
+  }
+  if (has_new_quarantine) ++shared_state_version_;
+  if (is_leader_) return;
   pending_report_.crashes.insert(pending_report_.crashes.end(),
                                  report.crashes.begin(), report.crashes.end());
+  pending_report_.quarantines.insert(pending_report_.quarantines.end(),
+                                     report.quarantines.begin(),
+                                     report.quarantines.end());
 }
 
 void FleetHub::QueueGrant(const HostId& host, const WorkspaceId& workspace,
@@ -346,7 +358,6 @@
   registry_.Tick(now);
   if (now < next_shared_state_at_) return;
   next_shared_state_at_ = now + settings_.shared_state_period;
-  quarantined_ = crash_detector_.Quarantined(now);
   ++shared_state_version_;
 }
 
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -241,6 +241,7 @@
   FleetUpdate FillUpdate(Instant now, Reporter& host,
                          const FleetRecord& record);
   void AggregateReport(Instant now, const EntryReport& report);
+  void AggregateCrashes(Instant now, const EntryReport& report);
 
   // fleet_hub_rollouts.cc
   bool LimitsVersions(const FleetRecord& record) const;
@@ -291,7 +292,6 @@
   std::map<ServiceId, double> request_rates_;
   Instant request_rates_at_;
   Instant rates_settled_at_;  // Authority only: from then on they are sent.
-  std::vector<RequestFingerprint> quarantined_;
   std::uint32_t total_entry_hosts_ = 1;
   // Servers are limited by their versions, as `versions_` says.
   bool limits_versions_ = false;
--- a/sapphirebank/fleet/fleet_hub_updates.cc
+++ b/sapphirebank/fleet/fleet_hub_updates.cc
@@ -85,7 +85,7 @@
     if (!is_leader_ || now >= rates_settled_at_) {
       update.request_rates = request_rates_;
     }
-    update.quarantined = quarantined_;
+    update.quarantines = crash_detector_.Quarantines(now);
     update.entry_hosts = TotalEntryHosts();
     update.hubs = hubs_;
     if (!reporter.is_relay) {
@@ -138,6 +138,8 @@
   // Relays receive the plan through the replicated log.
   report.known_plan_version = plans_.newest();
   if (first) {
+    report.crashes = crash_detector_.Crashes(now);
+    report.quarantines = crash_detector_.Quarantines(now);
     for (const auto& [id, entry] : registry_.entries()) {
       if (!entry.state.retired)
         report.known_servers.push_back(entry.state.announcement);
@@ -165,7 +167,9 @@
   leader_registry_changes_ = update.registry_changes;
   if (update.shared_state) {
     request_rates_ = update.request_rates;
-    quarantined_ = update.quarantined;
+    for (const RequestQuarantine& quarantine : update.quarantines) {
+      crash_detector_.RecordQuarantine(now, quarantine);
+    }
     total_entry_hosts_ = update.entry_hosts;
     UpdateZoneHubs();
     ++shared_state_version_;
--- a/sapphirebank/fleet/fleet_messages.cc
+++ b/sapphirebank/fleet/fleet_messages.cc
@@ -49,6 +49,27 @@
   if (found != in.end()) found->get_to(out);
 }
 
+// Time for which a quarantine counts that comes without a time: earlier builds
+// repeat their list every second.
+constexpr Duration kUntimedQuarantine = std::chrono::seconds(3);
+
+json QuarantinesToJson(const std::vector<RequestQuarantine>& quarantines) {
+  json out = json::array();
+  for (const RequestQuarantine& quarantine : quarantines) {
+    out.push_back({quarantine.request, quarantine.left.count()});
+  }
+  return out;
+}
+
+std::vector<RequestQuarantine> ReadQuarantines(const json& in) {
+  std::vector<RequestQuarantine> quarantines;
+  for (const json& item : in) {
+    quarantines.push_back(
+        {item.at(0).get<RequestFingerprint>(), ReadDuration(item.at(1))});
+  }
+  return quarantines;
+}
+
 json SharedStateToJson(const FleetUpdate& update) {
   json out = {{"hosts", update.entry_hosts}};
   for (const ZoneId& zone : update.zones_out) {
@@ -58,7 +79,13 @@
     out["rates"][service.value()] = rate;
   }
   if (update.versions) out["versions"] = *update.versions;
-  if (!update.quarantined.empty()) out["quarantined"] = update.quarantined;
+  if (!update.quarantines.empty()) {
+    out["quarantines"] = QuarantinesToJson(update.quarantines);
+    // Read by earlier builds.
+    for (const RequestQuarantine& quarantine : update.quarantines) {
+      out["quarantined"].push_back(quarantine.request);
+    }
+  }
   if (!update.hubs.empty()) out["hubs"] = update.hubs;
   if (!update.detour_hosts.empty()) out["detours"] = update.detour_hosts;
   return out;
@@ -78,7 +105,15 @@
   if (const auto found = in.find("versions"); found != in.end()) {
     update.versions = found->get<VersionRecord>();
   }
-  ReadOptional(in, "quarantined", update.quarantined);
+  if (const auto found = in.find("quarantines"); found != in.end()) {
+    update.quarantines = ReadQuarantines(*found);
+  } else if (const auto requests = in.find("quarantined");
+             requests != in.end()) {
+    for (const json& request : *requests) {
+      update.quarantines.push_back(
+          {request.get<RequestFingerprint>(), kUntimedQuarantine});
+    }
+  }
   ReadOptional(in, "hubs", update.hubs);
   ReadOptional(in, "detours", update.detour_hosts);
 }
@@ -144,8 +179,12 @@
   if (!report.requests.empty()) out["requests"] = CountsToJson(report.requests);
   if (!report.wanted_tokens.empty())
     out["wanted"] = CountsToJson(report.wanted_tokens);
-  for (const EntryReport::Crash& crash : report.crashes) {
-    out["crashes"].push_back({crash.request, crash.server.value()});
+  for (const RequestCrash& crash : report.crashes) {
+    out["crashes"].push_back(
+        {crash.request, crash.server.value(), crash.age.count()});
+  }
+  if (!report.quarantines.empty()) {
+    out["quarantines"] = QuarantinesToJson(report.quarantines);
   }
   for (const auto& [id, limit] : report.rate_limits) {
     out["limits"][id.value()] = RateLimitToJson(limit);
@@ -185,8 +224,14 @@
     for (const auto& crash : *found) {
       report.crashes.push_back({crash.at(0).get<RequestFingerprint>(),
                                 BackendId(crash.at(1).get<std::string>())});
+      // Earlier builds report new ones only.
+      if (crash.size() > 2)
+        report.crashes.back().age = ReadDuration(crash.at(2));
     }
   }
+  if (const auto found = in.find("quarantines"); found != in.end()) {
+    report.quarantines = ReadQuarantines(*found);
+  }
   if (const auto found = in.find("limits"); found != in.end()) {
     for (const auto& [id, limit] : found->items()) {
       report.rate_limits[BackendId(id)] = ReadRateLimit(limit);
--- a/sapphirebank/fleet/fleet_messages.h
+++ b/sapphirebank/fleet/fleet_messages.h
@@ -69,11 +69,11 @@
   std::map<ServiceId, std::uint32_t> requests;
   // Tokens requested, by workspace.
   std::map<WorkspaceId, std::uint32_t> wanted_tokens;
-  struct Crash {
-    RequestFingerprint request = 0;
-    BackendId server;
-  };
-  std::vector<Crash> crashes;
+  // Crashes since the last report; all that still count in the first one to a
+  // hub. An earlier build takes them for new.
+  std::vector<RequestCrash> crashes;
+  // Quarantines that the receiver may not know, in the first report to a hub.
+  std::vector<RequestQuarantine> quarantines;
   // Rate limits that servers have named, or no longer name, in answers.
   std::map<BackendId, std::optional<double>> rate_limits;
   // What was seen of services with a rollout since the last report.
@@ -143,7 +143,7 @@
   std::set<ZoneId> zones_out;
   // Requests per second over all hosts, by service.
   std::map<ServiceId, double> request_rates;
-  std::vector<RequestFingerprint> quarantined;
+  std::vector<RequestQuarantine> quarantines;
   // Number of entry hosts among which shares are divided.
   std::uint32_t entry_hosts = 1;
   std::vector<HubHost> hubs;
--- a/unit_tests/fleet/fleet_hub_test.cc
+++ b/unit_tests/fleet/fleet_hub_test.cc
@@ -139,7 +139,8 @@
   hubs.Sync();
   const FleetUpdate update =
       hubs.relay.BuildUpdate(hubs.now, kEntry, hubs.record);
-  CHECK(update.quarantined == std::vector<RequestFingerprint>{42});
+  REQUIRE(update.quarantines.size() == 1);
+  CHECK(update.quarantines[0].request == 42);
 }
 
 TEST_CASE("a host that changes its hub gets the full registry", "[fleet]") {
--- a/unit_tests/fleet/fleet_messages_test.cc
+++ b/unit_tests/fleet/fleet_messages_test.cc
@@ -27,7 +27,9 @@
   report.outcomes[BackendId("a")] = {1, 2, 3};
   report.requests[ServiceId("desk")] = 9;
   report.wanted_tokens[WorkspaceId("north")] = 2;
-  report.crashes.push_back({~std::uint64_t{0}, BackendId("a")});
+  report.crashes.push_back(
+      {~std::uint64_t{0}, BackendId("a"), std::chrono::seconds(2)});
+  report.quarantines.push_back({~std::uint64_t{0}, std::chrono::seconds(9)});
   report.rate_limits[BackendId("a")] = 2.5;
   report.rate_limits[BackendId("b")] = std::nullopt;
   RolloutSamples& samples = report.rollout_samples[ServiceId("desk")];
@@ -56,10 +58,11 @@
   update.shared_state = true;
   update.zones_out = {ZoneId("kochi")};
   update.request_rates[ServiceId("desk")] = 12.5;
+  update.quarantines = {{1, std::chrono::seconds(5)},
+                        {~std::uint64_t{0}, std::chrono::seconds(9)}};
   update.versions = MakeVersions(MakeRollout(RolloutPhase::kSwitch));
   update.versions->current_versions[ServiceId("tiller")] = "v7";
   CHECK(json(update).get<FleetUpdate>().versions == update.versions);
-  update.quarantined = {1, ~std::uint64_t{0}};
   update.entry_hosts = 44;
   update.hubs = {{"10.0.0.9:7", ZoneId("fann")}};
   update.granted[WorkspaceId("north")] = {1, 2};
@@ -105,5 +108,29 @@
   }
 }
 
+// A host of the build before takes quarantines without their times and crashes
+// without their ages; what it sends is understood.
+TEST_CASE("quarantines are exchanged with hosts of the build before",
+          "[fleet]") {
+  FleetUpdate update;
+  update.shared_state = true;
+  update.quarantines = {{7, std::chrono::seconds(9)}};
+  json text = update;
+  CHECK(text.at("general").at("quarantined") == json({7}));
+  text.at("general").erase("quarantines");
+  const auto read = text.get<FleetUpdate>();
+  REQUIRE(read.quarantines.size() == 1);
+  CHECK(read.quarantines[0].request == 7);
+  CHECK(read.quarantines[0].left > std::chrono::seconds(1));
+  CHECK(read.quarantines[0].left < std::chrono::seconds(9));
+  EntryReport report;
+  report.crashes = {{7, BackendId("a"), std::chrono::seconds(2)}};
+  json crashes = report;
+  CHECK(crashes.at("crashes").at(0).at(0) == 7);
+  CHECK(crashes.at("crashes").at(0).at(1) == "a");
+  crashes.at("crashes").at(0).erase(2);
+  CHECK(crashes.get<EntryReport>().crashes.at(0).age == Duration::zero());
+}
+
 }  // namespace
 }  // namespace sapphirebank
--- a/unit_tests/platform/entry_hosts.h
+++ b/unit_tests/platform/entry_hosts.h
@@ -204,7 +204,7 @@
   EntryReport TakeReport() {
     EntryReport report;
     RunOnLoop([&] {
-      state_->FillReport(report, false);
+      state_->FillReport(MonotonicNow(), report, false);
       return true;
     });
     return report;
