A plan with an empty table of workspaces needs keys

Cause: TrafficPlan::needs_keys() asked whether there is a workspace; the reader did not keep whether the table was there.

--- a/sapphirebank/fleet/traffic_plan.h
+++ b/sapphirebank/fleet/traffic_plan.h
@@ -72,6 +72,8 @@
   std::vector<PlannedRoute> routes;
   std::vector<PlannedService> services;
   std::vector<PlannedWorkspace> workspaces;
+  // Requests need the key of a workspace, also when there is none.
+  bool has_workspace_table = false;
   CallerLimits limits;
 };
 
@@ -104,7 +106,9 @@
   const PlannedService* FindService(const ServiceId& id) const;
 
   // Returns whether requests need a key on routes that are not open.
-  bool needs_keys() const { return !parts_.workspaces.empty(); }
+  bool needs_keys() const {
+    return parts_.has_workspace_table || !parts_.workspaces.empty();
+  }
 
  private:
   explicit TrafficPlan(TrafficPlanParts parts);
--- a/unit_tests/fleet/traffic_plan_test.cc
+++ b/unit_tests/fleet/traffic_plan_test.cc
@@ -77,5 +77,17 @@
   CHECK(plan->FindKey("") == nullptr);
 }
 
+// Guards against routes that open when the last workspace is removed.
+TEST_CASE("requests need a key while the plan has a table of workspaces",
+          "[fleet]") {
+  TrafficPlanParts parts = MakePlanParts();
+  CHECK(MakePlan(parts)->needs_keys());
+  parts.workspaces.clear();
+  CHECK_FALSE(MakePlan(parts)->needs_keys());
+  parts.has_workspace_table = true;
+  CHECK(MakePlan(parts)->needs_keys());
+  CHECK(MakePlan(parts)->FindKey("key-1") == nullptr);
+}
+
 }  // namespace
 }  // namespace sapphirebank
