--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "programs/fleet_host/metrics_server.h"
@@ -189,8 +190,8 @@
   void EnqueueRolloutRead(const ServiceId& service, Callback callback);
   Callback LogAcknowledgement(const ControlCommand& command, Callback callback);
   void ProcessPendingCalls(Instant now);
-  // Returns why a call must not be sent to the leader any more, or null.
-  const char* ReasonNotToSend(Instant now, const PendingCall& call) const;
+  // Returns why a call must not be sent to the leader any more, or nothing.
+  std::string_view ReasonNotToSend(Instant now, const PendingCall& call) const;
   void RetryLater(PendingCall& call);
   // Answers a call with the result of an attempt, or sends it again later.
   void EndAttempt(std::uint64_t number, Result<std::string> result);
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -194,9 +194,9 @@
   };
 }
 
-const char* ControlProcess::ReasonNotToSend(Instant now,
-                                            const PendingCall& call) const {
-  if (!call.command || IsOrderedByVersion(*call.command)) return nullptr;
+std::string_view ControlProcess::ReasonNotToSend(
+    Instant now, const PendingCall& call) const {
+  if (!call.command || IsOrderedByVersion(*call.command)) return {};
   return ReasonNotToBegin(now, call.origin, kControlCallTimeout, suspension_);
 }
 
@@ -210,7 +210,7 @@
     const bool is_sent = call.sent_to && call.sent_to == known_leader_;
     if (!known_leader_ || is_sent || now < call.not_before) continue;
     if (now >= call.deadline) continue;
-    if (const char* reason = ReasonNotToSend(now, call); reason != nullptr) {
+    if (const auto reason = ReasonNotToSend(now, call); !reason.empty()) {
       call.failure = reason;
       expired.push_back(number);
       continue;
--- a/sapphirebank/fleet/call_origin.cc
+++ b/sapphirebank/fleet/call_origin.cc
@@ -27,9 +27,9 @@
   return has_resumed_ && now - resumed_at_ < limit_;
 }
 
-const char* ReasonNotToBegin(Instant now, const CallOrigin& origin,
-                             Duration limit,
-                             const SuspensionWatch& suspension) {
+std::string_view ReasonNotToBegin(Instant now, const CallOrigin& origin,
+                                  Duration limit,
+                                  const SuspensionWatch& suspension) {
   if (now - origin.arrived_at >= limit) return "the call waited too long";
   if (origin.caller_has_left && *origin.caller_has_left) {
     return "the caller has left";
@@ -37,7 +37,7 @@
   if (suspension.WasSuspended(now)) {
     return "this control host was suspended while calls may have waited";
   }
-  return nullptr;
+  return {};
 }
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/call_origin.h
+++ b/sapphirebank/fleet/call_origin.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <memory>
+#include <string_view>
 
 #include "sapphirebank/consensus/control_command.h"
 #include "sapphirebank/core/time.h"
@@ -43,11 +44,12 @@
   Instant resumed_at_;
 };
 
-// Returns why an order from `origin` must not begin, or null if it may. An
+// Returns why an order from `origin` must not begin, or nothing if it may. An
 // operator without an answer turns to another host after a second, and may give
 // the opposite order there; an order that begins within `limit`, less than
 // that, is older than any other.
-const char* ReasonNotToBegin(Instant now, const CallOrigin& origin,
-                             Duration limit, const SuspensionWatch& suspension);
+std::string_view ReasonNotToBegin(Instant now, const CallOrigin& origin,
+                                  Duration limit,
+                                  const SuspensionWatch& suspension);
 
 }  // namespace sapphirebank
--- a/unit_tests/fleet/call_origin_test.cc
+++ b/unit_tests/fleet/call_origin_test.cc
@@ -28,10 +28,11 @@
   const auto has_left = std::make_shared<std::atomic<bool>>(false);
   const CallOrigin origin{kStart, has_left};
   const Instant soon = kStart + milliseconds(850);
-  CHECK(ReasonNotToBegin(soon, origin, kLimit, running) == nullptr);
-  CHECK(ReasonNotToBegin(kStart + kLimit, origin, kLimit, running) != nullptr);
+  CHECK(ReasonNotToBegin(soon, origin, kLimit, running).empty());
+  CHECK_FALSE(
+      ReasonNotToBegin(kStart + kLimit, origin, kLimit, running).empty());
   *has_left = true;
-  CHECK(ReasonNotToBegin(soon, origin, kLimit, running) != nullptr);
+  CHECK_FALSE(ReasonNotToBegin(soon, origin, kLimit, running).empty());
 }
 
 // The system does not know how long a call waited while the machine itself was
@@ -43,7 +44,7 @@
   const Instant resumed = kStart + seconds(4);
   const CallOrigin origin{resumed, nullptr};
   // Before the first tick and after it.
-  CHECK(ReasonNotToBegin(resumed, origin, kLimit, watch) != nullptr);
+  CHECK_FALSE(ReasonNotToBegin(resumed, origin, kLimit, watch).empty());
   watch.RecordTick(resumed + milliseconds(20));
   CHECK(watch.WasSuspended(resumed + milliseconds(30)));
   for (int ms = 20; ms <= 1000; ms += 50) {
