The present time is read before the age of a call's last byte

Callers saw nothing that is known.

Change: LastDataArrival() takes the present time, so it is read first, and a suspension in between makes the call look older.

Evidence: read, not played: no test can stop the process between the two. What a test can show is new: a request that waited unread tells its arrival and whether its caller has left; without the tracking it fails.

--- a/sapphirebank/transport/connection_end.cc
+++ b/sapphirebank/transport/connection_end.cc
@@ -18,14 +18,14 @@
   return !was_reset && UnacknowledgedBytes(socket).value_or(0) == 0;
 }
 
-Duration TimeSinceLastData(boost::asio::ip::tcp::socket& socket) {
+Instant LastDataArrival(Instant now, boost::asio::ip::tcp::socket& socket) {
   tcp_info info{};
   socklen_t size = sizeof(info);
   if (::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info,
                    &size) != 0) {
-    return Duration::zero();
+    return now;
   }
-  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+  return now - std::chrono::milliseconds(info.tcpi_last_data_recv);
 }
 
 }  // namespace sapphirebank
--- a/sapphirebank/transport/connection_end.h
+++ b/sapphirebank/transport/connection_end.h
@@ -13,8 +13,10 @@
 // tell counts as in order.
 bool EndedInOrder(boost::asio::ip::tcp::socket& socket);
 
-// Returns the time since the last byte of data arrived on a connection, read or
-// not, or zero where the system does not tell.
-Duration TimeSinceLastData(boost::asio::ip::tcp::socket& socket);
+// Returns when the last byte of data arrived on a connection, read or not, or
+// `now` where the system does not tell. The present time has to be read before
+// the call: a process that is suspended in between then takes the data for
+// older than it is, not for newer.
+Instant LastDataArrival(Instant now, boost::asio::ip::tcp::socket& socket);
 
 }  // namespace sapphirebank
--- a/sapphirebank/transport/http_server.cc
+++ b/sapphirebank/transport/http_server.cc
@@ -293,8 +293,8 @@
     request.body = std::move(parser.get().body());
 
     if (settings_.tracks_arrival) {
-      request.arrived_at =
-          MonotonicNow() - TimeSinceLastData(TcpLayer(stream).socket());
+      const Instant now = MonotonicNow();
+      request.arrived_at = LastDataArrival(now, TcpLayer(stream).socket());
     }
     request.watch = std::make_shared<CallerWatch>();
     const std::shared_ptr<CallerWatch> watch = request.watch;
--- a/unit_tests/transport/http_server_test.cc
+++ b/unit_tests/transport/http_server_test.cc
@@ -1,10 +1,16 @@
 #include "sapphirebank/transport/http_server.h"
 
+#include <atomic>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+#include <thread>
 
+#include "sapphirebank/transport/process_clock.h"
 #include "unit_tests/transport/loop_thread.h"
 
 namespace sapphirebank {
@@ -291,5 +297,44 @@
   CHECK(server.handled() == 1);
 }
 
+// Guards against a call that a suspended process takes for new, with a caller
+// that still waits and with one that has left. A loop that is busy stands for
+// the process that is suspended.
+TEST_CASE("a request that waited unread tells when it arrived", "[transport]") {
+  constexpr auto kBusy = std::chrono::milliseconds(400);
+  const bool caller_leaves = GENERATE(false, true);
+  CAPTURE(caller_leaves);
+  std::atomic<Duration> age = Duration::zero();
+  std::atomic<bool> has_left = false;
+  std::atomic<bool> was_handled = false;
+  LoopThread loop;
+  HttpServerSettings settings;
+  settings.tracks_arrival = true;
+  HttpServer::Hooks hooks;
+  hooks.accept_head = [](const HttpRequestHead&) -> Result<std::uint64_t> {
+    return kBodyLimit;
+  };
+  hooks.handle = [&](HttpRequest request) {
+    age = MonotonicNow() - request.arrived_at;
+    has_left = request.watch->hung_up();
+    was_handled = true;
+    return Echo(std::move(request));
+  };
+  const auto server = HttpServer::Listen(loop.loop(), settings, hooks);
+  asio::post(loop.loop(), [&] { std::this_thread::sleep_for(kBusy); });
+  std::optional<RawConnection> caller(std::in_place, server->port());
+  caller->Send("POST /order HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+  if (caller_leaves) caller.reset();
+  for (int i = 0; i < 200 && !was_handled; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  loop.Stop();
+  REQUIRE(was_handled);
+  // The system counts in its own ticks.
+  CHECK(age.load() > kBusy / 2);
+  CHECK(age.load() < std::chrono::seconds(10));
+  CHECK(has_left == caller_leaves);
+}
+
 }  // namespace
 }  // namespace sapphirebank
