Crash histories are tidied once a second; one word for a caller that hung up

Callers see no difference. Every crash walked all histories, at hubs and now at entry hosts too: when a zone of servers is lost, each of some thousand requests walked the others. Histories that are over are removed once a second; a history that is over counts for nothing until then.

Quarantined() had no user in the product any more; the tests use Quarantines() and check the same. CallOrigin says "hung up", as CallerWatch does.

--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -62,10 +62,10 @@
                                std::min<Duration>(settings_.longest_lookup_life,
                                                   std::chrono::seconds(3)));
   }
-  const auto has_left =
+  const auto hung_up =
       std::make_shared<std::atomic<bool>>(request.watch->hung_up());
-  request.watch->set_on_hang_up([has_left] { *has_left = true; });
-  const CallOrigin origin{request.arrived_at, has_left};
+  request.watch->set_on_hang_up([hung_up] { *hung_up = true; });
+  const CallOrigin origin{request.arrived_at, hung_up};
   const std::function<void(Callback)> start = [this, &call,
                                                &origin](Callback callback) {
     // Servers announce themselves by the hundred; operators wait for an answer.
--- a/sapphirebank/fleet/call_origin.cc
+++ b/sapphirebank/fleet/call_origin.cc
@@ -31,8 +31,8 @@
                                   Duration limit,
                                   const SuspensionWatch& suspension) {
   if (now - origin.arrived_at >= limit) return "the call waited too long";
-  if (origin.caller_has_left && *origin.caller_has_left) {
-    return "the caller has left";
+  if (origin.caller_hung_up && *origin.caller_hung_up) {
+    return "the caller hung up";
   }
   if (suspension.WasSuspended(now)) {
     return "this control host was suspended while calls may have waited";
--- a/sapphirebank/fleet/call_origin.h
+++ b/sapphirebank/fleet/call_origin.h
@@ -13,8 +13,8 @@
 struct CallOrigin {
   // When this machine had received the whole call, as far as the system tells.
   Instant arrived_at;
-  // Whether the caller has closed its connection. Null counts as false.
-  std::shared_ptr<const std::atomic<bool>> caller_has_left;
+  // Whether the caller hung up (CallerWatch). Null counts as false.
+  std::shared_ptr<const std::atomic<bool>> caller_hung_up;
 };
 
 // Returns whether the record itself tells a late copy of the change from a new
@@ -26,8 +26,8 @@
 // waited outside it without a trace in the system's record of their arrival.
 class SuspensionWatch {
  public:
-  // A time without ticks of at least `limit` is a suspension, and is over
-  // `limit` after it ended.
+  // A time without ticks of at least `limit` counts as a suspension. Calls that
+  // waited are read shortly after it, so it is reported for `limit` longer.
   explicit SuspensionWatch(Duration limit) : limit_(limit) {}
 
   // Records that the process runs.
--- a/sapphirebank/fleet/crashing_request_detector.cc
+++ b/sapphirebank/fleet/crashing_request_detector.cc
@@ -3,6 +3,11 @@
 #include <algorithm>
 
 namespace sapphirebank {
+namespace {
+
+constexpr Duration kRemovalPeriod = std::chrono::seconds(1);
+
+}  // namespace
 
 bool CrashingRequestDetector::RecordCrash(Instant now,
                                           RequestFingerprint request,
@@ -12,6 +17,7 @@
   if (age > settings_.crash_window || IsQuarantined(now, request)) return false;
   const Instant at = now - std::max(age, Duration::zero());
   CrashHistory& history = histories_[request];
+  if (IsOver(now, history)) history = CrashHistory();
   Instant& crashed_at = history.servers.emplace(server, at).first->second;
   crashed_at = std::max(crashed_at, at);
   history.last_crash_at = std::max(history.last_crash_at, at);
@@ -40,22 +46,13 @@
   return found != quarantined_until_.end() && now < found->second;
 }
 
-std::vector<RequestFingerprint> CrashingRequestDetector::Quarantined(
-    Instant now) {
-  std::vector<RequestFingerprint> requests;
-  for (const RequestQuarantine& quarantine : Quarantines(now)) {
-    requests.push_back(quarantine.request);
-  }
-  return requests;
-}
-
 std::vector<RequestQuarantine> CrashingRequestDetector::Quarantines(
     Instant now) {
   RemoveEnded(now);
   std::vector<RequestQuarantine> quarantines;
   quarantines.reserve(quarantined_until_.size());
   for (const auto& [request, until] : quarantined_until_) {
-    quarantines.push_back({request, until - now});
+    if (now < until) quarantines.push_back({request, until - now});
   }
   return quarantines;
 }
@@ -64,6 +61,7 @@
   RemoveEnded(now);
   std::vector<RequestCrash> crashes;
   for (const auto& [request, history] : histories_) {
+    if (IsOver(now, history)) continue;
     for (const auto& [server, at] : history.servers) {
       crashes.push_back({request, server, now - at});
     }
@@ -72,9 +70,10 @@
 }
 
 void CrashingRequestDetector::RemoveEnded(Instant now) {
-  std::erase_if(histories_, [&](const auto& item) {
-    return now - item.second.last_crash_at > settings_.crash_window;
-  });
+  if (now < next_removal_) return;
+  next_removal_ = now + kRemovalPeriod;
+  std::erase_if(histories_,
+                [&](const auto& item) { return IsOver(now, item.second); });
   std::erase_if(quarantined_until_,
                 [&](const auto& item) { return item.second <= now; });
 }
--- a/sapphirebank/fleet/crashing_request_detector.h
+++ b/sapphirebank/fleet/crashing_request_detector.h
@@ -61,9 +61,6 @@
   bool IsQuarantined(Instant now, RequestFingerprint request) const;
 
   // Returns the requests in quarantine.
-  std::vector<RequestFingerprint> Quarantined(Instant now);
-
-  // Returns the same with the times that are left.
   std::vector<RequestQuarantine> Quarantines(Instant now);
 
   // Returns the crashes that count towards a quarantine.
@@ -75,9 +72,16 @@
     Instant last_crash_at;
   };
 
+  bool IsOver(Instant now, const CrashHistory& history) const {
+    return now - history.last_crash_at > settings_.crash_window;
+  }
+
+  // Removes what has ended, at times: when many servers crash at once, each of
+  // thousands of requests is recorded.
   void RemoveEnded(Instant now);
 
   CrashingRequestSettings settings_;
+  Instant next_removal_;
   std::map<RequestFingerprint, CrashHistory> histories_;
   std::map<RequestFingerprint, Instant> quarantined_until_;
 };
--- a/unit_tests/fleet/budgets_test.cc
+++ b/unit_tests/fleet/budgets_test.cc
@@ -77,11 +77,12 @@
   CHECK_FALSE(detector.RecordCrash(kStart, request, BackendId("a")));
   CHECK_FALSE(detector.RecordCrash(kStart, request, BackendId("b")));
   CHECK_FALSE(detector.RecordCrash(kStart, 78, BackendId("c")));
-  CHECK(detector.Quarantined(kStart).empty());
+  CHECK(detector.Quarantines(kStart).empty());
   CHECK(detector.RecordCrash(kStart + seconds(1), request, BackendId("c")));
-  CHECK(detector.Quarantined(kStart + seconds(2)) ==
-        std::vector<RequestFingerprint>{request});
-  CHECK(detector.Quarantined(kStart + seconds(100)).empty());
+  const auto quarantines = detector.Quarantines(kStart + seconds(2));
+  REQUIRE(quarantines.size() == 1);
+  CHECK(quarantines[0].request == request);
+  CHECK(detector.Quarantines(kStart + seconds(100)).empty());
 }
 
 TEST_CASE("crashes far apart do not quarantine a request", "[fleet]") {
--- a/unit_tests/fleet/call_origin_test.cc
+++ b/unit_tests/fleet/call_origin_test.cc
@@ -25,13 +25,13 @@
 TEST_CASE("an order begins only while its operator waits for it", "[fleet]") {
   SuspensionWatch running(kLimit);
   running.RecordTick(kStart);
-  const auto has_left = std::make_shared<std::atomic<bool>>(false);
-  const CallOrigin origin{kStart, has_left};
+  const auto hung_up = std::make_shared<std::atomic<bool>>(false);
+  const CallOrigin origin{kStart, hung_up};
   const Instant soon = kStart + milliseconds(850);
   CHECK(ReasonNotToBegin(soon, origin, kLimit, running).empty());
   CHECK_FALSE(
       ReasonNotToBegin(kStart + kLimit, origin, kLimit, running).empty());
-  *has_left = true;
+  *hung_up = true;
   CHECK_FALSE(ReasonNotToBegin(soon, origin, kLimit, running).empty());
 }
 
--- a/unit_tests/fleet/crash_history_test.cc
+++ b/unit_tests/fleet/crash_history_test.cc
@@ -44,7 +44,7 @@
   // The same crash, told by another host.
   detector.RecordCrash(kStart, kRequest, BackendId("a"), seconds(10));
   detector.RecordCrash(kStart, kRequest, BackendId("b"));
-  CHECK(detector.Quarantined(kStart).empty());
+  CHECK(detector.Quarantines(kStart).empty());
   CHECK(detector.RecordCrash(kStart, kRequest, BackendId("c"), seconds(9)));
 }
 
