Drawn answers are judged by the platform's rule, and some are spoiled

The simulation of a server's bytes has the platform's field names and stood in unit_tests/transport; it moves to unit_tests/platform and takes ids, matches and the check of heads from the adapter in place of its own copy. In place of one answer in twenty come bytes without the request's id, or a success without a stamp; a success that lacks either counts as a violation.

No check is changed; one is added.

--- a/unit_tests/transport/answer_order_simulation.h
+++ b/unit_tests/platform/answer_order_simulation.h
@@ -15,6 +15,8 @@
 #include <string>
 #include <vector>
 
+#include "platform/request_codec.h"
+#include "platform/wire_names.h"
 #include "sapphirebank/request/answer_sequence.h"
 #include "sapphirebank/request/execution_record.h"
 #include "sapphirebank/transport/answer_reader.h"
@@ -30,7 +32,9 @@
 // answers to requests that ran have the status of a rejection, or its
 // statement, but never both. Some answers have no length: the end of their
 // connection ends them, in order or by a reset. Some have a status that is
-// none. What it did with each request is compared to what the caller is told.
+// none, and in place of some come bytes that look like an answer and lack what
+// an answer has. What it did with each request is compared to what the caller
+// is told.
 class AnswerOrderSimulation {
  public:
   // What went wrong, as counts of requests.
@@ -42,6 +46,8 @@
     // Bodies without a length whose connection was reset, or ended with a part
     // of the request unsent, or that are not the server's.
     int part_as_whole = 0;
+    // Successes without the request's id or a stamp.
+    int spoiled_success = 0;
   };
 
   // What was drawn and how it ended, as counts of requests.
@@ -52,6 +58,7 @@
     int stray_copies = 0;
     int same_id_again = 0;
     int invalid_statuses = 0;
+    int spoiled_answers = 0;
     // Answers without a length by how their connection ended.
     int whole_without_length = 0;
     int broken_without_length = 0;
@@ -162,8 +169,11 @@
           received.ended_in_order && received.answer->body == request.body;
       if (!is_whole) ++violations_.part_as_whole;
     }
-    const auto stamp =
-        FieldValue(received.answer->fields, "sapphirebank-server-stamp");
+    const auto stamp = FieldValue(received.answer->fields, wire::kStamp);
+    const auto id = FieldValue(received.answer->fields, wire::kRequestId);
+    if (status < 300 && (stamp.empty() || id != request.id)) {
+      ++violations_.spoiled_success;
+    }
     const bool is_of_another =
         stamp != request.stamp &&
         std::find(stamps_.begin(), stamps_.end(), stamp) != stamps_.end();
@@ -183,9 +193,13 @@
     if (!request.has_length && !received.ended_in_order) {
       ++coverage_.broken_without_length;
     }
-    AnswerSequence sequence(is_used, [&](const HeaderFields& fields) {
-      return Match(fields, request.id);
-    });
+    const RequestId id(request.id);
+    AnswerSequence sequence(
+        is_used,
+        [&](const HeaderFields& fields) {
+          return codec_.match_request(fields, id);
+        },
+        codec_.is_genuine);
     std::size_t bytes_left = 0;
     bool is_reusable = false;
     boost::asio::co_spawn(
@@ -229,8 +243,7 @@
     received.answer->body = parser->get().body();
     const HeaderFields& fields = received.answer->fields;
     received.statement.status = received.answer->status;
-    received.statement.not_run =
-        !FieldValue(fields, "sapphirebank-not-executed").empty();
+    received.statement.not_run = !FieldValue(fields, wire::kNotRun).empty();
     received.statement.misdirected = received.answer->status == 421;
     bytes_left = connection.buffer.size();
     is_reusable = parser->keep_alive();
@@ -258,19 +271,6 @@
     return std::make_shared<Connection>(loop_);
   }
 
-  static AnswerMatch Match(const HeaderFields& fields, const std::string& id) {
-    std::string_view echoed;
-    for (const HeaderField& field : fields) {
-      if (field.name != "sapphirebank-request-id") continue;
-      if (!echoed.empty() && echoed != field.value) {
-        return AnswerMatch::kUnknown;
-      }
-      echoed = field.value;
-    }
-    if (echoed.empty()) return AnswerMatch::kUnknown;
-    return echoed == id ? AnswerMatch::kOwn : AnswerMatch::kOther;
-  }
-
   // Decides what the server does with a request and writes its bytes. Returns
   // whether it closes the connection.
   bool Answer(Request& request, Connection& connection) {
@@ -331,6 +331,29 @@
     return kStatuses.at(Below(kStatuses.size()));
   }
 
+  // Returns bytes that lack the request's id, or that are a success without a
+  // stamp, in place of the answer to a request that ran.
+  std::string Spoiled(Request& request) {
+    ++coverage_.spoiled_answers;
+    constexpr std::array<int, 6> kStatuses = {200, 201, 204, 302, 400, 404};
+    const int status = kStatuses.at(Below(kStatuses.size()));
+    std::string fields;
+    if (status < 300 && Chance(0.5)) {
+      fields = fmt::format("Sapphirebank-Request-Id: {}\r\n{}", request.id,
+                           Chance(0.5) ? "Sapphirebank-Server-Stamp:\r\n" : "");
+    } else {
+      if (Chance(0.5)) fields += "Sapphirebank-Server-Stamp: spoiled\r\n";
+      if (Chance(0.5)) fields += "Sapphirebank-Not-Executed: 1\r\n";
+    }
+    request.body = status == 204 ? "" : "xxxx";
+    request.has_length = Chance(0.5);
+    if (request.has_length) {
+      fields += fmt::format("Content-Length: {}\r\n", request.body.size());
+    }
+    return fmt::format("HTTP/1.1 {} OK\r\n{}\r\n{}", status, fields,
+                       request.body);
+  }
+
   // Runs the request or rejects it, and returns the answer. The order of the
   // fields varies from server to server.
   std::string Decide(Request& request) {
@@ -357,6 +380,7 @@
       request.stamp = fmt::format("s{:x}.{}", random_(), request.status);
       stamps_.push_back(request.stamp);
       line = fmt::format("{:03} Some Reason", request.status);
+      if (Chance(0.05)) return Spoiled(request);
       fields.push_back({"Sapphirebank-Server-Stamp", request.stamp});
       if (request.status != 503 && Chance(0.02)) {
         fields.push_back({"Sapphirebank-Not-Executed", "1"});
@@ -375,6 +399,7 @@
     return answer + "\r\n" + body;
   }
 
+  const EntryCodec codec_ = PlatformEntryCodec();
   std::mt19937_64 random_;
   boost::asio::io_context loop_;
   std::shared_ptr<ByteBudget> memory_ =
--- a/unit_tests/transport/answer_order_test.cc
+++ b/unit_tests/platform/answer_order_test.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "unit_tests/transport/answer_order_simulation.h"
+#include "unit_tests/platform/answer_order_simulation.h"
 
 namespace sapphirebank {
 namespace {
@@ -87,23 +87,25 @@
     CHECK(simulation.violations().ran_twice == 0);
     CHECK(simulation.violations().invalid_status == 0);
     CHECK(simulation.violations().part_as_whole == 0);
+    CHECK(simulation.violations().spoiled_success == 0);
     all.promises += simulation.coverage().promises;
     all.passed_on += simulation.coverage().passed_on;
     all.in_doubt += simulation.coverage().in_doubt;
     all.stray_copies += simulation.coverage().stray_copies;
     all.same_id_again += simulation.coverage().same_id_again;
     all.invalid_statuses += simulation.coverage().invalid_statuses;
+    all.spoiled_answers += simulation.coverage().spoiled_answers;
     all.whole_without_length += simulation.coverage().whole_without_length;
     all.broken_without_length += simulation.coverage().broken_without_length;
   }
   CAPTURE(all.promises, all.passed_on, all.in_doubt, all.stray_copies,
-          all.same_id_again, all.invalid_statuses, all.whole_without_length,
-          all.broken_without_length);
+          all.same_id_again, all.invalid_statuses, all.spoiled_answers,
+          all.whole_without_length, all.broken_without_length);
   // Every kind of end is drawn often.
   for (const int count :
        {all.promises, all.passed_on, all.in_doubt, all.stray_copies,
-        all.same_id_again, all.invalid_statuses, all.whole_without_length,
-        all.broken_without_length}) {
+        all.same_id_again, all.invalid_statuses, all.spoiled_answers,
+        all.whole_without_length, all.broken_without_length}) {
     CHECK(count > kSeeds / 10);
   }
 }
