Tests of configurations and scripted servers share their fixtures

The configuration with a value in each field stood twice, and the reader of a request's id as well. No check is changed.

--- a/unit_tests/platform/download_test.cc
+++ b/unit_tests/platform/download_test.cc
@@ -39,7 +39,7 @@
                     head.find(" /download/") != std::string::npos;
                 const std::size_t size =
                     is_download ? kDownloadBytes : kLookupBytes;
-                ScriptedServer::Write(socket, Head(IdIn(head), size));
+                ScriptedServer::Write(socket, Head(RequestIdIn(head), size));
                 const bool is_cut = number < cut_answers;
                 const std::string body(is_cut ? size / 2 : size, 'x');
                 boost::asio::write(socket, boost::asio::buffer(body), error);
@@ -60,12 +60,6 @@
   }
 
  private:
-  static std::string IdIn(const std::string& head) {
-    const std::string name = "sapphirebank-request-id: ";
-    const auto begin = head.find(name) + name.size();
-    return head.substr(begin, head.find("\r\n", begin) - begin);
-  }
-
   std::atomic<int> taken_ = 0;
   ScriptedServer server_;
 };
--- a/unit_tests/platform/entry_hosts.h
+++ b/unit_tests/platform/entry_hosts.h
@@ -26,6 +26,13 @@
 
 namespace sapphirebank {
 
+// Returns the request id in the head of a request, as a host writes it.
+inline std::string RequestIdIn(const std::string& head) {
+  const std::string name = "sapphirebank-request-id: ";
+  const auto begin = head.find(name) + name.size();
+  return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
 // A backend server at a loopback address that answers by a script.
 class ScriptedBackend {
  public:
--- a/unit_tests/platform/plan_codec_test.cc
+++ b/unit_tests/platform/plan_codec_test.cc
@@ -9,6 +9,7 @@
 
 #include "sapphirebank/fleet/entry_view.h"
 #include "sapphirebank/fleet/plan_history.h"
+#include "unit_tests/platform/configuration.h"
 
 namespace sapphirebank {
 namespace {
@@ -72,26 +73,6 @@
   CHECK_FALSE(needs_keys(plan));
 }
 
-// A configuration with a value in each field that is checked.
-json FullPlanJson() {
-  return json::parse(R"({"version":"r7","routes":{
-    "r-1":{"host":"a.example","pathPrefix":"/x/","kind":"safe",
-           "timeout":"800ms","targetLatency":"400ms","priority":2,
-           "trafficSplit":[{"service":"s1","weight":90},
-                           {"service":"s2","weight":10}],
-           "maxAttempts":2,"public":false},
-    "r-2":{"host":"a.example","pathPrefix":"/y/","kind":"unsafe",
-           "timeout":"1000ms","service":"s1","maxAttempts":2}},
-    "services":{"s1":{"healthPath":"/health","maxConnections":360,
-                      "protocol":"h1","tls":false,"warmup":"3s",
-                      "warmupPerS":6.7},
-                "s2":{}},
-    "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,
-              "headerTimeout":"3000ms","idleTimeout":"15000ms"},
-    "tenants":{"t1":{"apiKeys":["k1","k2"],"priority":1,"ratePerS":64,
-                     "burst":64}}})");
-}
-
 // Adds the places of `value` and of all values inside it to `places`.
 void ListPlaces(const json& value, const json::json_pointer& at,
                 std::vector<json::json_pointer>& places) {
@@ -111,7 +92,7 @@
 // of them lost, such as the name of a tenant that is listed.
 TEST_CASE("a configuration with a value of another type is refused",
           "[platform]") {
-  const json sound = FullPlanJson();
+  const json sound = ConfigurationJson();
   REQUIRE(ReadNewPlanDocument(sound.dump()));
   std::vector<json::json_pointer> places;
   ListPlaces(sound, json::json_pointer(), places);
@@ -153,14 +134,14 @@
       {"/routes/r-1/trafficSplit", {{"s1", 90}}},
       {"/routes/r-1/trafficSplit", json::array()}};
   for (const auto& [place, value] : wrong) {
-    json plan = FullPlanJson();
+    json plan = ConfigurationJson();
     plan[json::json_pointer(place)] = value;
     CAPTURE(place, value.dump());
     const auto read = ReadNewPlanDocument(plan.dump());
     REQUIRE_FALSE(read);
     CHECK_FALSE(read.error().detail.empty());
   }
-  json listed = FullPlanJson();
+  json listed = ConfigurationJson();
   listed["tenants"] = {{{"name", "t1"}, {"apiKeys", {"k1"}}}};
   CHECK(ReadNewPlanDocument(listed.dump()).error().detail ==
         "malformed configuration: tenants: expected a table");
@@ -168,7 +149,7 @@
 
 TEST_CASE("a configuration with two entries of one name is refused",
           "[platform]") {
-  const std::string sound = FullPlanJson().dump();
+  const std::string sound = ConfigurationJson().dump();
   for (const std::string name : {"tenants", "t1", "r-2", "s2", "weight"}) {
     const std::string entry = '"' + name + "\":";
     std::string plan = sound;
@@ -182,7 +163,7 @@
 // refuses the plan in force after an upgrade.
 TEST_CASE("unknown fields are allowed, and accepted plans are read as before",
           "[platform]") {
-  json plan = FullPlanJson();
+  json plan = ConfigurationJson();
   plan["comment"] = {"any", 7, nullptr};
   plan["routes"]["r-1"]["owner"] = json::object();
   plan["routes"]["r-2"]["trafficSplit"] = nullptr;
--- a/unit_tests/platform/spoiled_answers_test.cc
+++ b/unit_tests/platform/spoiled_answers_test.cc
@@ -68,7 +68,8 @@
                 }
                 ScriptedServer::Write(
                     socket,
-                    SpoiledAnswer{"200 OK", IdIn(head), kStampField}.Bytes());
+                    SpoiledAnswer{"200 OK", RequestIdIn(head), kStampField}
+                        .Bytes());
               }
             },
             /*is_concurrent=*/true) {}
@@ -77,12 +78,6 @@
   int runs() const { return runs_; }
 
  private:
-  static std::string IdIn(const std::string& head) {
-    const std::string name = "sapphirebank-request-id: ";
-    const auto begin = head.find(name) + name.size();
-    return head.substr(begin, head.find("\r\n", begin) - begin);
-  }
-
   std::atomic<int> runs_ = 0;
   ScriptedServer server_;
 };
