--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -17,4 +17,5 @@
 build growing_log "${fleet[@]}"
 build late_order "${servers[@]}" review/harness-3/held_call.cc
 build long_grace "${servers[@]}"
+build many_lookups "${fleet[@]}"
 for job in "${jobs[@]}"; do wait "$job"; done
--- a/review/harness-3/small_fleet.cc
+++ b/review/harness-3/small_fleet.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <httplib.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -122,7 +123,8 @@
           {"retry_slack", 62}};
 }
 
-pid_t SmallFleet::Start(const std::string& name, const json& settings) const {
+pid_t SmallFleet::Start(const std::string& name, const json& settings,
+                        int max_fds) const {
   const std::string path = folder_ / (name + ".json");
   std::ofstream(path) << settings.dump();
   const std::string log = folder_ / (name + ".log");
@@ -134,6 +136,11 @@
   const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
   ::dup2(out, STDOUT_FILENO);
   ::dup2(out, STDERR_FILENO);
+  if (max_fds > 0) {
+    const rlimit limit = {static_cast<rlim_t>(max_fds),
+                          static_cast<rlim_t>(max_fds)};
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  }
   ::setenv("SAPPHIREBANK_BOOT", path.c_str(), 1);
   ::execl(kProgram, kProgram, nullptr);
   ::_exit(127);
@@ -149,7 +156,7 @@
   settings["found_group"] = bootstrap;
   settings["data_folder"] = folder_ / ("data-" + name);
   settings["memory_mb"] = terms_.control_memory_mb;
-  control_[index] = Start(name, settings);
+  control_[index] = Start(name, settings, terms_.control_max_fds);
 }
 
 void SmallFleet::StartEntry(int index) {
@@ -159,7 +166,7 @@
   listeners["callers"] = fmt::format("{}:{}", EntryIp(index), kCallerPort);
   listeners["readiness"] = fmt::format("{}:{}", EntryIp(index), kReadyPort);
   settings["memory_mb"] = terms_.entry_memory_mb;
-  entry_[index] = Start(name, settings);
+  entry_[index] = Start(name, settings, 0);
 }
 
 void SmallFleet::SignalControl(int index, int signal) const {
--- a/review/harness-3/small_fleet.h
+++ b/review/harness-3/small_fleet.h
@@ -50,6 +50,8 @@
   int entry_memory_mb = 260;
   int control_memory_mb = 256;
   std::string grace = "6s";
+  // File descriptors of a control process; 0 leaves the limit as it is.
+  int control_max_fds = 0;
 };
 
 // The processes of a deployment. The destructor ends all of them.
@@ -104,7 +106,8 @@
            std::chrono::milliseconds time = std::chrono::seconds(10));
 
  private:
-  pid_t Start(const std::string& name, const nlohmann::json& settings) const;
+  pid_t Start(const std::string& name, const nlohmann::json& settings,
+              int max_fds) const;
   nlohmann::json Settings(const std::string& role, const std::string& host,
                           const std::string& ip) const;
 
