--- a/review/harness-3/held_call.cc
+++ b/review/harness-3/held_call.cc
@@ -15,8 +15,8 @@
 
 using Clock = std::chrono::steady_clock;
 
-// A round trip between the operator and a machine: 1 ms one way.
-constexpr auto kRoundTrip = std::chrono::milliseconds(2);
+// A round trip between the operator and a machine: 8 ms one way.
+constexpr auto kRoundTrip = std::chrono::milliseconds(16);
 constexpr auto kLook = std::chrono::milliseconds(10);
 
 }  // namespace
