--- a/review/harness-3/growing_log.cc
+++ b/review/harness-3/growing_log.cc
@@ -20,9 +20,11 @@
 constexpr int kCore = 3;
 // As many orders as the pages say may be in progress at once.
 constexpr int kOrders = 8;
-// The dose of the site file, and how often it comes.
+// The doses of the site file: routes of one growth, which comes several times,
+// and the time between two changes of a storm.
 constexpr int kRoutesPerGrowth = 350;
-constexpr int kGrowths = 12;
+constexpr int kGrowths = 16;
+constexpr auto kChangePeriod = milliseconds(330);
 constexpr auto kChangesEnd = seconds(95);
 constexpr int kMaxChanges = 900;
 constexpr auto kRestartDelay = milliseconds(500);
@@ -86,6 +88,7 @@
     }
     record_.Write(fmt::format("the configuration has {} routes, {} bytes",
                               plan["routes"].size(), plan.dump().size()));
+    changes_start_ = Clock::now();
     std::array<std::thread, kOrders> orders;
     for (auto& thread : orders) {
       thread = std::thread([this, &plan] { SendChanges(plan); });
@@ -125,6 +128,8 @@
   void SendChanges(const json& plan) {
     while (Clock::now() - start_ < kChangesEnd && version_ < kMaxChanges &&
            !IsFault()) {
+      const int number = changes_begun_++;
+      std::this_thread::sleep_until(changes_start_ + number * kChangePeriod);
       Put(plan);
     }
   }
@@ -202,6 +207,8 @@
   Record record_;
   SmallFleet fleet_;
   Clock::time_point start_ = Clock::now();
+  Clock::time_point changes_start_;
+  std::atomic<int> changes_begun_ = 0;
   std::atomic<int> version_ = 0;
   std::atomic<int> acknowledged_ = 0;
   std::atomic<int> acknowledgements_ = 0;
