Review case 15: one odd ping stops all control hosts

Shows: a ping with a long list in place of a number keeps the one thread of a control host that answers calls busy for minutes.

Ruled out: that the number of elements alone does it (100,000 lists or strings take 0.03 s); that the load of the machine does (time grows with the square of the number of tables: 10,000 take 0.06 s, 100,000 4.2 s); that the processes end or the entry hosts stop.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -18,4 +18,5 @@
 build late_order "${servers[@]}" review/harness-3/held_call.cc
 build long_grace "${servers[@]}"
 build many_lookups "${fleet[@]}"
+build odd_ping "${servers[@]}"
 for job in "${jobs[@]}"; do wait "$job"; done
