Review: cases 12, 13 and 15 pass the lint of their files one by one

A unit that does not compile is linted file by file, and then a loop that appends to a list without room for it is an error, in review/2/case.cc too, which stays as it is. It had stood in a unit of its own.

The list of control hosts is now made in one place, and cases 12 and 13 define `kContact`, as cases 2, 3 and 4 do, by which the lint keeps them apart. Their waits are as long as before.

--- a/review/harness-3/late_order.cc
+++ b/review/harness-3/late_order.cc
@@ -23,6 +23,7 @@
 using std::chrono::seconds;
 
 constexpr int kEntryHosts = 2;
+constexpr auto kContact = seconds(3);
 constexpr auto kEvacuation = seconds(5);
 // The time for which a machine is cut off in the site file.
 constexpr auto kHold = milliseconds(5500);
@@ -82,8 +83,7 @@
 
  private:
   void StartServers() {
-    std::vector<std::string> control;
-    for (int i = 0; i < 3; ++i) control.push_back(fleet_.ControlIp(i));
+    const std::vector<std::string> control = fleet_.ControlIps();
     for (int i = 0; i < 4; ++i) {
       const std::string zone = i < 2 ? kZone : "thrissur";
       ServerPlace place = {fmt::format("i-{}", i), fleet_.Ip(201 + i), zone};
@@ -156,7 +156,7 @@
   }
 
   bool Play() {
-    std::this_thread::sleep_for(seconds(3));
+    std::this_thread::sleep_for(kContact);
     if (!Order("evacuations.start")) return false;
     std::this_thread::sleep_for(seconds(8));
     // From here on the zone may get requests.
--- a/review/harness-3/long_grace.cc
+++ b/review/harness-3/long_grace.cc
@@ -20,6 +20,7 @@
 using std::chrono::seconds;
 
 constexpr int kServers = 3;
+constexpr auto kContact = seconds(3);
 constexpr auto kGrace = seconds(10);
 // The excuse of the rule holds for requests that were sent by then.
 constexpr auto kExcused = seconds(3);
@@ -65,8 +66,7 @@
         fleet_({3, 2}, MakeTerms()) {}
 
   int Run() {
-    std::vector<std::string> control;
-    for (int i = 0; i < 3; ++i) control.push_back(fleet_.ControlIp(i));
+    const std::vector<std::string> control = fleet_.ControlIps();
     for (int i = 0; i < kServers; ++i) {
       StandInServer::Hooks hooks;
       hooks.work = [](const std::string& path) {
@@ -93,7 +93,7 @@
       if (!serves) return kNotRun;
     }
     // No machine was started in the last `contact`.
-    std::this_thread::sleep_for(seconds(4));
+    std::this_thread::sleep_for(kContact + seconds(1));
     const int result = Play();
     std::this_thread::sleep_for(seconds(5));
     servers_.clear();
--- a/review/harness-3/odd_ping.cc
+++ b/review/harness-3/odd_ping.cc
@@ -61,8 +61,7 @@
         fleet_({kCore, kEntries}, FleetTerms()) {}
 
   int Run() {
-    std::vector<std::string> control;
-    for (int i = 0; i < kCore; ++i) control.push_back(fleet_.ControlIp(i));
+    const std::vector<std::string> control = fleet_.ControlIps();
     for (int i = 0; i < kServers; ++i) {
       StandInServer::Hooks hooks;
       hooks.work = [](const std::string&) { return milliseconds(160); };
@@ -79,7 +78,7 @@
     }
     std::thread callers([this] { SendRequests(); });
     // No machine was started in the last `contact`.
-    std::this_thread::sleep_for(seconds(4));
+    std::this_thread::sleep_for(kContact + seconds(1));
     SendPing();
     std::this_thread::sleep_for(seconds(10));
     const bool is_read = ReadBack();
--- a/review/harness-3/small_fleet.cc
+++ b/review/harness-3/small_fleet.cc
@@ -95,6 +95,12 @@
   return fmt::format("{}.{}", net_, number);
 }
 
+std::vector<std::string> SmallFleet::ControlIps() const {
+  std::vector<std::string> ips(size_.control_hosts);
+  for (int i = 0; i < size_.control_hosts; ++i) ips[i] = ControlIp(i);
+  return ips;
+}
+
 // The settings that deploy/settings.json makes of the pages' example.
 json SmallFleet::Settings(const std::string& role, const std::string& host,
                           const std::string& ip) const {
--- a/review/harness-3/small_fleet.h
+++ b/review/harness-3/small_fleet.h
@@ -68,6 +68,7 @@
   std::string Ip(int number) const;
   std::string ControlIp(int index) const { return Ip(11 + index); }
   std::string EntryIp(int index) const { return Ip(101 + index); }
+  std::vector<std::string> ControlIps() const;
 
   static constexpr int kCallerPort = 8405;
   static constexpr int kReadyPort = 8406;
