--- a/programs/fleet_host/entry_request_handler.cc
+++ b/programs/fleet_host/entry_request_handler.cc
@@ -175,8 +175,12 @@
 
 bool EntryRequestHandler::FitsDrain(const RequestContext& context) const {
   if (!drain_) return true;
-  const RequestTimes times = {context.route->latency_objective,
-                              context.deadline - context.arrival_time};
+  const Duration limit = context.deadline - context.arrival_time;
+  // The caller is served by another host, whose own shutdown may have begun
+  // later: that host must not see the request broken off here.
+  const Duration objective =
+      context.detour ? limit : context.route->latency_objective;
+  const RequestTimes times = {objective, limit};
   return AcceptsWhileDraining(drain_->schedule,
                               context.arrival_time - drain_->started_at, times,
                               context.route->idempotent);
