Answer pipelined requests that were read before a planned stop

What callers see: a connection with three pipelined requests, the first in work at SIGTERM, ends after one answer, though the process has read the others.

Cause: the connection was closed behind an answer by the state of the server alone; the read-ahead that notices callers which leave was discarded with it.

Evidence: "pipelined requests are answered when the server shuts down" failed before for both DisableKeepAlive() and Drain(): one answer of three.

Change: a connection is kept while bytes of a further request have been read, and the last answer carries "Connection: close".

Measured: the test passes for both ways.

--- a/sapphirebank/transport/http_server.cc
+++ b/sapphirebank/transport/http_server.cc
@@ -299,9 +299,12 @@
     request.watch = std::make_shared<CallerWatch>();
     const std::shared_ptr<CallerWatch> watch = request.watch;
     HttpAnswer answer = co_await Handle(stream, buffer, std::move(request));
+    // Requests that have been read already are answered before the connection
+    // is closed.
+    const bool may_keep = !keep_alive_disabled_ || buffer.size() > 0;
     // What a caller that has left sent behind this request is not run.
-    const bool keep = parser.keep_alive() && !answer.close &&
-                      !keep_alive_disabled_ && !watch->hung_up();
+    const bool keep =
+        parser.keep_alive() && !answer.close && may_keep && !watch->hung_up();
     const bool head_only = parser.get().method() == http::verb::head;
     co_return co_await Write(stream, std::move(answer), keep, head_only);
   }
--- a/sapphirebank/transport/http_server.h
+++ b/sapphirebank/transport/http_server.h
@@ -68,8 +68,9 @@
   // Returns the number of requests that are being read or handled.
   std::size_t active_requests() const;
 
-  // Sends all further answers with "Connection: close". The port stays open, so
-  // that callers that still have this address are served.
+  // Sends all further answers with "Connection: close", save those before a
+  // pipelined request that has been read. The port stays open, so that callers
+  // that still have this address are served.
   void DisableKeepAlive();
 
   // Sets the limits for subsequent requests.
@@ -77,7 +78,7 @@
                  Duration idle_timeout);
 
   // Stops accepting connections, closes idle ones and finishes active requests
-  // with "Connection: close".
+  // and pipelined ones behind them with "Connection: close".
   void Drain();
 
  private:
--- a/unit_tests/transport/http_server_test.cc
+++ b/unit_tests/transport/http_server_test.cc
@@ -172,6 +172,45 @@
   CHECK(first < second);
 }
 
+// Guards against a connection that a planned stop closes behind one answer
+// although the next request has been read.
+TEST_CASE("pipelined requests are answered when the server shuts down",
+          "[transport]") {
+  const bool is_drained = GENERATE(false, true);
+  CAPTURE(is_drained);
+  LoopThread loop;
+  std::optional<HttpServer> server;
+  HttpServer::Hooks hooks;
+  hooks.accept_head = [](const HttpRequestHead&) -> Result<std::uint64_t> {
+    return kBodyLimit;
+  };
+  hooks.handle = [&](HttpRequest request) -> asio::awaitable<HttpAnswer> {
+    // The shutdown begins while the first request is handled and the others
+    // arrive.
+    asio::steady_timer timer(loop.loop(), std::chrono::milliseconds(100));
+    co_await timer.async_wait(asio::use_awaitable);
+    if (is_drained) {
+      server->Drain();
+    } else {
+      server->DisableKeepAlive();
+    }
+    co_return co_await Echo(std::move(request));
+  };
+  server = *HttpServer::Listen(loop.loop(), HttpServerSettings(), hooks);
+  RawConnection connection(server->port());
+  connection.Send(
+      "GET /a HTTP/1.1\r\nHost: a\r\n\r\n"
+      "POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nxy"
+      "GET /c HTTP/1.1\r\nHost: a\r\n\r\n");
+  const std::string answers = connection.ReadAll();
+  loop.Stop();
+  const auto last = answers.find("GET /c []");
+  CHECK(answers.find("GET /a []") < answers.find("POST /b [xy]"));
+  CHECK(answers.find("POST /b [xy]") < last);
+  CHECK(last != std::string::npos);
+  CHECK(CountOccurrences(answers, "Connection: close") == 1);
+}
+
 TEST_CASE("idle connections do not delay other requests", "[transport]") {
   EchoServer server;
   constexpr int kIdle = 200;
