Count an order without a version as old as its connection

What callers saw: requests reached the servers of an evacuated zone without end.

Cause: the age of a call was counted from the arrival of its bytes. The time in the network did not count, and the caller's close came a round trip behind the order.

Change: such an order begins only within 0.9 s of the opening of its connection: the time of the handshake less its round trip, long ago if the SYN-ACK was repeated. The limit is the one that bounded its wait in the host, so one rule covers network, kernel and process.

--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -47,6 +47,15 @@
   return "other";
 }
 
+// Returns whether further calls may come on the connection of one that was
+// answered. The age of a connection bounds that of an order, so that callers
+// that give orders need a new one for each.
+bool MayCarryNextCall(const FleetCall& call, bool succeeded) {
+  const auto* heartbeat = std::get_if<HeartbeatCall>(&call);
+  if (heartbeat == nullptr) return false;
+  return succeeded || !heartbeat->server.leaving;
+}
+
 }  // namespace
 
 boost::asio::awaitable<HttpAnswer> ControlProcess::Serve(HttpRequest request) {
@@ -65,7 +74,8 @@
   const auto hung_up =
       std::make_shared<std::atomic<bool>>(request.watch->hung_up());
   request.watch->set_on_hang_up([hung_up] { *hung_up = true; });
-  const CallOrigin origin{request.arrived_at, hung_up};
+  const CallOrigin origin{request.arrived_at, request.connection_opened_at,
+                          hung_up};
   const std::function<void(Callback)> start = [this, &call,
                                                &origin](Callback callback) {
     // Servers announce themselves by the hundred; operators wait for an answer.
@@ -85,8 +95,10 @@
   const Result<std::string> result =
       co_await AwaitCallback<Result<std::string>>(loop_, start);
   request.watch->set_on_hang_up(nullptr);
-  if (result) co_return codec_.done(*call, *result);
-  co_return codec_.refusal(result.error());
+  HttpAnswer answer =
+      result ? codec_.done(*call, *result) : codec_.refusal(result.error());
+  answer.close = !MayCarryNextCall(*call, result.has_value());
+  co_return answer;
 }
 
 // Returns the ready hosts of the caller's zone, to avoid traffic between zones,
--- a/sapphirebank/fleet/call_origin.cc
+++ b/sapphirebank/fleet/call_origin.cc
@@ -31,6 +31,9 @@
                                   Duration limit,
                                   const SuspensionWatch& suspension) {
   if (now - origin.arrived_at >= limit) return "the call waited too long";
+  if (now - origin.connection_opened_at >= limit) {
+    return "the call may be as old as its connection";
+  }
   if (origin.caller_hung_up && *origin.caller_hung_up) {
     return "the caller hung up";
   }
--- a/sapphirebank/fleet/call_origin.h
+++ b/sapphirebank/fleet/call_origin.h
@@ -13,6 +13,10 @@
 struct CallOrigin {
   // When this machine had received the whole call, as far as the system tells.
   Instant arrived_at;
+  // When the caller can have begun to open the call's connection at the
+  // earliest. The call may be as old: a network that holds up bytes leaves no
+  // other trace.
+  Instant connection_opened_at;
   // Whether the caller hung up (CallerWatch). Null counts as false.
   std::shared_ptr<const std::atomic<bool>> caller_hung_up;
 };
@@ -47,7 +51,8 @@
 // Returns why an order from `origin` must not begin, or nothing if it may. An
 // operator without an answer turns to another host after a second, and may give
 // the opposite order there; an order that begins within `limit`, less than
-// that, is older than any other.
+// that, is older than any other. One that comes on an older connection may have
+// been held up on its way: its caller has to give it on a new one.
 std::string_view ReasonNotToBegin(Instant now, const CallOrigin& origin,
                                   Duration limit,
                                   const SuspensionWatch& suspension);
--- a/sapphirebank/transport/http_message.h
+++ b/sapphirebank/transport/http_message.h
@@ -48,6 +48,9 @@
   // When the last byte arrived at this machine, as far as the system tells; set
   // where HttpServerSettings::tracks_arrival asks for it.
   Instant arrived_at;
+  // When its caller can have begun to open the connection at the earliest
+  // (OpeningTime()); set with `arrived_at`.
+  Instant connection_opened_at;
 };
 
 // Remaining part of a body that is too large to be buffered.
--- a/sapphirebank/transport/http_server.cc
+++ b/sapphirebank/transport/http_server.cc
@@ -144,6 +144,13 @@
   std::size_t active_requests() const { return active_requests_; }
 
  private:
+  // Where the requests of a connection come from.
+  struct CallerOrigin {
+    std::string address;
+    // OpeningTime() where the settings ask for it.
+    Instant opened_at;
+  };
+
   asio::awaitable<void> AcceptLoop() {
     while (!draining_) {
       error_code error;
@@ -176,24 +183,29 @@
     const auto self = shared_from_this();
     const ScopedCount counted(connections_);
     error_code error;
+    CallerOrigin caller;
+    if (settings_.tracks_arrival) {
+      const Instant now = MonotonicNow();
+      caller.opened_at = OpeningTime(now, socket);
+    }
     const auto peer = socket.remote_endpoint(error);
     socket.set_option(tcp::no_delay(true), error);
-    const std::string address = peer.address().to_string();
+    caller.address = peer.address().to_string();
     if (settings_.tls_certificate_file.empty()) {
       PlainStream stream(std::move(socket));
-      co_await ServeStream(stream, address);
+      co_await ServeStream(stream, caller);
       co_return;
     }
     TlsStream stream(beast::tcp_stream(std::move(socket)), tls_);
     stream.next_layer().expires_after(settings_.head_timeout);
     co_await stream.async_handshake(asio::ssl::stream_base::server,
                                     CaptureError(error));
-    if (!error) co_await ServeStream(stream, address);
+    if (!error) co_await ServeStream(stream, caller);
   }
 
   template <typename Stream>
   asio::awaitable<void> ServeStream(Stream& stream,
-                                    const std::string& address) {
+                                    const CallerOrigin& caller) {
     beast::flat_buffer buffer;
     bool open = true;
     while (open) {
@@ -201,7 +213,7 @@
       buffer.max_size(settings_.max_head_bytes + kReadSize);
       if (!co_await AwaitFirstByte(stream, buffer)) co_return;
       const ScopedCount counted(active_requests_);
-      open = co_await ServeRequest(stream, buffer, address);
+      open = co_await ServeRequest(stream, buffer, caller);
     }
     co_await EndStream(stream);
     co_await Linger(stream, buffer);
@@ -265,7 +277,7 @@
   // Serves one request. Returns whether the connection may carry another.
   template <typename Stream>
   asio::awaitable<bool> ServeRequest(Stream& stream, beast::flat_buffer& buffer,
-                                     const std::string& address) {
+                                     const CallerOrigin& caller) {
     const Result<std::size_t> head_size = co_await ReadHead(stream, buffer);
     if (!head_size) co_return co_await Refuse(stream, head_size.error());
     const Result<void> checked = CheckRequestHead(std::string_view(
@@ -284,7 +296,7 @@
     }
     HttpRequest request;
     request.head = HeadOf(parser.get());
-    request.peer_address = address;
+    request.peer_address = caller.address;
     const Result<std::uint64_t> limit = AcceptHead(request.head, parser);
     if (!limit) co_return co_await Refuse(stream, limit.error());
     const ScopedByteReservation held(reserved_body_bytes_, *limit);
@@ -295,6 +307,7 @@
     if (settings_.tracks_arrival) {
       const Instant now = MonotonicNow();
       request.arrived_at = LastDataArrival(now, TcpLayer(stream).socket());
+      request.connection_opened_at = caller.opened_at;
     }
     request.watch = std::make_shared<CallerWatch>();
     const std::shared_ptr<CallerWatch> watch = request.watch;
--- a/sapphirebank/transport/http_server.h
+++ b/sapphirebank/transport/http_server.h
@@ -30,9 +30,10 @@
   // Mark refusals of requests that were not handled, so that another entry host
   // can tell them from a backend server's answers.
   bool marks_refusals = false;
-  // Tell the handler when a request arrived, and at once whether its caller has
-  // left meanwhile: a process that was suspended reads late. This takes two
-  // system calls a request.
+  // Tell the handler when a request arrived and when its connection was opened,
+  // and at once whether its caller has left meanwhile: a process that was
+  // suspended reads late, and so does one behind a link that was cut. This
+  // takes two system calls a request and one a connection.
   bool tracks_arrival = false;
   // TLS is off when these are empty (PEM files).
   std::string tls_certificate_file;
--- a/unit_tests/transport/http_server_test.cc
+++ b/unit_tests/transport/http_server_test.cc
@@ -375,5 +375,44 @@
   CHECK(has_left == caller_leaves);
 }
 
+// Guards against an order that the network held up and whose host takes it for
+// new: its bytes come late on a connection that was opened in time, accepted at
+// once or by a process that was suspended.
+TEST_CASE("a request that was held up tells when its connection was opened",
+          "[transport]") {
+  constexpr auto kHeld = std::chrono::milliseconds(400);
+  const bool is_accepted_late = GENERATE(false, true);
+  CAPTURE(is_accepted_late);
+  std::atomic<Duration> age = Duration::zero();
+  std::atomic<bool> was_handled = false;
+  LoopThread loop;
+  HttpServerSettings settings;
+  settings.tracks_arrival = true;
+  HttpServer::Hooks hooks;
+  hooks.accept_head = [](const HttpRequestHead&) -> Result<std::uint64_t> {
+    return kBodyLimit;
+  };
+  hooks.handle = [&](HttpRequest request) {
+    age = MonotonicNow() - request.connection_opened_at;
+    was_handled = true;
+    return Echo(std::move(request));
+  };
+  const auto server = HttpServer::Listen(loop.loop(), settings, hooks);
+  if (is_accepted_late) {
+    asio::post(loop.loop(), [&] { std::this_thread::sleep_for(kHeld); });
+  }
+  RawConnection caller(server->port());
+  std::this_thread::sleep_for(kHeld);
+  caller.Send("POST /order HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n");
+  for (int i = 0; i < 200 && !was_handled; ++i) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  loop.Stop();
+  REQUIRE(was_handled);
+  // The system counts in its own ticks.
+  CHECK(age.load() > kHeld / 2);
+  CHECK(age.load() < std::chrono::seconds(10));
+}
+
 }  // namespace
 }  // namespace sapphirebank
