Give hosts the limit on changes of zones before the test of a held order asks

The logs of one show no late order: the three held copies were refused, "zone kochi out" was acknowledged at 31.180 and applied by both entry hosts at 31.220, and the requests of those 40 ms were served. An acknowledgement binds hosts within the limit on changes of zones, 5 s, so the test asked for more than is promised. It now waits for that limit; every request after it must be refused as before, and with the check of the connection taken out the copies are still acknowledged and the zone stays in use.

--- a/system_tests/platform/late_order_test.cc
+++ b/system_tests/platform/late_order_test.cc
@@ -19,6 +19,9 @@
 using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 
+// The limit on changes of zones in the settings of the fleet.
+constexpr auto kZoneChange = std::chrono::seconds(5);
+
 // Calls to a control host whose answers nobody reads.
 class UnansweredCalls {
  public:
@@ -86,6 +89,8 @@
   for (HeldCall& call : calls) {
     CHECK(call.Send("evacuations.end" + zone).starts_with("HTTP/1.1 503"));
   }
+  // The acknowledgement binds every host within this time.
+  std::this_thread::sleep_for(kZoneChange);
   for (int i = 0; i < 10; ++i) {
     const auto answer = fleet.SendRequest(i % 2, "GET", "/lookup/1");
     REQUIRE(answer);
