--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -6,6 +6,7 @@
 #include "sapphirebank/consensus/posix_file_system.h"
 #include "sapphirebank/fleet/control_timing.h"
 #include "sapphirebank/fleet/detour_hosts.h"
+#include "sapphirebank/telemetry/process_memory.h"
 #include "sapphirebank/transport/process_clock.h"
 
 namespace sapphirebank {
@@ -249,6 +250,7 @@
                {{"term", host_.raft().term()},
                 {"last_index", host_.raft().log().last().index}});
   }
+  if (effects.compaction) LogCompactionOf(*effects.compaction);
   if (effects.fleet_changed) ApplyRecord(now);
   for (Completion& completion : effects.completions) {
     const auto callback = completions_.extract(completion.token);
@@ -267,6 +269,15 @@
   LogAdmission(Now());
 }
 
+void ControlProcess::LogCompactionOf(const LogCompaction& compaction) {
+  log_.Write(LogLevel::kInfo, "log_compacted",
+             {{"entries_before", compaction.entries_before},
+              {"bytes_before", compaction.bytes_before},
+              {"entries_after", compaction.entries_after},
+              {"bytes_after", compaction.bytes_after},
+              {"snapshot_bytes", compaction.snapshot_bytes}});
+}
+
 void ControlProcess::LogHealthChanges() {
   for (const ServerHealthChange& change : hub_.TakeHealthChanges()) {
     log_.Write(LogLevel::kInfo, "server_judged",
@@ -345,6 +356,26 @@
                               service_counts.ejected);
   }
   UpdateWorkMetrics(now);
+  UpdateMemoryMetrics();
+}
+
+void ControlProcess::UpdateMemoryMetrics() {
+  ControlMemory memory;
+  memory.log = host_.raft().log().bytes();
+  if (const auto& data = host_.raft().snapshot().data) {
+    memory.snapshot = data->size();
+  }
+  memory.plan = host_.state().fleet().document().size();
+  memory.plan_history = hub_.plan_history_bytes();
+  for (const auto& [number, call] : pending_) {
+    const auto* plan =
+        call.command ? std::get_if<StorePlan>(&*call.command) : nullptr;
+    if (plan != nullptr) memory.pending_calls += plan->document.size();
+  }
+  metrics_->metrics().SetControlMemory(memory);
+  if (const auto process = ReadProcessMemory()) {
+    metrics_->metrics().SetProcessMemory(process->resident, process->anonymous);
+  }
 }
 
 void ControlProcess::UpdateWorkMetrics(Instant now) {
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -132,6 +132,7 @@
   bool HasNewestUpdate(Instant now) const;
   void SendUpdate(LinkId link, FleetUpdate update, Instant now);
   void PublishReady(Instant now);
+  void LogCompactionOf(const LogCompaction& compaction);
   void LogHealthChanges();
   void LogShareChanges();
   void LogAdmission(Instant now);
@@ -139,6 +140,7 @@
   void LogLateHandling(const HostId& from, Instant arrived_at);
   void UpdateMetrics(Instant now);
   void UpdateWorkMetrics(Instant now);
+  void UpdateMemoryMetrics();
   void LogPlacement(const DispatchQuery& query, const Placement& placement);
 
   // control_process_links.cc
--- a/sapphirebank/consensus/control_host.cc
+++ b/sapphirebank/consensus/control_host.cc
@@ -413,8 +413,15 @@
   const LogIndex through =
       applied_.index - std::min(applied_.index, settings_.trailing_entries);
   log_bytes_since_snapshot_ = 0;
+  LogCompaction compaction;
+  compaction.entries_before = node_.log().size();
+  compaction.bytes_before = node_.log().bytes();
+  compaction.snapshot_bytes = snapshot.data->size();
   return storage_.SaveSnapshot(snapshot, false).and_then([&] {
     node_.Compact(std::move(snapshot), through);
+    compaction.entries_after = node_.log().size();
+    compaction.bytes_after = node_.log().bytes();
+    effects_.compaction = compaction;
     return storage_.DropThrough(through);
   });
 }
--- a/sapphirebank/consensus/control_host.h
+++ b/sapphirebank/consensus/control_host.h
@@ -129,6 +129,15 @@
   std::optional<HostId> leader;
 };
 
+// What a host keeps of the log before and after a snapshot was taken.
+struct LogCompaction {
+  std::size_t entries_before = 0;
+  std::size_t bytes_before = 0;
+  std::size_t entries_after = 0;
+  std::size_t bytes_after = 0;
+  std::size_t snapshot_bytes = 0;
+};
+
 struct ControlEffects {
   std::vector<PeerEnvelope> messages;
   std::vector<Completion> completions;
@@ -137,6 +146,8 @@
   // Whether the FleetRecord changed.
   bool fleet_changed = false;
   std::optional<FreshnessStamp> stamp;
+  // Set when a snapshot was taken.
+  std::optional<LogCompaction> compaction;
   // Set when the data folder failed, or cannot be opened again for another
   // cause than before. This host takes no part in the group until the folder
   // has been opened again, which Tick attempts.
--- a/sapphirebank/consensus/raft_log.h
+++ b/sapphirebank/consensus/raft_log.h
@@ -53,6 +53,9 @@
   // `term`.
   LogIndex LastIndexWithTermAtMost(Term term, LogIndex limit) const;
 
+  // Returns the number of held entries.
+  std::size_t size() const { return entries_.size(); }
+
   // Returns the total payload of the held entries in bytes.
   std::size_t bytes() const { return bytes_; }
 
--- a/sapphirebank/fleet/fleet_hub.h
+++ b/sapphirebank/fleet/fleet_hub.h
@@ -186,6 +186,9 @@
 
   const ServerRegistry& registry() const { return registry_; }
 
+  // Returns the bytes kept to send patches from earlier plans.
+  std::size_t plan_history_bytes() const { return plans_.bytes(); }
+
   // Returns the refusals of requests since the last call.
   std::vector<AdmissionTally> TakeAdmissionTallies() {
     return admission_.TakeTallies();
--- a/sapphirebank/fleet/plan_history.cc
+++ b/sapphirebank/fleet/plan_history.cc
@@ -8,13 +8,21 @@
 
 void PlanHistory::Add(PlanVersion version, const std::string& document) {
   constexpr bool kAllowExceptions = false;
-  plans_.push_back(
-      {version, nlohmann::json::parse(document, nullptr, kAllowExceptions)});
+  plans_.push_back({version,
+                    nlohmann::json::parse(document, nullptr, kAllowExceptions),
+                    document.size()});
   if (plans_.size() > kMaxPlans) plans_.pop_front();
   newest_text_ = Compress(document);
   patches_.clear();
 }
 
+std::size_t PlanHistory::bytes() const {
+  std::size_t bytes = newest_text_.size();
+  for (const Plan& plan : plans_) bytes += plan.text_bytes;
+  for (const auto& [version, patch] : patches_) bytes += patch.size();
+  return bytes;
+}
+
 PlanUpdate PlanHistory::UpdateSince(PlanVersion held_version) {
   const Plan& newest = plans_.back();
   const auto base_plan = std::find_if(
--- a/sapphirebank/fleet/plan_history.h
+++ b/sapphirebank/fleet/plan_history.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <deque>
 #include <map>
 #include <nlohmann/json.hpp>
@@ -25,6 +26,9 @@
     return plans_.empty() ? 0 : plans_.back().version;
   }
 
+  // Returns the bytes of text that are kept, parsed documents as their text.
+  std::size_t bytes() const;
+
   // Returns the update from `held_version` to the newest plan.
   PlanUpdate UpdateSince(PlanVersion held_version);
 
@@ -32,6 +36,7 @@
   struct Plan {
     PlanVersion version = 0;
     nlohmann::json document;
+    std::size_t text_bytes = 0;
   };
 
   std::deque<Plan> plans_;
--- a/sapphirebank/telemetry/fleet_metrics.cc
+++ b/sapphirebank/telemetry/fleet_metrics.cc
@@ -136,6 +136,12 @@
       control_group_member_(Register<Gauge>(
           "sapphirebank_control_group_member",
           "1 on a control host that belongs to the control group, else 0.")),
+      control_memory_(
+          Register<Gauge>("sapphirebank_control_memory_bytes",
+                          "Bytes that a control host keeps, by part.")),
+      process_memory_(
+          Register<Gauge>("sapphirebank_process_memory_bytes",
+                          "Memory of the process: resident, anonymous.")),
       members_(Register<Gauge>("sapphirebank_members",
                                "Members of the fleet by state.")),
       zone_in_service_(
@@ -307,6 +313,26 @@
   control_group_member_.Add({}).Set(is_member ? 1 : 0);
 }
 
+void FleetMetrics::SetControlMemory(const ControlMemory& memory) {
+  const std::pair<const char*, std::size_t> bytes_by_part[] = {
+      {"log", memory.log},
+      {"snapshot", memory.snapshot},
+      {"plan", memory.plan},
+      {"plan_history", memory.plan_history},
+      {"pending_calls", memory.pending_calls}};
+  for (const auto& [part, bytes] : bytes_by_part) {
+    control_memory_.Add({{"part", part}}).Set(static_cast<double>(bytes));
+  }
+}
+
+void FleetMetrics::SetProcessMemory(std::uint64_t resident,
+                                    std::uint64_t anonymous) {
+  process_memory_.Add({{"kind", "resident"}})
+      .Set(static_cast<double>(resident));
+  process_memory_.Add({{"kind", "anonymous"}})
+      .Set(static_cast<double>(anonymous));
+}
+
 void FleetMetrics::SetMembers(const MemberCounts& counts) {
   const std::pair<const char*, std::size_t> counts_by_state[] = {
       {"alive", counts.alive},
--- a/sapphirebank/telemetry/fleet_metrics.h
+++ b/sapphirebank/telemetry/fleet_metrics.h
@@ -34,6 +34,15 @@
 // The kind of component whose failure was detected.
 enum class DetectionSubject { kHost, kBackendServer };
 
+// What a control host keeps in memory, in bytes of payload.
+struct ControlMemory {
+  std::size_t log = 0;            // Entries of the replicated log.
+  std::size_t snapshot = 0;       // The last snapshot, encoded.
+  std::size_t plan = 0;           // The plan document.
+  std::size_t plan_history = 0;   // Patches from earlier plans.
+  std::size_t pending_calls = 0;  // Plans of calls that have no answer yet.
+};
+
 // Numbers of fleet members by membership state.
 struct MemberCounts {
   std::size_t alive = 0;
@@ -126,6 +135,13 @@
   // Sets whether this control host belongs to the control group.
   void SetControlGroupMember(bool is_member);
 
+  // Sets what this control host keeps in memory, by part.
+  void SetControlMemory(const ControlMemory& memory);
+
+  // Sets the memory of this process as the system counts it, in bytes: all that
+  // is resident, and the part that no file backs.
+  void SetProcessMemory(std::uint64_t resident, std::uint64_t anonymous);
+
   // Sets the number of members by state, as this host sees them.
   void SetMembers(const MemberCounts& counts);
 
@@ -181,6 +197,8 @@
   Family<prometheus::Gauge>& configuration_revision_;
   Family<prometheus::Gauge>& freshness_age_;
   Family<prometheus::Gauge>& control_group_member_;
+  Family<prometheus::Gauge>& control_memory_;
+  Family<prometheus::Gauge>& process_memory_;
   Family<prometheus::Gauge>& members_;
   Family<prometheus::Gauge>& zone_in_service_;
   Family<prometheus::Counter>& control_bytes_;
--- a/unit_tests/telemetry/fleet_metrics_test.cc
+++ b/unit_tests/telemetry/fleet_metrics_test.cc
@@ -36,6 +36,8 @@
   metrics->CountRolloutDecision(desk, RolloutPhase::kSwitch);
   metrics->CountRolloutRefusal(ErrorKind::kNotFound);
   metrics->SetZoneInService(ZoneId("fann"), false);
+  metrics->SetControlMemory({.log = 4096, .pending_calls = 77});
+  metrics->SetProcessMemory(9000, 7000);
   const std::string text = metrics->Serialize();
   const std::string_view expected_texts[] = {
       R"(sapphirebank_requests_total{host="e1",zone="kochi",)",
@@ -57,6 +59,10 @@
       R"(phase="switch",service="desk"} 1)",
       R"(sapphirebank_rollout_decisions_total{host="e1",zone="kochi",)",
       R"(kind="not_found"} 1)",
+      R"(sapphirebank_control_memory_bytes{host="e1",zone="kochi",part="log"} 4096)",
+      R"(part="pending_calls"} 77)",
+      R"(kind="resident"} 9000)",
+      R"(kind="anonymous"} 7000)",
   };
   for (const std::string_view expected : expected_texts) {
     INFO(expected << "\n" << text);
