Bound the replicated log by bytes, in memory and in the data folder

After some 110 changes of a configuration of 1 MB all control processes pass their memory within seconds of each other, and again soon after each restart, as the log is read back.

A start keeps the same bytes while it reads and removes files that hold nothing else, so that a folder which the build before has written is read and cut.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -65,6 +65,7 @@
   host.raft.first_election_timeout = kFirstElectionTimeout;
   host.hello_interval = std::chrono::milliseconds(300);
   host.stamp_interval = std::chrono::hours(1);
+  host.retention.trailing_bytes = settings.MaxTrailingLogBytes();
   for (const Endpoint& seed : settings.seeds) {
     host.control_hosts.push_back(FleetHost(settings, seed));
   }
--- a/sapphirebank/consensus/control_host.cc
+++ b/sapphirebank/consensus/control_host.cc
@@ -86,8 +86,9 @@
   const NodeId new_node = Contains(settings.founders, settings.host)
                               ? FounderNodeId(settings.host)
                               : RandomNodeId(random);
-  auto storage =
-      LogStorage::Open(files, settings.host, new_node, settings.storage);
+  const SegmentLogSettings log_settings{settings.segment_bytes,
+                                        settings.retention.trailing_bytes};
+  auto storage = LogStorage::Open(files, settings.host, new_node, log_settings);
   if (!storage) return tl::unexpected(storage.error());
   RaftState recovered = storage->TakeRecovered();
   recovered.known_commit = known_commit;
@@ -108,7 +109,8 @@
       state_(std::move(state)),
       presence_(settings_.host, settings_.control_hosts),
       contacts_(settings_.host),
-      applied_(node_.snapshot().last) {
+      applied_(node_.snapshot().last),
+      retention_(settings_.retention) {
   BootstrapFromFounders();
 }
 
@@ -353,7 +355,10 @@
   }
   if (effects.snapshot) {
     auto saved = storage_.SaveSnapshot(*effects.snapshot, effects.drop_log)
-                     .and_then([&] { return RestoreState(*effects.snapshot); });
+                     .and_then([&] { return RestoreState(*effects.snapshot); })
+                     .and_then([&] {
+                       return storage_.DropThrough(node_.log().base().index);
+                     });
     if (!saved) return saved;
   }
   return storage_.Append(effects.entries);
@@ -365,7 +370,7 @@
   return ControlState::Restore(*snapshot.data).map([&](ControlState state) {
     state_ = std::move(state);
     applied_ = snapshot.last;
-    log_bytes_since_snapshot_ = 0;
+    retention_.RecordSnapshot();
     const Revision after = state_.declarations().revision();
     assert(after >= before);
     if (after != before) effects_.revision = after;
@@ -385,7 +390,7 @@
                    });
     }
     applied_ = entry.position;
-    log_bytes_since_snapshot_ += entry.payload.size();
+    retention_.RecordApplied(entry.payload.size());
     const auto pending = proposals_.find(applied_.index);
     if (pending == proposals_.end()) continue;
     const PendingProposal proposal = pending->second;
@@ -405,14 +410,12 @@
 
 Result<void> ControlHost::MaybeTakeSnapshot() {
   const auto& last = node_.snapshot().data;
-  const std::size_t limit =
-      std::max(settings_.snapshot_log_bytes, last ? last->size() : 0);
-  if (log_bytes_since_snapshot_ < limit) return {};
+  if (!retention_.IsSnapshotDue(last ? last->size() : 0)) return {};
   Snapshot snapshot{applied_, node_.MembershipAt(applied_.index),
                     std::make_shared<const std::string>(state_.Snapshot())};
   const LogIndex through =
-      applied_.index - std::min(applied_.index, settings_.trailing_entries);
-  log_bytes_since_snapshot_ = 0;
+      retention_.DiscardThrough(node_.log(), applied_.index);
+  retention_.RecordSnapshot();
   LogCompaction compaction;
   compaction.entries_before = node_.log().size();
   compaction.bytes_before = node_.log().bytes();
--- a/sapphirebank/consensus/control_host.h
+++ b/sapphirebank/consensus/control_host.h
@@ -12,6 +12,7 @@
 #include "sapphirebank/consensus/control_command.h"
 #include "sapphirebank/consensus/control_state.h"
 #include "sapphirebank/consensus/file_system.h"
+#include "sapphirebank/consensus/log_retention.h"
 #include "sapphirebank/consensus/log_storage.h"
 #include "sapphirebank/consensus/peer_contacts.h"
 #include "sapphirebank/consensus/peer_message.h"
@@ -57,7 +58,7 @@
   // All hosts of the group, including this one: one, three or five.
   std::vector<HostId> control_hosts;
   RaftSettings raft;
-  LogStorageSettings storage;
+  std::size_t segment_bytes = SegmentLogSettings().segment_bytes;
 
   // Hosts may join and leave at run time: any host that sends a Hello is
   // admitted, and a host that is lost loses its vote. `control_hosts` are then
@@ -87,12 +88,7 @@
   // Limit on proposals and reads in progress.
   std::size_t max_pending = 4096;
 
-  // A snapshot is taken when the log since the last one exceeds both this limit
-  // and the size of the last snapshot.
-  std::size_t snapshot_log_bytes = 4UL << 20;
-  // Entries kept before the position of a snapshot, so that followers that lag
-  // slightly do not need the snapshot.
-  std::uint64_t trailing_entries = 1024;
+  LogRetentionSettings retention;
 
   Duration stamp_interval = std::chrono::seconds(1);
   Duration clock_interval = std::chrono::seconds(30);
@@ -282,7 +278,7 @@
   PeerPresence presence_;
   PeerContacts contacts_;
   LogPosition applied_;
-  std::size_t log_bytes_since_snapshot_ = 0;
+  LogRetention retention_;
   WallTime wall_time_;
   Instant next_stamp_;
   Instant next_clock_;
--- a/sapphirebank/consensus/log_storage.cc
+++ b/sapphirebank/consensus/log_storage.cc
@@ -55,7 +55,7 @@
 
 Result<LogStorage> LogStorage::Open(FileSystem& files, const HostId& host,
                                     const NodeId& new_node,
-                                    const LogStorageSettings& settings) {
+                                    const SegmentLogSettings& settings) {
   auto node = OpenIdentity(files, host, new_node);
   if (!node) return tl::unexpected(node.error());
   auto names = files.List();
@@ -69,7 +69,7 @@
   auto snapshot = ReadSnapshot(files, *names);
   if (!snapshot) return tl::unexpected(snapshot.error());
   auto log = SegmentLog::Open(files, StableHash(node->value()), snapshot->last,
-                              settings.segment_bytes);
+                              settings);
   if (!log) return tl::unexpected(log.error());
 
   RaftState recovered{*hard_state, *snapshot, log->TakeEntries()};
--- a/sapphirebank/consensus/log_storage.h
+++ b/sapphirebank/consensus/log_storage.h
@@ -12,10 +12,6 @@
 
 namespace sapphirebank {
 
-struct LogStorageSettings {
-  std::size_t segment_bytes = 4UL << 20;
-};
-
 // The persistent state of one control host: its identity, the hard state, the
 // snapshot and the log. Everything that a function stores is durable when it
 // returns.
@@ -30,7 +26,7 @@
   // kInvalidSettings when the folder belongs to another host.
   static Result<LogStorage> Open(FileSystem& files, const HostId& host,
                                  const NodeId& new_node,
-                                 const LogStorageSettings& settings);
+                                 const SegmentLogSettings& settings);
 
   // Returns the node id of the data folder.
   const NodeId& node() const { return node_; }
--- a/sapphirebank/consensus/segment_log.cc
+++ b/sapphirebank/consensus/segment_log.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string_view>
@@ -53,7 +54,7 @@
 
 Result<SegmentLog> SegmentLog::Open(FileSystem& files, std::uint64_t salt,
                                     LogPosition snapshot,
-                                    std::size_t segment_bytes) {
+                                    const SegmentLogSettings& settings) {
   auto names = files.List();
   if (!names) return tl::unexpected(names.error());
   std::vector<std::uint64_t> numbers;
@@ -61,7 +62,7 @@
     if (const auto number = SegmentNumber(name)) numbers.push_back(*number);
   }
   std::sort(numbers.begin(), numbers.end());
-  SegmentLog log(files, salt, segment_bytes);
+  SegmentLog log(files, salt, settings);
   for (const std::uint64_t number : numbers) {
     auto loaded = log.LoadSegment(number, snapshot, number == numbers.back());
     if (!loaded) return tl::unexpected(loaded.error());
@@ -71,9 +72,35 @@
   if (auto synced = files.SyncFolder(); !synced) {
     return tl::unexpected(synced.error());
   }
+  if (!log.entries_.empty()) {
+    auto dropped = log.DropThrough(log.entries_.front().position.index - 1);
+    if (!dropped) return tl::unexpected(dropped.error());
+  }
   return log;
 }
 
+std::vector<LogEntry> SegmentLog::TakeEntries() {
+  std::vector<LogEntry> entries(std::make_move_iterator(entries_.begin()),
+                                std::make_move_iterator(entries_.end()));
+  ClearEntries();
+  return entries;
+}
+
+void SegmentLog::ClearEntries() {
+  entries_.clear();
+  entry_bytes_ = 0;
+}
+
+// Keeps the memory of a start within bounds while a long log is read. The entry
+// at the snapshot stays, as its term is compared with the snapshot's.
+void SegmentLog::DropOldEntries(LogPosition snapshot) {
+  while (entry_bytes_ > settings_.trailing_bytes &&
+         entries_.front().position.index < snapshot.index) {
+    entry_bytes_ -= entries_.front().payload.size();
+    entries_.pop_front();
+  }
+}
+
 Result<void> SegmentLog::LoadSegment(std::uint64_t number, LogPosition snapshot,
                                      bool is_last) {
   const std::string name = SegmentName(number);
@@ -110,7 +137,7 @@
   try {
     const auto json = nlohmann::json::from_cbor(payload);
     if (json.contains(kResetField)) {
-      entries_.clear();
+      ClearEntries();
       segment.last_index =
           json.at(std::string(kResetField)).get<LogPosition>().index;
       return {};
@@ -131,6 +158,7 @@
 Result<void> SegmentLog::ReplayEntry(LogEntry entry, LogPosition snapshot) {
   const LogIndex index = entry.position.index;
   while (!entries_.empty() && entries_.back().position.index >= index) {
+    entry_bytes_ -= entries_.back().payload.size();
     entries_.pop_back();
   }
   const bool follows =
@@ -141,9 +169,11 @@
           ErrorKind::kStorageFailed,
           fmt::format("the entries before index {} are missing", index));
     }
-    entries_.clear();
+    ClearEntries();
   }
+  entry_bytes_ += entry.payload.size();
   entries_.push_back(std::move(entry));
+  DropOldEntries(snapshot);
   return {};
 }
 
@@ -182,7 +212,7 @@
 Result<void> SegmentLog::AppendRecord(const std::string& payload,
                                       LogIndex last_index) {
   const bool is_full =
-      !segments_.empty() && segments_.back().size >= segment_bytes_;
+      !segments_.empty() && segments_.back().size >= settings_.segment_bytes;
   if (segments_.empty() || is_full) {
     const std::uint64_t number = is_full ? segments_.back().number + 1 : 1;
     segments_.push_back({number, 0, 0});
--- a/sapphirebank/consensus/segment_log.h
+++ b/sapphirebank/consensus/segment_log.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <span>
 #include <string>
 #include <vector>
@@ -12,6 +13,13 @@
 
 namespace sapphirebank {
 
+struct SegmentLogSettings {
+  // Size from which a new file is begun.
+  std::size_t segment_bytes = 4UL << 20;
+  // Payload up to which entries before the snapshot are read back.
+  std::size_t trailing_bytes = 16UL << 20;
+};
+
 // Stores log entries in numbered, append-only segment files. Each record holds
 // the entries of one Append and supersedes everything from its first index on,
 // so nothing is overwritten in place. Old files are removed after compaction.
@@ -22,15 +30,19 @@
   // may be missing; later ones must be complete. An incomplete record at the
   // very end is dropped; any other damage fails with kStorageFailed, naming
   // file and offset. Everything that is read is durable afterwards.
+  //
+  // Of the entries before `snapshot`, only as many are kept as fit into
+  // `settings.trailing_bytes` together with the later ones; files that hold
+  // nothing else are removed.
   static Result<SegmentLog> Open(FileSystem& files, std::uint64_t salt,
                                  LogPosition snapshot,
-                                 std::size_t segment_bytes);
+                                 const SegmentLogSettings& settings);
 
   // Returns whether `name` is the name of a segment file.
   static bool IsSegmentName(const std::string& name);
 
   // Returns the entries that Open read. To be called once.
-  std::vector<LogEntry> TakeEntries() { return std::move(entries_); }
+  std::vector<LogEntry> TakeEntries();
 
   // Stores `entries` and discards any others with the same or a higher index.
   // They are durable when the function returns.
@@ -49,22 +61,26 @@
     LogIndex last_index = 0;
   };
 
-  SegmentLog(FileSystem& files, std::uint64_t salt, std::size_t segment_bytes)
-      : files_(&files), salt_(salt), segment_bytes_(segment_bytes) {}
+  SegmentLog(FileSystem& files, std::uint64_t salt,
+             const SegmentLogSettings& settings)
+      : files_(&files), salt_(salt), settings_(settings) {}
 
   Result<void> LoadSegment(std::uint64_t number, LogPosition snapshot,
                            bool is_last);
   Result<void> ReplayRecord(std::string_view payload, LogPosition snapshot,
                             Segment& segment);
   Result<void> ReplayEntry(LogEntry entry, LogPosition snapshot);
+  void ClearEntries();
+  void DropOldEntries(LogPosition snapshot);
   Result<void> AppendRecord(const std::string& payload, LogIndex last_index);
   Result<void> RemoveFirstSegment();
 
   FileSystem* files_;
   std::uint64_t salt_;
-  std::size_t segment_bytes_;
+  SegmentLogSettings settings_;
   std::vector<Segment> segments_;
-  std::vector<LogEntry> entries_;
+  std::deque<LogEntry> entries_;
+  std::size_t entry_bytes_ = 0;  // The payload of entries_.
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/fleet/fleet_settings.cc
+++ b/sapphirebank/fleet/fleet_settings.cc
@@ -26,6 +26,7 @@
   }
 }
 
+constexpr std::size_t kBytesPerMb = std::size_t{1} << 20U;
 constexpr std::uint32_t kMinMemoryMb = 32;
 constexpr std::uint32_t kMaxMemoryMb = 1024 * 1024;
 
@@ -68,12 +69,31 @@
 }  // namespace
 
 std::size_t FleetSettings::MaxAnswerBytes() const {
-  constexpr std::size_t kBytesPerMb = std::size_t{1} << 20U;
   // The other parts are request bodies, connections, and the view.
   constexpr std::size_t kParts = 4;
   return memory_mb * kBytesPerMb / kParts;
 }
 
+std::size_t FleetSettings::MaxTrailingLogBytes() const {
+  // The log since the snapshot, copies of entries on their way to the disk and
+  // to other control hosts, and several forms of the plan need the rest.
+  constexpr std::size_t kParts = 16;
+  return memory_mb * kBytesPerMb / kParts;
+}
+
+std::size_t FleetSettings::MaxPlanBytes() const {
+  // A parsed plan takes about ten times its text, and the next one is read
+  // while the last is in force.
+  constexpr std::size_t kParts = 64;
+  return memory_mb * kBytesPerMb / kParts;
+}
+
+std::size_t FleetSettings::MaxPendingPlanBytes() const {
+  // Copies are made on the way to the log and to the other control hosts.
+  constexpr std::size_t kParts = 8;
+  return memory_mb * kBytesPerMb / kParts;
+}
+
 double FleetSettings::LinkRate() const {
   constexpr double kBytesPerMegabit = 1e6 / 8;
   return link_mbps * kBytesPerMegabit;
--- a/sapphirebank/fleet/fleet_settings.h
+++ b/sapphirebank/fleet/fleet_settings.h
@@ -79,6 +79,17 @@
   // Entry host: returns the bytes that answers of backend servers may take.
   std::size_t MaxAnswerBytes() const;
 
+  // Control host: returns the bytes of the replicated log that may be kept
+  // behind a snapshot.
+  std::size_t MaxTrailingLogBytes() const;
+
+  // Control host: returns the size up to which a plan is accepted, in bytes.
+  std::size_t MaxPlanBytes() const;
+
+  // Control host: returns the bytes that plans of calls without an answer may
+  // take.
+  std::size_t MaxPendingPlanBytes() const;
+
   // Returns the rate of the host's own link in bytes per second, or 0.
   double LinkRate() const;
 
--- a/unit_tests/consensus/control_group.cc
+++ b/unit_tests/consensus/control_group.cc
@@ -300,9 +300,9 @@
 }
 
 void UseSmallLogs(ControlHostSettings& settings) {
-  settings.snapshot_log_bytes = 2000;
-  settings.trailing_entries = 5;
-  settings.storage.segment_bytes = 1000;
+  settings.retention.snapshot_log_bytes = 2000;
+  settings.retention.trailing_entries = 5;
+  settings.segment_bytes = 1000;
   settings.raft.snapshot_chunk_bytes = 500;
 }
 
--- a/unit_tests/consensus/fault_schedule_test.cc
+++ b/unit_tests/consensus/fault_schedule_test.cc
@@ -35,9 +35,9 @@
  public:
   FaultSchedule(std::size_t hosts, std::uint64_t seed)
       : group_(hosts, seed, [](ControlHostSettings& settings) {
-          settings.snapshot_log_bytes = 3000;
-          settings.trailing_entries = 3;
-          settings.storage.segment_bytes = 1000;
+          settings.retention.snapshot_log_bytes = 3000;
+          settings.retention.trailing_entries = 3;
+          settings.segment_bytes = 1000;
           settings.raft.snapshot_chunk_bytes = 700;
           settings.raft.max_append_bytes = 300;
           settings.raft.max_unacknowledged_entries = 8;
--- a/unit_tests/consensus/log_storage_test.cc
+++ b/unit_tests/consensus/log_storage_test.cc
@@ -10,7 +10,7 @@
 
 const HostId kHost("control-0");
 const NodeId kNode("node-0");
-constexpr LogStorageSettings kSmallSegments{300};
+constexpr SegmentLogSettings kSmallSegments{300};
 
 // The state that a data folder is expected to hold.
 struct ExpectedState {
