Limit what a leader sends ahead to a follower by bytes

Cause: the limit on unacknowledged entries counts entries (8,192), and heartbeats did not ask it at all: each carried the next entry of any size. What the follower does not read waits on its link, a copy an entry.

Change: `max_unacknowledged_bytes`, 8 MiB; beyond either limit a heartbeat is empty. `RaftLog` sums the payload, so that the limit costs no walk through the log.

Test: "a follower that does not answer is sent a limited part of the log", entries of 100, 5,000 and 300 bytes against 1,000 and 100,000. [consensus] passes.

--- a/sapphirebank/consensus/raft_leader.cc
+++ b/sapphirebank/consensus/raft_leader.cc
@@ -123,12 +123,22 @@
     RaftProgress& progress = found->second;
     if (progress.snapshot_transfer || progress.next_index > log_.last().index)
       continue;
-    const LogIndex limit =
-        progress.match_index + settings_.max_unacknowledged_entries;
-    if (progress.next_index <= limit) SendAppend(now, member, progress);
+    if (MaySendEntries(progress)) SendAppend(now, member, progress);
   }
 }
 
+// What a follower that does not read has not acknowledged is kept for it on its
+// link.
+bool RaftNode::MaySendEntries(const RaftProgress& progress) const {
+  const LogIndex limit =
+      progress.match_index + settings_.max_unacknowledged_entries;
+  if (progress.next_index > limit) return false;
+  const LogIndex from = std::max(progress.match_index, log_.base().index);
+  const LogIndex sent = progress.next_index - 1;
+  return sent <= from ||
+         log_.BytesBetween(from, sent) < settings_.max_unacknowledged_bytes;
+}
+
 void RaftNode::Broadcast(Instant now) {
   round_requested_ = false;
   next_heartbeat_ = now + settings_.heartbeat_interval;
@@ -150,20 +160,36 @@
   AppendRequest request;
   request.previous = {progress.next_index - 1,
                       *log_.TermAt(progress.next_index - 1)};
-  request.entries = log_.Slice(progress.next_index, settings_.max_append_bytes);
+  if (MaySendEntries(progress)) {
+    request.entries =
+        log_.Slice(progress.next_index, settings_.max_append_bytes);
+  }
   request.commit = commit_;
   request.round = round_;
   progress.next_index += request.entries.size();
   Send(member.host, member.node, hard_state_.term, std::move(request));
 }
 
+// Followers that need the same snapshot share its encoded form.
+SnapshotTransfer RaftNode::StartSnapshotTransfer(Instant now) const {
+  SnapshotTransfer transfer;
+  transfer.last = snapshot_.last;
+  transfer.sent_at = now - settings_.election_timeout;
+  for (const auto& [node, progress] : progress_) {
+    const auto& other = progress.snapshot_transfer;
+    if (other && other->last == snapshot_.last) transfer.bytes = other->bytes;
+  }
+  if (!transfer.bytes) {
+    transfer.bytes =
+        std::make_shared<const std::string>(EncodeSnapshot(snapshot_));
+  }
+  return transfer;
+}
+
 void RaftNode::SendSnapshot(Instant now, const GroupMember& member,
                             RaftProgress& progress, bool resend) {
   if (!progress.snapshot_transfer) {
-    progress.snapshot_transfer = SnapshotTransfer{
-        snapshot_.last,
-        std::make_shared<const std::string>(EncodeSnapshot(snapshot_)), 0,
-        now - settings_.election_timeout};
+    progress.snapshot_transfer = StartSnapshotTransfer(now);
   }
   SnapshotTransfer& transfer = *progress.snapshot_transfer;
   SnapshotRequest request;
--- a/sapphirebank/consensus/raft_log.cc
+++ b/sapphirebank/consensus/raft_log.cc
@@ -41,14 +41,24 @@
 void RaftLog::Append(LogEntry entry) {
   assert(entry.position.index == last().index + 1);
   assert(entry.position.term >= last().term);
-  bytes_ += entry.payload.size();
+  bytes_through_.push_back(BytesThrough(last().index) + entry.payload.size());
   entries_.push_back(std::move(entry));
 }
 
+std::uint64_t RaftLog::BytesThrough(LogIndex index) const {
+  assert(index >= base_.index && index <= last().index);
+  if (index == base_.index) return base_bytes_;
+  return bytes_through_[index - base_.index - 1];
+}
+
+std::size_t RaftLog::BytesBetween(LogIndex from, LogIndex through) const {
+  return BytesThrough(through) - BytesThrough(from);
+}
+
 void RaftLog::TruncateFrom(LogIndex from) {
   assert(from > base_.index);
   while (last().index >= from) {
-    bytes_ -= entries_.back().payload.size();
+    bytes_through_.pop_back();
     entries_.pop_back();
   }
 }
@@ -56,7 +66,8 @@
 void RaftLog::DropThrough(LogIndex index) {
   while (base_.index < index) {
     assert(!entries_.empty());
-    bytes_ -= entries_.front().payload.size();
+    base_bytes_ = bytes_through_.front();
+    bytes_through_.pop_front();
     base_ = entries_.front().position;
     entries_.pop_front();
   }
@@ -65,7 +76,8 @@
 void RaftLog::Reset(LogPosition base) {
   base_ = base;
   entries_.clear();
-  bytes_ = 0;
+  bytes_through_.clear();
+  base_bytes_ = 0;
 }
 
 LogIndex RaftLog::FirstIndexOfTermAt(LogIndex index) const {
--- a/sapphirebank/consensus/raft_log.h
+++ b/sapphirebank/consensus/raft_log.h
@@ -53,16 +53,25 @@
   // `term`.
   LogIndex LastIndexWithTermAtMost(Term term, LogIndex limit) const;
 
+  // Returns the payload in bytes of the entries after `from` up to `through`.
+  // Both must be held or the base.
+  std::size_t BytesBetween(LogIndex from, LogIndex through) const;
+
   // Returns the number of held entries.
   std::size_t size() const { return entries_.size(); }
 
   // Returns the total payload of the held entries in bytes.
-  std::size_t bytes() const { return bytes_; }
+  std::size_t bytes() const { return BytesBetween(base_.index, last().index); }
 
  private:
+  // Returns the payload of all entries up to `index` since the last Reset().
+  std::uint64_t BytesThrough(LogIndex index) const;
+
   LogPosition base_;
   std::deque<LogEntry> entries_;
-  std::size_t bytes_ = 0;
+  std::uint64_t base_bytes_ = 0;
+  // The payload of all entries up to each of `entries_`.
+  std::deque<std::uint64_t> bytes_through_;
 };
 
 }  // namespace sapphirebank
--- a/sapphirebank/consensus/raft_node.h
+++ b/sapphirebank/consensus/raft_node.h
@@ -35,9 +35,10 @@
   Duration first_election_timeout = std::chrono::milliseconds(600);
   std::size_t max_append_bytes = 256UL << 10;
   std::size_t snapshot_chunk_bytes = 256UL << 10;
-  // Limit on the entries that are sent to a follower before it acknowledges any
-  // of them.
+  // Limits on the entries that are sent to a follower before it acknowledges
+  // any of them. The first one is sent whatever its size.
   std::uint64_t max_unacknowledged_entries = 8192;
+  std::size_t max_unacknowledged_bytes = 8UL << 20;
 };
 
 // The persistent state of a node as found on disk at start.
@@ -248,8 +249,11 @@
   void Broadcast(Instant now);
   void SendAppend(Instant now, const GroupMember& member,
                   RaftProgress& progress);
+  // Returns whether a follower may be sent further entries.
+  bool MaySendEntries(const RaftProgress& progress) const;
   void SendSnapshot(Instant now, const GroupMember& member,
                     RaftProgress& progress, bool resend);
+  SnapshotTransfer StartSnapshotTransfer(Instant now) const;
   void Replicate(Instant now);
   void AdvanceCommit();
   bool HasQuorum(Instant now) const;
--- a/unit_tests/consensus/raft_node_test.cc
+++ b/unit_tests/consensus/raft_node_test.cc
@@ -1,5 +1,6 @@
 #include "sapphirebank/consensus/raft_node.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 
 #include "sapphirebank/consensus/log_storage.h"
@@ -244,5 +245,77 @@
   CHECK(state.entries.back().position == LogPosition{4, 2});
 }
 
+// Makes `node` the leader of a term in which all others vote for it.
+void Elect(RaftNode& node, Instant now) {
+  node.Tick(now);
+  for (const bool pre_vote : {true, false}) {
+    RaftEffects effects = node.TakeEffects(now);
+    node.OnPersisted();
+    for (const PeerEnvelope& envelope : effects.messages) {
+      const PeerMessage& asked = envelope.message;
+      node.Receive(
+          now, envelope.host,
+          {asked.to, kSelf, asked.term, VoteResponse{pre_vote, true, {}}});
+    }
+  }
+  REQUIRE(node.role() == ControlRole::kLeader);
+}
+
+// Guards against a leader that piles up large entries for a follower which does
+// not read, for as long as its link lives.
+TEST_CASE("a follower that does not answer is sent a limited part of the log",
+          "[consensus]") {
+  struct Row {
+    std::size_t entry_bytes;
+    std::size_t max_bytes;
+  };
+  for (const Row& row : {Row{100, 1000}, Row{5000, 1000}, Row{300, 100000}}) {
+    CAPTURE(row.entry_bytes, row.max_bytes);
+    RaftSettings settings;
+    settings.max_unacknowledged_bytes = row.max_bytes;
+    settings.max_append_bytes = 400;
+    RaftState state;
+    state.hard_state = {1, NodeId()};
+    state.snapshot.membership = kMembers;
+    RaftNode node = *RaftNode::Create(settings, kSelf, state, kStart, 1);
+    Instant now = kStart + 2 * settings.election_timeout;
+    Elect(node, now);
+    constexpr int kProposals = 200;
+    std::size_t sent = 0;
+    std::size_t heartbeats = 0;
+    LogIndex confirmed = 0;
+    for (int i = 0; i < kProposals; ++i) {
+      now += settings.heartbeat_interval;
+      REQUIRE(node.Propose(std::string(row.entry_bytes, 'x')));
+      node.Tick(now);
+      const RaftEffects effects = node.TakeEffects(now);
+      node.OnPersisted();
+      for (const PeerEnvelope& envelope : effects.messages) {
+        const auto& request = std::get<AppendRequest>(envelope.message.body);
+        if (envelope.message.to == kLeader) {
+          // One follower keeps the leader in office.
+          confirmed = request.previous.index + request.entries.size();
+          AppendResponse response;
+          response.accepted = true;
+          response.match = confirmed;
+          response.round = request.round;
+          node.Receive(now, envelope.host,
+                       {kLeader, kSelf, node.term(), response});
+          continue;
+        }
+        if (request.entries.empty()) ++heartbeats;
+        for (const LogEntry& entry : request.entries) {
+          sent += entry.payload.size();
+        }
+      }
+    }
+    REQUIRE(node.role() == ControlRole::kLeader);
+    CHECK(sent <= row.max_bytes + settings.max_append_bytes + row.entry_bytes);
+    CHECK(sent >= std::min(row.max_bytes, kProposals * row.entry_bytes / 2));
+    if (sent >= row.max_bytes) CHECK(heartbeats > 0);
+    CHECK(node.commit() + 2 * settings.max_append_bytes > confirmed);
+  }
+}
+
 }  // namespace
 }  // namespace sapphirebank
