Write large log entries in records of their own

Up to eight orders with a large configuration share one write of the log.

Cause: the entries of one write became one record, which is built as a document, encoded, framed and read back as a whole: four to five copies of all of them at once. A start reads such a record in the same way.

Change: a record holds at most 1 MiB of payload, unless a single entry is larger. Records of one write are consecutive, and a crash between them leaves a prefix that nobody was told of, as before within a torn record.

Test: "large entries of one write are stored in several records" (before, one file of 3.5 MB); "a crash at any write keeps what was durable" passes.

--- a/sapphirebank/consensus/segment_log.cc
+++ b/sapphirebank/consensus/segment_log.cc
@@ -18,6 +18,8 @@
 constexpr std::string_view kPrefix = "log-";
 constexpr std::string_view kEntriesField = "entries";
 constexpr std::string_view kResetField = "reset";
+// Payload of the entries of one record, unless a single one is larger.
+constexpr std::size_t kMaxRecordPayload = std::size_t{1} << 20U;
 constexpr std::uint64_t kSeedFactor = 0x9e3779b97f4a7c15ULL;  // 2^64 / phi
 
 std::string SegmentName(std::uint64_t number) {
@@ -177,8 +179,26 @@
   return {};
 }
 
+// Writes several records where the entries are large, since encoding a record
+// takes a few times its size in memory.
 Result<void> SegmentLog::Append(std::span<const LogEntry> entries) {
-  if (entries.empty()) return {};
+  while (!entries.empty()) {
+    std::size_t count = 0;
+    std::size_t bytes = 0;
+    while (count < entries.size()) {
+      bytes += entries[count].payload.size();
+      if (count > 0 && bytes > kMaxRecordPayload) break;
+      ++count;
+    }
+    if (auto stored = AppendEntries(entries.first(count)); !stored) {
+      return stored;
+    }
+    entries = entries.subspan(count);
+  }
+  return {};
+}
+
+Result<void> SegmentLog::AppendEntries(std::span<const LogEntry> entries) {
   auto items = nlohmann::json::array();
   for (const LogEntry& entry : entries) items.push_back(entry);
   nlohmann::json record;
--- a/sapphirebank/consensus/segment_log.h
+++ b/sapphirebank/consensus/segment_log.h
@@ -21,8 +21,9 @@
 };
 
 // Stores log entries in numbered, append-only segment files. Each record holds
-// the entries of one Append and supersedes everything from its first index on,
-// so nothing is overwritten in place. Old files are removed after compaction.
+// consecutive entries of one Append and supersedes everything from its first
+// index on, so nothing is overwritten in place. Old files are removed after
+// compaction.
 class SegmentLog {
  public:
   // Reads the files whose names start with "log-". `salt` makes the checksums
@@ -72,6 +73,7 @@
   Result<void> ReplayEntry(LogEntry entry, LogPosition snapshot);
   void ClearEntries();
   void DropOldEntries(LogPosition snapshot);
+  Result<void> AppendEntries(std::span<const LogEntry> entries);
   Result<void> AppendRecord(const std::string& payload, LogIndex last_index);
   Result<void> RemoveFirstSegment();
 
--- a/unit_tests/consensus/log_storage_test.cc
+++ b/unit_tests/consensus/log_storage_test.cc
@@ -265,5 +265,27 @@
   CHECK(AppendStep(1, 2, 1).store(*opened));
 }
 
+TEST_CASE("large entries of one write are stored in several records",
+          "[consensus]") {
+  MemoryFileSystem files;
+  auto storage = OpenFolder(files);
+  REQUIRE(storage);
+  constexpr std::size_t kEntryBytes = 700'000;
+  std::vector<LogEntry> entries;
+  for (LogIndex i = 1; i <= 5; ++i) {
+    entries.push_back(
+        {{i, 1}, EntryKind::kCommand, std::string(kEntryBytes, 'x')});
+  }
+  REQUIRE(storage->Append(entries));
+  // A file begins with a record, so that each of these has one.
+  for (int number = 1; number <= 5; ++number) {
+    const std::string name = "log-00000000000" + std::to_string(number);
+    CHECK(files.Content(name).size() < 2 * kEntryBytes);
+  }
+  auto reopened = OpenFolder(files);
+  REQUIRE(reopened);
+  CHECK(reopened->TakeRecovered().entries == entries);
+}
+
 }  // namespace
 }  // namespace sapphirebank
