Bound the bytes of calls at a control host, and make fewer copies of a plan

Cause: a control host accepted calls of 16 MiB, and 64 MiB of them at a time, whatever its memory is. Each order in progress kept its plan in the HTTP body, in the decoded call, in the step of the decision thread and the pending call, and on the leader once more behind the completion of the proposal.

Change: `memory_mb` decides. A call may have a 64th of it (4 MiB at 256 MB); a longer one is refused before it is read, with 413 and the reason, and logged (`call_refused`); the plan in force stays. Calls in progress may have an eighth together (32 MiB, eight orders of the largest plan); more is refused with 503 at once, so that the operator turns to another host. The plan moves along from the body to the pending call, and the completion has its version only.

--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -39,10 +39,6 @@
 // Refusals for lack of room are many at once, so they are summed up.
 constexpr Duration kAdmissionLogPeriod = std::chrono::seconds(1);
 
-// Maximum body of a call. A plan with thousands of routes takes a few
-// megabytes.
-constexpr std::uint64_t kMaxCallBytes = std::uint64_t{16} << 20U;
-
 // Minimum time between two log lines about hosts that lack changes.
 constexpr Duration kBehindLogPeriod = std::chrono::milliseconds(250);
 
@@ -177,9 +173,10 @@
     server.ip = at.ip;
     server.port = at.port;
     server.tracks_arrival = true;
+    server.max_held_bytes = settings_.MaxPendingPlanBytes();
     HttpServer::Hooks hooks;
-    hooks.accept_head = [](const HttpRequestHead&) -> Result<std::uint64_t> {
-      return kMaxCallBytes;
+    hooks.accept_head = [this](const HttpRequestHead& head) {
+      return AcceptCallHead(head);
     };
     hooks.handle = [this](HttpRequest request) {
       return Serve(std::move(request));
--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -185,6 +185,9 @@
   void UpdateRolloutMetrics();
 
   // control_process_calls.cc
+  // Returns the limit of a call's body in bytes. Refuses a longer one before it
+  // is read.
+  Result<std::uint64_t> AcceptCallHead(const HttpRequestHead& head) const;
   boost::asio::awaitable<HttpAnswer> Serve(HttpRequest request);
   void Execute(FleetCall call, const CallOrigin& origin, Callback callback);
   void EnqueueCall(std::optional<ControlCommand> command,
@@ -204,6 +207,9 @@
                        const Callback& callback);
   void Propose(Instant now, const ControlCommand& command,
                const Callback& callback);
+  // `change` is the proposed command without a plan's document.
+  void EndProposal(const ControlCommand& change, Instant proposed_at,
+                   const Completion& completion, const Callback& callback);
   void OrderZone(const ZoneOrder& order, const Callback& callback);
   void DecideZoneOrder(const ZoneOrder& order, const Callback& callback);
   // Returns the number of the change with which the record contains the effect
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -1,7 +1,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <charconv>
 #include <iterator>
+#include <optional>
 #include <string_view>
 #include <utility>
 
@@ -47,6 +49,31 @@
   return "other";
 }
 
+// Returns what is to be known of a change once it is in the log: plans are
+// large, and their version names them.
+ControlCommand WithoutDocument(const ControlCommand& command) {
+  const auto* plan = std::get_if<StorePlan>(&command);
+  return plan == nullptr ? command : StorePlan{plan->version, std::string()};
+}
+
+// Returns a copy of `call` that has taken its plan's document along.
+FleetCall TakeCall(FleetCall& call) {
+  auto* plan = std::get_if<StorePlanCall>(&call);
+  if (plan == nullptr) return call;
+  return StorePlanCall{
+      {plan->plan.version, std::exchange(plan->plan.document, {})}};
+}
+
+// Returns the length of a body that states one.
+std::optional<std::uint64_t> ContentLength(const HeaderFields& fields) {
+  const std::string_view text = FieldValue(fields, "content-length");
+  std::uint64_t length = 0;
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, length);
+  if (parsed.ec != std::errc() || parsed.ptr != end) return std::nullopt;
+  return length;
+}
+
 // Returns whether further calls may come on the connection of one that was
 // answered. The age of a connection bounds that of an order, so that callers
 // that give orders need a new one for each.
@@ -58,8 +85,25 @@
 
 }  // namespace
 
+Result<std::uint64_t> ControlProcess::AcceptCallHead(
+    const HttpRequestHead& head) const {
+  const std::uint64_t limit = settings_.MaxPlanBytes();
+  const auto length = ContentLength(head.fields);
+  if (!length || *length <= limit) return limit;
+  Error error(
+      ErrorKind::kBodyTooLarge,
+      fmt::format("the call has {} bytes; a control host with {} MB of memory "
+                  "accepts up to {}",
+                  *length, settings_.memory_mb, limit));
+  log_.Write(LogLevel::kInfo, "call_refused",
+             {{"target", head.target}, {"cause", error.detail}});
+  return tl::unexpected(std::move(error));
+}
+
 boost::asio::awaitable<HttpAnswer> ControlProcess::Serve(HttpRequest request) {
-  const Result<FleetCall> call = codec_.read_call(request);
+  Result<FleetCall> call = codec_.read_call(request);
+  // A plan is large, and the call has a copy.
+  std::string().swap(request.body);
   if (!call) {
     log_.Write(
         LogLevel::kInfo, "call_refused",
@@ -81,9 +125,9 @@
     // Servers announce themselves by the hundred; operators wait for an answer.
     const auto* heartbeat = std::get_if<HeartbeatCall>(&*call);
     const bool is_urgent = heartbeat == nullptr || heartbeat->server.leaving;
-    auto execute = [this, is_urgent, moved = *call, origin,
-                    callback = std::move(callback)] {
-      Execute(moved, origin, callback);
+    auto execute = [this, is_urgent, taken = TakeCall(*call), origin,
+                    callback = std::move(callback)]() mutable {
+      Execute(std::move(taken), origin, std::move(callback));
       FlushSoon(is_urgent);
     };
     if (is_urgent) {
@@ -142,8 +186,8 @@
   } else if (const auto* leave = std::get_if<LeaveCall>(&call)) {
     EnqueueCall(RetireBackend{leave->server, leave->incarnation.value_or(0)},
                 origin, std::move(callback));
-  } else if (const auto* plan = std::get_if<StorePlanCall>(&call)) {
-    EnqueueCall(plan->plan, origin, std::move(callback));
+  } else if (auto* plan = std::get_if<StorePlanCall>(&call)) {
+    EnqueueCall(std::move(plan->plan), origin, std::move(callback));
   } else if (const auto* zone = std::get_if<SetZoneCall>(&call)) {
     EnqueueCall(zone->zone, origin, std::move(callback));
   } else if (const auto* rollout = std::get_if<StartRolloutCall>(&call)) {
@@ -458,28 +502,35 @@
   if (const auto* order = std::get_if<SetZoneOut>(&command)) {
     zone_orders_.RecordProposal(order->zone);
   }
-  completions_[token] = [this, callback, now,
-                         command](const Completion& completion) {
-    const bool is_committed = completion.result.has_value();
-    if (const auto* order = std::get_if<SetZoneOut>(&command)) {
-      const bool may_be_committed =
-          !is_committed &&
-          completion.result.error().kind == ErrorKind::kNoQuorum;
-      zone_orders_.RecordEnd(Now(), order->zone, may_be_committed);
-    }
-    if (is_committed) {
-      log_.Write(LogLevel::kInfo, "change_committed",
-                 {{"change", ChangeName(command)},
-                  {"changes", host_.state().fleet().changes()},
-                  {"ms", ToSeconds(Now() - now) * 1e3}});
-      AcknowledgeWhenSafe(command, callback);
-    } else {
-      callback(tl::unexpected(completion.result.error()));
-    }
-  };
+  completions_[token] =
+      [this, callback, now,
+       change = WithoutDocument(command)](const Completion& completion) {
+        EndProposal(change, now, completion, callback);
+      };
   host_.Propose(now, command, token);
 }
 
+void ControlProcess::EndProposal(const ControlCommand& change,
+                                 Instant proposed_at,
+                                 const Completion& completion,
+                                 const Callback& callback) {
+  const bool is_committed = completion.result.has_value();
+  if (const auto* order = std::get_if<SetZoneOut>(&change)) {
+    const bool may_be_committed =
+        !is_committed && completion.result.error().kind == ErrorKind::kNoQuorum;
+    zone_orders_.RecordEnd(Now(), order->zone, may_be_committed);
+  }
+  if (is_committed) {
+    log_.Write(LogLevel::kInfo, "change_committed",
+               {{"change", ChangeName(change)},
+                {"changes", host_.state().fleet().changes()},
+                {"ms", ToSeconds(Now() - proposed_at) * 1e3}});
+    AcknowledgeWhenSafe(change, callback);
+  } else {
+    callback(tl::unexpected(completion.result.error()));
+  }
+}
+
 // Decides on an order behind a round of a majority: by an outdated record a
 // late one could pass for new.
 void ControlProcess::OrderZone(const ZoneOrder& order,
