Read documents of others in linear time

Cause: depth and names were checked by a callback of the library's parser. At the end of each table or list the library then searches the whole enclosing one for a value that the callback discarded, so that a table of N routes takes N*N steps, on the thread that reads calls and again on the one that decides.

Change: `DocumentChecker` checks a document by events, without building it; the parse that follows has no callback. The same documents are refused, for the same reasons.

--- a/sapphirebank/core/json_read.h
+++ b/sapphirebank/core/json_read.h
@@ -4,11 +4,8 @@
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <stdexcept>
-#include <string>
 #include <string_view>
-#include <vector>
 
 #include "sapphirebank/core/time.h"
 
@@ -24,41 +21,11 @@
 
 // Parses a document of another party. Throws nlohmann's parse error, or
 // std::out_of_range when it is nested more than kMaxDocumentDepth deep.
-inline nlohmann::json ParseDocument(std::string_view text) {
-  return nlohmann::json::parse(
-      text, [](int depth, nlohmann::json::parse_event_t, nlohmann::json&) {
-        if (depth > kMaxDocumentDepth) {
-          throw std::out_of_range(
-              fmt::format("nested more than {} deep", kMaxDocumentDepth));
-        }
-        return true;
-      });
-}
+nlohmann::json ParseDocument(std::string_view text);
 
 // Does the same, and throws std::out_of_range when a table has two entries of
 // one name, of which only the last would be read.
-inline nlohmann::json ParseDocumentWithUniqueNames(std::string_view text) {
-  std::vector<std::set<std::string>> names;
-  return nlohmann::json::parse(
-      text, [&](int depth, nlohmann::json::parse_event_t event,
-                nlohmann::json& value) {
-        using Event = nlohmann::json::parse_event_t;
-        if (depth > kMaxDocumentDepth) {
-          throw std::out_of_range(
-              fmt::format("nested more than {} deep", kMaxDocumentDepth));
-        }
-        if (event == Event::object_start) names.emplace_back();
-        if (event == Event::object_end) names.pop_back();
-        const bool is_repeated =
-            event == Event::key &&
-            !names.back().insert(value.get<std::string>()).second;
-        if (is_repeated) {
-          throw std::out_of_range(
-              fmt::format("two entries are called {}", value.dump()));
-        }
-        return true;
-      });
-}
+nlohmann::json ParseDocumentWithUniqueNames(std::string_view text);
 
 // Returns whether `value` is a whole number that is not negative. Such a number
 // is a signed one in a message that stays in the process and an unsigned one
