Let a plan that is sent again wait for its open proposal

An order that is not answered within 0.9 s is sent again, to any control host.

Cause: the leader put a plan into the log again for each copy that came before the first one was applied. Each weighs as much as the plan and changes nothing; a leader that is late gets more copies and becomes later.

Change: a plan that an open proposal makes needless, of its own or a newer version, waits for the outcome of that one (`PlanProposals`), and is answered as it is. `change_at_leader` says so (`joins_proposal`).

What it saves was not measured by itself.

--- a/programs/fleet_host/control_process.h
+++ b/programs/fleet_host/control_process.h
@@ -24,6 +24,7 @@
 #include "sapphirebank/fleet/fleet_call.h"
 #include "sapphirebank/fleet/fleet_hub.h"
 #include "sapphirebank/fleet/fleet_settings.h"
+#include "sapphirebank/fleet/plan_proposals.h"
 #include "sapphirebank/fleet/rollout_controller.h"
 #include "sapphirebank/fleet/update_age.h"
 #include "sapphirebank/fleet/zone_order.h"
@@ -210,6 +211,7 @@
   // `change` is the proposed command without a plan's document.
   void EndProposal(const ControlCommand& change, Instant proposed_at,
                    const Completion& completion, const Callback& callback);
+  void EndPlanProposal(PlanVersion version, const Completion& completion);
   void OrderZone(const ZoneOrder& order, const Callback& callback);
   void DecideZoneOrder(const ZoneOrder& order, const Callback& callback);
   // Returns the number of the change with which the record contains the effect
@@ -250,7 +252,8 @@
   std::vector<HeldAcknowledgement> held_acknowledgements_;
   LatestStartClock latest_start_;
   SuspensionWatch suspension_{kControlCallTimeout};
-  ZoneOrderGate zone_orders_;  // Of the leader.
+  ZoneOrderGate zone_orders_;     // Of the leader.
+  PlanProposals plan_proposals_;  // Of the leader.
   // What the leader said of itself and the other control hosts.
   bool leader_gates_changes_ = false;
   std::uint64_t reported_applied_ = 0;
--- a/programs/fleet_host/control_process_calls.cc
+++ b/programs/fleet_host/control_process_calls.cc
@@ -487,12 +487,17 @@
     line["start"] = retire->incarnation;
     line["known_start"] = all.known_start;
   }
+  const auto* plan = std::get_if<StorePlan>(&complete);
+  const bool joins = plan != nullptr && plan_proposals_.Covers(plan->version);
+  if (plan != nullptr) line["joins_proposal"] = joins;
   log_.Write(LogLevel::kInfo, "change_at_leader", std::move(line));
   if (AppliedChange(complete)) {
     AcknowledgeWhenSafe(complete, callback);
-    return;
+  } else if (joins) {
+    plan_proposals_.Join({plan->version, callback});
+  } else {
+    Propose(now, complete, callback);
   }
-  Propose(now, complete, callback);
 }
 
 // Replicates a command and acknowledges it when it is committed and safe.
@@ -502,6 +507,9 @@
   if (const auto* order = std::get_if<SetZoneOut>(&command)) {
     zone_orders_.RecordProposal(order->zone);
   }
+  if (const auto* plan = std::get_if<StorePlan>(&command)) {
+    plan_proposals_.Begin(plan->version);
+  }
   completions_[token] =
       [this, callback, now,
        change = WithoutDocument(command)](const Completion& completion) {
@@ -529,6 +537,22 @@
   } else {
     callback(tl::unexpected(completion.result.error()));
   }
+  if (const auto* plan = std::get_if<StorePlan>(&change)) {
+    EndPlanProposal(plan->version, completion);
+  }
+}
+
+// Answers the calls that waited for a proposal as it was answered itself.
+void ControlProcess::EndPlanProposal(PlanVersion version,
+                                     const Completion& completion) {
+  for (PlanProposals::WaitingCall& call : plan_proposals_.End(version)) {
+    if (completion.result) {
+      AcknowledgeWhenSafe(StorePlan{call.version, std::string()},
+                          std::move(call.callback));
+    } else {
+      call.callback(tl::unexpected(completion.result.error()));
+    }
+  }
 }
 
 // Decides on an order behind a round of a majority: by an outdated record a
