--- a/programs/fleet_host/control_process.cc
+++ b/programs/fleet_host/control_process.cc
@@ -174,6 +174,9 @@
     server.port = at.port;
     server.tracks_arrival = true;
     server.max_held_bytes = settings_.MaxPendingPlanBytes();
+    // Operators send a plan as a whole before they read the answer.
+    constexpr std::size_t kLingerPlans = 4;
+    server.max_linger_bytes = kLingerPlans * settings_.MaxPlanBytes();
     HttpServer::Hooks hooks;
     hooks.accept_head = [this](const HttpRequestHead& head) {
       return AcceptCallHead(head);
--- a/sapphirebank/transport/http_server.cc
+++ b/sapphirebank/transport/http_server.cc
@@ -33,7 +33,6 @@
 
 constexpr std::size_t kReadSize = std::size_t{8} << 10U;
 constexpr Duration kLingerTime = std::chrono::milliseconds(500);
-constexpr std::size_t kLingerBytes = 1 << 20U;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
 using PlainStream = beast::tcp_stream;
@@ -500,7 +499,7 @@
     tcp_layer.expires_after(kLingerTime);
     error_code error;
     std::size_t dropped = 0;
-    while (!error && dropped < kLingerBytes) {
+    while (!error && dropped < settings_.max_linger_bytes) {
       buffer.clear();
       dropped += co_await tcp_layer.async_read_some(buffer.prepare(kReadSize),
                                                     CaptureError(error));
--- a/sapphirebank/transport/http_server.h
+++ b/sapphirebank/transport/http_server.h
@@ -23,6 +23,9 @@
   std::size_t max_head_bytes = std::size_t{16} << 10U;
   // Total size in bytes of the request bodies buffered at one time.
   std::size_t max_held_bytes = std::size_t{64} << 20U;
+  // Bytes of a refused request that are read and discarded before the
+  // connection is closed, so that its caller gets the answer.
+  std::size_t max_linger_bytes = std::size_t{1} << 20U;
   Duration idle_timeout = std::chrono::seconds(75);
   Duration head_timeout = std::chrono::seconds(10);
   Duration body_timeout = std::chrono::seconds(120);
