--- a/unit_tests/telemetry/process_memory_test.cc
+++ b/unit_tests/telemetry/process_memory_test.cc
@@ -8,12 +8,13 @@
 
 TEST_CASE("the memory of a process is read from the system's page counts",
           "[telemetry]") {
-  const auto memory = ParseProcessMemory("2000 900 150 30 0 800 0", 4096);
+  constexpr std::uint64_t kPageBytes = 4096;
+  const auto memory = ParseProcessMemory("2000 900 150 30 0 800 0", kPageBytes);
   REQUIRE(memory);
-  CHECK(memory->resident == 900 * 4096);
-  CHECK(memory->anonymous == 750 * 4096);
+  CHECK(memory->resident == 900 * kPageBytes);
+  CHECK(memory->anonymous == 750 * kPageBytes);
   for (const char* malformed : {"", "2000", "2000 900", "a b c", "9 900 1"}) {
-    CHECK_FALSE(ParseProcessMemory(malformed, 4096));
+    CHECK_FALSE(ParseProcessMemory(malformed, kPageBytes));
   }
 }
 
